--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,101 @@
+//! The commands, one module each.
+
+mod config;
+mod dev;
+mod explain;
+mod key;
+mod serve;
+mod upstream;
+
+use std::{fs, net::SocketAddr};
+
+use lexopt::{
+    Arg::{Long, Short, Value},
+    Parser, ValueExt,
+};
+use mothvale_lib::settings::Settings;
+
+use crate::failure::Failure;
+
+const HELP: &str = "\
+Serves language model prompts that return after long gaps.
+
+Usage: mothvale COMMAND [OPTIONS]
+
+Commands:
+  serve --settings FILE          Run one host
+  dev [--listen IP:PORT]         Run a small system with stand-ins in one process
+  config check FILE              Check a settings file
+  upstream show --admin IP:PORT  Show what a host believes of its upstreams
+  explain ID --admin IP:PORT     Show how a request was handled
+  key hash                       Read a caller's key from standard input, print its hash
+
+Options:
+  -h, --help     Print help, also after a command
+  -V, --version  Print the version
+
+Exit codes:
+  0  success
+  1  the command failed
+  2  the command line or the settings are wrong; nothing was done
+";
+
+/// Runs the command that the arguments name.
+pub fn run(mut args: Parser) -> Result<(), Failure> {
+    match args.next()? {
+        Some(Short('h') | Long("help")) => print(HELP),
+        Some(Short('V') | Long("version")) => {
+            print(&format!("mothvale {}\n", env!("CARGO_PKG_VERSION")))
+        }
+        Some(Value(name)) => match name.to_string_lossy().as_ref() {
+            "serve" => serve::run(args),
+            "dev" => dev::run(args),
+            "config" => config::run(args),
+            "upstream" => upstream::run(args),
+            "explain" => explain::run(args),
+            "key" => key::run(args),
+            other => Err(Failure::wrong(format!("no command `{other}`"))),
+        },
+        Some(other) => Err(other.unexpected().into()),
+        None => Err(Failure::wrong("a command is missing")),
+    }
+}
+
+/// What a command was given.
+#[derive(Debug, Default)]
+struct Given {
+    words: Vec<String>,
+    settings: Option<String>,
+    listen: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
+    help: bool,
+}
+
+/// Parses a command's arguments; only the options in `allowed` are taken.
+fn given(mut args: Parser, allowed: &[&str]) -> Result<Given, Failure> {
+    let mut given = Given::default();
+    while let Some(arg) = args.next()? {
+        match arg {
+            Short('h') | Long("help") => given.help = true,
+            Long(name) if allowed.contains(&name) => match name {
+                "settings" => given.settings = Some(args.value()?.string()?),
+                "listen" => given.listen = Some(args.value()?.parse()?),
+                _ => given.admin = Some(args.value()?.parse()?),
+            },
+            Value(word) => given.words.push(word.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(given)
+}
+
+fn print(text: &str) -> Result<(), Failure> {
+    use std::io::Write;
+    std::io::stdout().write_all(text.as_bytes()).map_err(Failure::failed)
+}
+
+fn load(file: &str) -> Result<Settings, Failure> {
+    let text = fs::read_to_string(file)
+        .map_err(|err| Failure::settings(format!("{file}:1: document: cannot read: {err}")))?;
+    Settings::parse(file, &text).map_err(Failure::settings)
+}
--- /dev/null
+++ b/cli/src/commands/serve.rs
@@ -0,0 +1,53 @@
+//! `mothvale serve`.
+
+use lexopt::Parser;
+use mothvale_lib::{
+    host::{Clients, Host},
+    log_setup,
+};
+use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::{given, load, print};
+use crate::failure::Failure;
+
+const HELP: &str = "\
+Usage: mothvale serve --settings FILE
+
+Runs one host. When it listens, it prints one JSON line with `\"event\":\"ready\"` and its addresses.
+SIGTERM shuts it down: the health answer turns, requests end, then it exits with 0.
+";
+
+/// Runs the command.
+pub fn run(args: Parser) -> Result<(), Failure> {
+    let given = given(args, &["settings"])?;
+    if given.help {
+        return print(HELP);
+    }
+    let Some(file) = given.settings.filter(|_| given.words.is_empty()) else {
+        return Err(Failure::wrong("usage: mothvale serve --settings FILE"));
+    };
+    let settings = load(&file)?;
+    log_setup::install(&settings.log).map_err(Failure::failed)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(Failure::failed)?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate()).map_err(Failure::failed)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(Failure::failed)?;
+        let clients = Clients::http(&settings);
+        let host = Host::start(settings, clients).await.map_err(Failure::failed)?;
+        let ready = json!({
+            "event": "ready",
+            "public": host.public().to_string(),
+            "admin": host.admin().to_string(),
+        });
+        print(&format!("{ready}\n"))?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        match host.shut_down().await {
+            true => Ok(()),
+            false => Err(Failure::failed("requests were still running at the end")),
+        }
+    })
+}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,19 @@
+//! Command line of mothvale.
+//!
+//! Exit codes: 0 for success, 1 for a failure, 2 for a wrong command line or wrong settings.
+
+mod commands;
+mod failure;
+mod http;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match commands::run(lexopt::Parser::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{}", failure.message);
+            ExitCode::from(failure.code)
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/admin.rs
@@ -0,0 +1,153 @@
+//! Operators' API of one host.
+
+use std::convert::Infallible;
+
+use http::{Method, StatusCode};
+use serde::Serialize;
+use volo::Service as VoloService;
+use volo_http::{context::ServerContext, request::Request, response::Response};
+
+use crate::{
+    backend::Backend,
+    engine::Engine,
+    front::{body_response, json},
+    peer::Peers,
+    prelude::*,
+    shared::Shared,
+    table::Table,
+    view::{State, View},
+};
+
+const RECORDS: &str = "/admin/v1/records/";
+
+/// Serves operators.
+pub struct Admin<E, B, T> {
+    shared: Arc<Shared<E, B, T>>,
+    peers: Option<Peers>,
+}
+
+/// An upstream as operators see it.
+#[derive(Debug, Serialize)]
+struct UpstreamStatus<'a> {
+    name: &'a str,
+    zone: &'a str,
+    address: String,
+    state: &'static str,
+    boot: &'a str,
+    models: Vec<&'a str>,
+    running: u32,
+    waiting: u32,
+    slots: u32,
+    in_flight: u32,
+    report_age_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Message<'a> {
+    message: &'a str,
+}
+
+impl<E, B, T> Admin<E, B, T>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    /// Creates the API.
+    pub fn new(shared: Arc<Shared<E, B, T>>, peers: Option<Peers>) -> Self {
+        Admin { shared, peers }
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        let path = request.uri().path();
+        if request.method() != Method::GET {
+            return message(StatusCode::METHOD_NOT_ALLOWED, "only GET is served");
+        }
+        match path {
+            "/healthz" => message(StatusCode::OK, "alive"),
+            "/readyz" => self.ready(),
+            "/metrics" => {
+                let text = self.shared.metrics.text();
+                body_response("text/plain; version=0.0.4", text.into())
+            }
+            "/admin/v1/upstreams" => self.upstreams(),
+            _ => match path.strip_prefix(RECORDS) {
+                Some(id) => self.record(id).await,
+                None => message(StatusCode::NOT_FOUND, "no such path"),
+            },
+        }
+    }
+
+    fn ready(&self) -> Response {
+        let view = self.shared.view.load();
+        match unready(&view) {
+            None => message(StatusCode::OK, "ready"),
+            Some(reason) => message(StatusCode::SERVICE_UNAVAILABLE, reason),
+        }
+    }
+
+    fn upstreams(&self) -> Response {
+        let view = self.shared.view.load();
+        let now = self.shared.now();
+        let status = view.upstreams.iter().enumerate().map(|(index, it)| UpstreamStatus {
+            name: it.entry.name.as_str(),
+            zone: it.entry.zone.as_str(),
+            address: it.entry.address.to_string(),
+            state: it.state.name(),
+            boot: &it.boot,
+            models: it.confirmed.iter().map(Model::as_str).collect(),
+            running: it.report.running,
+            waiting: it.report.waiting,
+            slots: it.report.slots,
+            in_flight: self.shared.counters.get(index),
+            report_age_ms: now.since(it.report.asked).as_millis() as u64,
+        });
+        json(StatusCode::OK, &status.collect::<Vec<_>>())
+    }
+
+    /// Finds a request's record, here or at the host that its id names.
+    async fn record(&self, id: &str) -> Response {
+        if let Some(record) = self.shared.records.find(id) {
+            return json(StatusCode::OK, &*record);
+        }
+        let host = id.split('-').next().unwrap_or_default();
+        let unknown = || message(StatusCode::NOT_FOUND, "no host has a record of this request");
+        let Some(peers) = &self.peers else { return unknown() };
+        match peers.explain(host, id).await {
+            Some(record) if !record.is_empty() => {
+                body_response("application/json", record.to_string().into())
+            }
+            _ => unknown(),
+        }
+    }
+}
+
+impl<E, B, T> VoloService<ServerContext, Request> for Admin<E, B, T>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
+        Ok(self.handle(request).await)
+    }
+}
+
+/// Returns why a host should not get requests, if it should not.
+fn unready(view: &View) -> Option<&'static str> {
+    if view.draining {
+        return Some("shutting down");
+    }
+    let up = |state| matches!(state, State::Warm | State::Cold);
+    if view.upstreams.iter().any(|it| up(it.state)) {
+        return None;
+    }
+    Some("no upstream is known to be up")
+}
+
+fn message(status: StatusCode, text: &str) -> Response {
+    json(status, &Message { message: text })
+}
--- /dev/null
+++ b/lib/src/answer.rs
@@ -0,0 +1,206 @@
+//! State of one prompt's answer: which frames count, and what follows a failure.
+
+use crate::{
+    fault::{Cause, Fault, Reach},
+    generated::wire::{Finish, Frame},
+    invariant::{Invariant, holds},
+    prelude::*,
+};
+
+/// Runs started for one request, the first one included.
+const ATTEMPTS: u32 = 3;
+/// Times that the stream of one run may be asked for again.
+const RESUMES: u32 = 2;
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Choose an upstream and start a run there.
+    Dispatch,
+    /// Ask the same upstream for the frames from this sequence number on.
+    Resume(u64),
+    /// Hand this text to the caller.
+    Deliver(FastStr),
+    /// Hand this text to the caller; the answer is whole.
+    Finish(FastStr, Finish),
+    /// Tell the caller that the answer failed.
+    Fail(Error),
+    /// Drop the frame.
+    Drop(Stray),
+}
+
+/// Why a frame is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stray {
+    /// Its text was delivered before.
+    Late,
+    /// It belongs to another run.
+    Crossed,
+    /// The answer has ended.
+    AfterEnd,
+}
+
+/// The answer to one prompt.
+#[derive(Debug)]
+pub struct Answer {
+    attempt: FastStr,
+    next_seq: u64,
+    attempts: u32,
+    resumes: u32,
+    max_tokens: u32,
+    tokens: u32,
+    delivered: String,
+    tried: SmallVec<[usize; ATTEMPTS as usize]>,
+    /// Attempts of which an engine may have seen a part.
+    reached: u32,
+    ended: bool,
+}
+
+impl Answer {
+    /// Creates an answer of at most `max_tokens`.
+    pub fn new(max_tokens: u32) -> Self {
+        Answer {
+            attempt: FastStr::default(),
+            next_seq: 0,
+            attempts: 0,
+            resumes: 0,
+            max_tokens,
+            tokens: 0,
+            delivered: String::new(),
+            tried: SmallVec::new(),
+            reached: 0,
+            ended: false,
+        }
+    }
+
+    /// Notes that a run was started at an upstream under an attempt id.
+    pub fn dispatched(&mut self, attempt: FastStr, upstream: usize) {
+        self.attempt = attempt;
+        self.next_seq = 0;
+        self.attempts += 1;
+        self.reached += 1;
+        self.resumes = 0;
+        self.tried.push(upstream);
+    }
+
+    /// Returns the upstreams at which runs were started.
+    pub fn tried(&self) -> &[usize] {
+        &self.tried
+    }
+
+    /// Returns how many runs were started.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Returns the text delivered so far, which a further run has to continue.
+    pub fn delivered(&self) -> &str {
+        &self.delivered
+    }
+
+    /// Returns the tokens delivered so far.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Returns the tokens that are still allowed.
+    pub fn tokens_left(&self) -> u32 {
+        self.max_tokens.saturating_sub(self.tokens)
+    }
+
+    /// Takes a frame of the current stream.
+    pub fn frame(&mut self, frame: Frame) -> Step {
+        if self.ended {
+            return Step::Drop(Stray::AfterEnd);
+        }
+        if self.attempt != frame.attempt {
+            return Step::Drop(Stray::Crossed);
+        }
+        if frame.seq < self.next_seq {
+            return Step::Drop(Stray::Late);
+        }
+        if frame.seq > self.next_seq {
+            return self.resume().unwrap_or(Step::Dispatch);
+        }
+        self.accept(frame)
+    }
+
+    fn accept(&mut self, frame: Frame) -> Step {
+        if !holds(Invariant::AnswerWhole, frame.seq == self.next_seq) {
+            return self.give_up(Error::new(Kind::Internal, "the answer would not be whole"));
+        }
+        self.next_seq += 1;
+        self.tokens += frame.tokens.unwrap_or(0);
+        let text = FastStr::from(frame.text.unwrap_or_default());
+        self.delivered.push_str(&text);
+        match frame.finish {
+            Some(finish) => {
+                self.end();
+                Step::Finish(text, finish)
+            }
+            None => Step::Deliver(text),
+        }
+    }
+
+    /// Takes a failure of the current stream, or of starting it. `allow` takes one retry
+    /// out of the budget and is asked at most once.
+    pub fn broken<F>(&mut self, fault: Fault, allow: F) -> Step
+    where
+        F: FnOnce() -> bool,
+    {
+        if self.ended {
+            return Step::Drop(Stray::AfterEnd);
+        }
+        if fault.reach == Reach::NotSent {
+            self.reached -= 1;
+        }
+        if fault.reach == Reach::Unknown
+            && matches!(fault.cause, Cause::Broken | Cause::Timeout)
+            && self.next_seq > 0
+            && let Some(step) = self.resume()
+        {
+            return step;
+        }
+        if self.attempts >= ATTEMPTS {
+            return self.fail("every attempt failed");
+        }
+        if !allow() {
+            return self.fail("the attempt failed and retries are used up");
+        }
+        Step::Dispatch
+    }
+
+    /// Ends the answer with an error. One that says that nothing ran is replaced when an
+    /// engine may have seen an attempt.
+    pub fn give_up(&mut self, err: Error) -> Step {
+        if self.ended {
+            return Step::Drop(Stray::AfterEnd);
+        }
+        self.end();
+        let claims_not_run = err.kind.answer().run == Run::No;
+        if claims_not_run && self.reached > 0 {
+            let message = format!("every attempt failed; {}", err.message);
+            let after = err.retry_after.unwrap_or(COME_BACK);
+            return Step::Fail(Error::new(Kind::UpstreamFailed, message).retry_after(after));
+        }
+        Step::Fail(err)
+    }
+
+    fn resume(&mut self) -> Option<Step> {
+        if self.resumes >= RESUMES {
+            return None;
+        }
+        self.resumes += 1;
+        Some(Step::Resume(self.next_seq))
+    }
+
+    fn fail(&mut self, message: &str) -> Step {
+        self.give_up(Error::new(Kind::NoUpstream, message).retry_after(COME_BACK))
+    }
+
+    fn end(&mut self) {
+        holds(Invariant::AnswerEnds, !self.ended);
+        self.ended = true;
+    }
+}
--- /dev/null
+++ b/lib/src/clock.rs
@@ -0,0 +1,64 @@
+//! Monotonic time as the decision core sees it.
+
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+/// A point of monotonic time, in nanoseconds since an arbitrary start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// Creates the point `nanos` nanoseconds after the start.
+    pub fn from_nanos(nanos: u64) -> Self {
+        Instant(nanos)
+    }
+
+    /// Returns the time since `earlier`, or zero when `earlier` is later.
+    pub fn since(self, earlier: Instant) -> Duration {
+        Duration::from_nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Instant;
+
+    fn add(self, rhs: Duration) -> Instant {
+        let nanos = u64::try_from(rhs.as_nanos()).unwrap_or(u64::MAX);
+        Instant(self.0.saturating_add(nanos))
+    }
+}
+
+impl Sub for Instant {
+    type Output = Duration;
+
+    fn sub(self, rhs: Instant) -> Duration {
+        self.since(rhs)
+    }
+}
+
+/// Reads the time of this process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: std::time::Instant,
+}
+
+impl Clock {
+    /// Creates a clock that starts now.
+    pub fn start() -> Self {
+        Clock { start: std::time::Instant::now() }
+    }
+
+    /// Returns the time since the clock's start.
+    pub fn now(&self) -> Instant {
+        Instant::default() + self.start.elapsed()
+    }
+}
+
+/// Returns the wall-clock time, in milliseconds since the Unix epoch.
+pub fn unix_millis() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/lib/src/control.rs
@@ -0,0 +1,105 @@
+//! The control thread: drives the decision core and carries out its commands.
+
+use std::thread::JoinHandle;
+
+use tokio::{
+    runtime,
+    sync::mpsc,
+    task::JoinSet,
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::{
+    backend::Backend,
+    core::{Command, Core, Event},
+    engine::Engine,
+    peer::Peers,
+    prelude::*,
+    shared::Shared,
+    table::Table,
+};
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// Starts the control thread of a host. It ends when the host's `stop` is cancelled and
+/// its work is done.
+///
+/// # Errors
+///
+/// Returns an error when no thread can be started.
+pub fn start<E, B, T>(
+    shared: Arc<Shared<E, B, T>>,
+    core: Core,
+    peers: Option<Peers>,
+    events: mpsc::Receiver<Event>,
+) -> std::io::Result<JoinHandle<()>>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let control = Control { shared, core, peers, events, work: JoinSet::new() };
+    let name = "control".to_owned();
+    std::thread::Builder::new().name(name).spawn(move || runtime.block_on(control.run()))
+}
+
+struct Control<E, B, T> {
+    shared: Arc<Shared<E, B, T>>,
+    core: Core,
+    peers: Option<Peers>,
+    events: mpsc::Receiver<Event>,
+    work: JoinSet<Event>,
+}
+
+impl<E, B, T> Control<E, B, T>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let stop = self.shared.stop.clone();
+        loop {
+            let event = tokio::select! {
+                () = stop.cancelled() => return,
+                _ = ticks.tick() => Event::Tick,
+                Some(event) = self.events.recv() => event,
+                Some(Ok(event)) = self.work.join_next() => event,
+            };
+            let commands = self.core.handle(self.shared.now(), event);
+            for command in commands {
+                self.carry_out(command);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::Publish(view) => self.shared.view.store(view),
+            Command::Poll(index) => {
+                let shared = self.shared.clone();
+                self.work.spawn(async move { poll(&shared, index).await });
+            }
+            Command::Probe(host) => {
+                let Some(peers) = self.peers.clone() else { return };
+                self.work.spawn(async move {
+                    let alive = peers.probe(host.as_str()).await.is_some_and(|it| !it.leaving);
+                    Event::Probed { host, alive }
+                });
+            }
+        }
+    }
+}
+
+async fn poll<E, B, T>(shared: &Shared<E, B, T>, index: usize) -> Event
+where
+    E: Engine,
+{
+    let asked = shared.now();
+    let address = shared.settings.catalog.upstreams[index].address;
+    let result = shared.engine.load(address).await;
+    Event::Report { index, asked, own: shared.counters.get(index), result }
+}
--- /dev/null
+++ b/lib/src/front.rs
@@ -0,0 +1,386 @@
+//! Callers' API: finds out what is asked by whom, and writes the answers.
+
+use std::convert::Infallible;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header, request::Parts};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use serde::Serialize;
+use tokio::{sync::mpsc, time::timeout};
+use volo::Service as VoloService;
+use volo_http::{
+    body::Body, context::ServerContext, error::BoxError, request::Request, response::Response,
+};
+
+use crate::{
+    backend::{Backend, Message},
+    claim::Reply,
+    clock::unix_millis,
+    engine::Engine,
+    inflight::Visit,
+    key::Caller,
+    openai,
+    prelude::*,
+    prompt::{self, Api},
+    relay::{self, Job, Piece},
+    services,
+    settings::WorkspaceEntry,
+    shared::Shared,
+    table::Table,
+};
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const REPLAYED: HeaderName = HeaderName::from_static("x-idempotent-replayed");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const SERVICES: &str = "/v1/services/";
+/// Fields that belong to one connection or to this system, and are not passed on.
+const OWN_FIELDS: [HeaderName; 8] = [
+    header::AUTHORIZATION,
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::HOST,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    IDEMPOTENCY_KEY,
+];
+
+/// Serves callers.
+pub struct Front<E, B, T> {
+    shared: Arc<Shared<E, B, T>>,
+}
+
+/// A caller that was recognised and counted.
+struct Guest {
+    caller: Caller,
+    workspace: Arc<WorkspaceEntry>,
+    visit: Visit,
+}
+
+impl<E, B, T> Front<E, B, T>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    /// Creates the API over what a host's threads share.
+    pub fn new(shared: Arc<Shared<E, B, T>>) -> Self {
+        Front { shared }
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        let id = self.shared.request_id();
+        let (head, body) = request.into_parts();
+        let mut response = match self.route(&head, body, &id).await {
+            Ok(response) => response,
+            Err(err) => self.refusal(&head, &err, &id),
+        };
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
+        if self.shared.is_draining() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
+    fn refusal(&self, head: &Parts, err: &Error, id: &str) -> Response {
+        log::info!(request = id, path = head.uri.path(), outcome = err.kind.answer().code;
+            "request refused");
+        self.shared.metrics.outcome(Some(err));
+        let status = StatusCode::from_u16(err.kind.answer().status);
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut response = json(status, &err.body(id));
+        if let Some(seconds) = err.retry_seconds() {
+            response.headers_mut().insert(header::RETRY_AFTER, seconds.into());
+        }
+        response
+    }
+
+    async fn route(&self, head: &Parts, body: Body, id: &FastStr) -> Result<Response, Error> {
+        self.check_header(&head.headers)?;
+        let path = head.uri.path();
+        let post = |api| (head.method == Method::POST).then_some(api);
+        let api = match path {
+            "/v1/chat/completions" => post(Api::Chat),
+            "/v1/completions" => post(Api::Completion),
+            "/v1/models" if head.method == Method::GET => return self.models(head),
+            "/v1/models" => None,
+            _ if path.starts_with(SERVICES) => return self.service(head, body, id).await,
+            _ => return Err(Error::new(Kind::NotFound, format!("no such path: {path}"))),
+        };
+        let Some(api) = api else {
+            let message = format!("{path} does not take {}", head.method);
+            return Err(Error::new(Kind::MethodNotAllowed, message));
+        };
+        self.prompt(api, head, body, id).await
+    }
+
+    fn check_header(&self, headers: &HeaderMap) -> Result<(), Error> {
+        let limit = self.shared.settings.catalog.limits.header;
+        let size: usize = headers.iter().map(|(name, it)| name.as_str().len() + it.len()).sum();
+        if size > limit {
+            let message = format!("the header has {size} bytes, at most {limit}");
+            return Err(Error::new(Kind::HeaderTooLarge, message));
+        }
+        Ok(())
+    }
+
+    fn authenticate(&self, headers: &HeaderMap) -> Result<(Caller, Arc<WorkspaceEntry>), Error> {
+        let field = headers.get(header::AUTHORIZATION).and_then(|it| it.to_str().ok());
+        let Some(key) = field.and_then(|it| it.strip_prefix("Bearer ")) else {
+            return Err(Error::new(Kind::KeyMissing, "send your key as `Authorization: Bearer`"));
+        };
+        let catalog = &self.shared.settings.catalog;
+        let unknown = || Error::new(Kind::KeyUnknown, "the key is not known");
+        let caller = catalog.keys.find(key.trim()).ok_or_else(unknown)?;
+        let workspace = catalog.workspaces.get(&caller.workspace).ok_or_else(unknown)?;
+        Ok((caller.clone(), workspace.clone()))
+    }
+
+    /// Recognises the caller and counts the request as its workspace's.
+    fn admit(&self, headers: &HeaderMap) -> Result<Guest, Error> {
+        let (caller, workspace) = self.authenticate(headers)?;
+        if self.shared.stop.is_cancelled() {
+            let err = Error::new(Kind::ShuttingDown, "this host is shutting down");
+            return Err(err.retry_after(Duration::from_secs(1)));
+        }
+        let limit = workspace.max_in_flight;
+        let Some(visit) = self.shared.workspaces.enter(&workspace.name, limit) else {
+            let message = format!("the workspace has {limit} requests in flight, its limit");
+            let err = Error::new(Kind::WorkspaceBusy, message);
+            return Err(err.retry_after(Duration::from_secs(1)));
+        };
+        Ok(Guest { caller, workspace, visit })
+    }
+
+    fn models(&self, head: &Parts) -> Result<Response, Error> {
+        let (_, workspace) = self.authenticate(&head.headers)?;
+        self.shared.metrics.outcome(None);
+        Ok(json(StatusCode::OK, &openai::models(&workspace.models)))
+    }
+
+    async fn body(&self, head: &Parts, mut body: Body) -> Result<Bytes, Error> {
+        let limits = &self.shared.settings.catalog.limits;
+        let too_large = || {
+            let message = format!("the body is larger than {} bytes", limits.body);
+            Error::new(Kind::BodyTooLarge, message)
+        };
+        let announced = head.headers.get(header::CONTENT_LENGTH);
+        let announced = announced.and_then(|it| it.to_str().ok()?.parse::<usize>().ok());
+        if announced.is_some_and(|it| it > limits.body) {
+            return Err(too_large());
+        }
+        let mut bytes = Vec::with_capacity(announced.unwrap_or(0));
+        loop {
+            match timeout(limits.body_stall, body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    if bytes.len() + data.len() > limits.body {
+                        return Err(too_large());
+                    }
+                    bytes.extend_from_slice(&data);
+                }
+                Ok(Some(Err(_))) => {
+                    return Err(Error::new(Kind::BodyBroken, "the body broke off"));
+                }
+                Ok(None) => return Ok(bytes.into()),
+                Err(_) => return Err(Error::new(Kind::BodyStalled, "the body stopped arriving")),
+            }
+        }
+    }
+
+    async fn prompt(
+        &self,
+        api: Api,
+        head: &Parts,
+        body: Body,
+        id: &FastStr,
+    ) -> Result<Response, Error> {
+        let guest = self.admit(&head.headers)?;
+        let request = prompt::parse(api, &self.body(head, body).await?)?;
+        request.allowed(&guest.workspace, &self.shared.settings.catalog)?;
+        let writer = openai::Writer::new(&request, id, unix_millis() / 1000);
+        let stream = request.stream;
+        let job = Job { id: id.clone(), caller: guest.caller, request, visit: guest.visit };
+        let mut pieces = relay::start(&self.shared, job);
+        if !stream {
+            return self.whole(&writer, pieces).await;
+        }
+        // The head waits for the first piece, so that a refusal has its own status.
+        match pieces.recv().await {
+            Some(Piece::Fail(err)) => Err(err),
+            Some(first) => {
+                self.shared.metrics.outcome(None);
+                Ok(streamed(writer, first, pieces))
+            }
+            None => Err(Error::new(Kind::Internal, "the answer broke off")),
+        }
+    }
+
+    async fn whole(
+        &self,
+        writer: &openai::Writer,
+        mut pieces: mpsc::Receiver<Piece>,
+    ) -> Result<Response, Error> {
+        let mut text = String::new();
+        while let Some(piece) = pieces.recv().await {
+            match piece {
+                Piece::Text(more) => text.push_str(&more),
+                Piece::End(more, usage) => {
+                    text.push_str(&more);
+                    self.shared.metrics.outcome(None);
+                    return Ok(body_response("application/json", writer.whole(text, &usage)));
+                }
+                Piece::Fail(err) => return Err(err),
+            }
+        }
+        Err(Error::new(Kind::Internal, "the answer broke off"))
+    }
+
+    async fn service(&self, head: &Parts, body: Body, id: &FastStr) -> Result<Response, Error> {
+        let guest = self.admit(&head.headers)?;
+        let rest = &head.uri.path()[SERVICES.len()..];
+        let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+        let allowed = guest.workspace.services.iter().any(|it| it.as_str() == name);
+        let service = self.shared.settings.catalog.services.get(name).filter(|_| allowed);
+        let Some(service) = service else {
+            let message = format!("the service `{name}` does not exist");
+            return Err(Error::new(Kind::ServiceUnknown, message));
+        };
+        let query = head.uri.query().map(|it| format!("?{it}")).unwrap_or_default();
+        let key = head.headers.get(IDEMPOTENCY_KEY);
+        let call = services::Call {
+            id: id.clone(),
+            caller: guest.caller,
+            service: service.clone(),
+            message: Message {
+                method: head.method.clone(),
+                path: format!("/{path}{query}"),
+                headers: passed_on(&head.headers),
+                body: self.body(head, body).await?,
+            },
+            key: key.and_then(|it| it.to_str().ok()).map(Into::into),
+        };
+        let reply = self.carry(call, guest.visit).await?;
+        self.shared.metrics.outcome(None);
+        Ok(service_response(reply))
+    }
+
+    /// Carries a call as a task of its own: a caller that leaves must not stop a claim
+    /// half way.
+    async fn carry(&self, call: services::Call, visit: Visit) -> Result<Reply, Error> {
+        let shared = self.shared.clone();
+        let task = self.shared.tasks.spawn(async move {
+            let result = services::carry(&shared, &call).await;
+            drop(visit);
+            result
+        });
+        let broken = |_| Error::new(Kind::Internal, "the call broke off");
+        task.await.map_err(broken)?
+    }
+}
+
+impl<E, B, T> VoloService<ServerContext, Request> for Front<E, B, T>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
+        Ok(self.handle(request).await)
+    }
+}
+
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let passed = headers.iter().filter(|(name, _)| !OWN_FIELDS.contains(name));
+    passed.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+fn streamed(writer: openai::Writer, first: Piece, pieces: mpsc::Receiver<Piece>) -> Response {
+    let opening = writer.opening();
+    let state = Streaming { writer, first: Some(first), pieces, over: false };
+    let events = futures_util::stream::unfold(state, Streaming::next);
+    let start = futures_util::stream::iter((!opening.is_empty()).then(|| Ok(Frame::data(opening))));
+    let body = Body::from_stream(futures_util::StreamExt::chain(start, events));
+    let mut response = Response::new(body);
+    let fields = response.headers_mut();
+    fields.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    fields.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+struct Streaming {
+    writer: openai::Writer,
+    first: Option<Piece>,
+    pieces: mpsc::Receiver<Piece>,
+    over: bool,
+}
+
+impl Streaming {
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, BoxError>, Self)> {
+        if self.over {
+            return None;
+        }
+        let piece = match self.first.take() {
+            Some(piece) => Some(piece),
+            None => self.pieces.recv().await,
+        };
+        let bytes = match piece {
+            Some(Piece::Text(text)) => self.writer.text(&text),
+            Some(Piece::End(text, usage)) => {
+                self.over = true;
+                self.writer.end(&text, &usage)
+            }
+            Some(Piece::Fail(err)) => {
+                self.over = true;
+                self.writer.failure(&err)
+            }
+            // The sender always ends with `End` or `Fail` unless the reader stalled. The
+            // connection breaks, which no client takes for a whole answer.
+            None => return Some((Err("the answer broke off".into()), Streaming::ended(self))),
+        };
+        Some((Ok(Frame::data(bytes)), self))
+    }
+
+    fn ended(mut self) -> Self {
+        self.over = true;
+        self
+    }
+}
+
+fn service_response(reply: Reply) -> Response {
+    let mut response = Response::new(Body::from(reply.body));
+    *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::OK);
+    let content_type = reply.content_type.and_then(|it| HeaderValue::from_str(&it).ok());
+    if let Some(value) = content_type {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    if reply.replayed {
+        response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+    }
+    response
+}
+
+/// Builds a response with JSON as its body.
+pub fn json<V>(status: StatusCode, value: &V) -> Response
+where
+    V: Serialize,
+{
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = body_response("application/json", bytes.into());
+    *response.status_mut() = status;
+    response
+}
+
+/// Builds a successful response of a media type.
+pub fn body_response(content_type: &'static str, bytes: Bytes) -> Response {
+    let mut response = Response::new(Body::from(bytes));
+    let value = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/lib/src/inflight.rs
@@ -0,0 +1,100 @@
+//! Requests in flight from this host: for each upstream and for each workspace.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use crate::prelude::*;
+
+/// Counts requests in flight to each upstream of a catalog, by the upstream's index.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    counts: Arc<[AtomicU32]>,
+}
+
+impl Counters {
+    /// Creates counters for `len` upstreams.
+    pub fn new(len: usize) -> Self {
+        Counters { counts: (0..len).map(|_| AtomicU32::new(0)).collect() }
+    }
+
+    /// Returns the requests in flight to an upstream.
+    pub fn get(&self, index: usize) -> u32 {
+        self.counts[index].load(Ordering::Acquire)
+    }
+
+    /// Counts one more request to an upstream unless `limit` are in flight already.
+    pub fn reserve(&self, index: usize, limit: u32) -> Option<Permit> {
+        let more = |count: u32| (count < limit).then_some(count + 1);
+        let before = self.counts[index].fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
+        Some(Permit { counters: self.clone(), index, ordinal: before.ok()? + 1 })
+    }
+}
+
+/// One request in flight to an upstream, counted until it is dropped.
+#[derive(Debug)]
+pub struct Permit {
+    counters: Counters,
+    index: usize,
+    ordinal: u32,
+}
+
+impl Permit {
+    /// Returns how many requests were in flight when this one was counted, itself included.
+    pub fn ordinal(&self) -> u32 {
+        self.ordinal
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.counters.counts[self.index].fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Counts requests in flight for each workspace; only active ones take memory.
+#[derive(Clone, Debug, Default)]
+pub struct Workspaces {
+    counts: Arc<Mutex<HashMap<Workspace, u32>>>,
+}
+
+impl Workspaces {
+    /// Counts one more request of a workspace unless `limit` are in flight already.
+    pub fn enter(&self, workspace: &Workspace, limit: u32) -> Option<Visit> {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = counts.entry(workspace.clone()).or_default();
+        if *count >= limit {
+            return None;
+        }
+        *count += 1;
+        Some(Visit { workspaces: self.clone(), workspace: workspace.clone() })
+    }
+
+    /// Returns the requests in flight over all workspaces.
+    pub fn total(&self) -> u32 {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner).values().sum()
+    }
+}
+
+/// One request of a workspace, counted until it is dropped.
+#[derive(Debug)]
+pub struct Visit {
+    workspaces: Workspaces,
+    workspace: Workspace,
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        let mut counts = self.workspaces.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = counts.get_mut(&self.workspace) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.workspace);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/metric.rs
@@ -0,0 +1,123 @@
+//! Metrics of one host, in the Prometheus format.
+
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::{
+    invariant::{Invariant, broken},
+    prelude::*,
+};
+
+/// Upper bounds, in seconds, around the target of 1.2 s to the first token.
+const FIRST_TOKEN_BOUNDS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 2.5, 5.0, 10.0];
+/// Upper bounds, in seconds, around the target of 36 ms between tokens.
+const TOKEN_GAP_BOUNDS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.036, 0.05, 0.1, 0.25, 0.5, 1.0];
+
+/// The metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by what the caller was told.
+    pub requests: IntCounterVec,
+    /// Attempts sent to upstreams.
+    pub attempts: IntCounter,
+    /// Time to the first token by class, in seconds.
+    pub first_token: HistogramVec,
+    /// Time between tokens, in seconds.
+    pub token_gap: Histogram,
+    /// Prompt tokens of finished answers.
+    pub prompt_tokens: IntCounter,
+    /// Prompt tokens that engines found in their caches.
+    pub cached_tokens: IntCounter,
+    /// Tokens delivered to callers.
+    pub tokens: IntCounter,
+    /// Frames dropped, by why.
+    pub dropped_frames: IntCounterVec,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Transactions sent to the table service, by outcome.
+    pub table: IntCounterVec,
+    invariants: IntCounterVec,
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when two metrics have the same name.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let first_token = HistogramVec::new(
+            HistogramOpts::new("mothvale_first_token_seconds", "Time to the first token")
+                .buckets(FIRST_TOKEN_BOUNDS.to_vec()),
+            &["class"],
+        )?;
+        registry.register(Box::new(first_token.clone()))?;
+        let token_gap = Histogram::with_opts(
+            HistogramOpts::new("mothvale_token_gap_seconds", "Time between tokens")
+                .buckets(TOKEN_GAP_BOUNDS.to_vec()),
+        )?;
+        registry.register(Box::new(token_gap.clone()))?;
+        let in_flight = IntGauge::new("mothvale_requests_in_flight", "Requests in flight")?;
+        registry.register(Box::new(in_flight.clone()))?;
+        Ok(Metrics {
+            requests: counters("mothvale_requests_total", "Requests by outcome", &["outcome"])?,
+            attempts: counter("mothvale_attempts_total", "Attempts sent to upstreams")?,
+            first_token,
+            token_gap,
+            prompt_tokens: counter("mothvale_prompt_tokens_total", "Prompt tokens")?,
+            cached_tokens: counter(
+                "mothvale_cached_prompt_tokens_total",
+                "Prompt tokens that engines found in their caches",
+            )?,
+            tokens: counter("mothvale_tokens_total", "Tokens delivered")?,
+            dropped_frames: counters(
+                "mothvale_dropped_frames_total",
+                "Frames dropped",
+                &["reason"],
+            )?,
+            in_flight,
+            table: counters(
+                "mothvale_table_calls_total",
+                "Calls to the table service",
+                &["outcome"],
+            )?,
+            invariants: counters(
+                "mothvale_broken_invariants_total",
+                "Broken invariants",
+                &["invariant"],
+            )?,
+            registry,
+        })
+    }
+
+    /// Writes all metrics as text.
+    pub fn text(&self) -> String {
+        for invariant in Invariant::ALL {
+            let counter = self.invariants.with_label_values(&[invariant.name()]);
+            counter.reset();
+            counter.inc_by(broken(*invariant));
+        }
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+
+    /// Counts a request by its outcome.
+    pub fn outcome(&self, error: Option<&Error>) {
+        let outcome = error.map_or("ok", |it| it.kind.answer().code);
+        self.requests.with_label_values(&[outcome]).inc();
+    }
+}
--- /dev/null
+++ b/lib/src/rank.rs
@@ -0,0 +1,28 @@
+//! Rendezvous hashing: every host ranks the same names in the same order for a key.
+
+use sha2::{Digest, Sha256};
+
+/// Hashes the parts of a key. Parts are length-prefixed, so that no two lists of parts
+/// collide by concatenation.
+pub fn key(parts: &[&str]) -> u64 {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
+    }
+    first_word(&hash.finalize())
+}
+
+/// Returns the weight of a name for a key; the highest weight ranks first.
+pub fn weight(key: u64, name: &str) -> u64 {
+    let mut hash = Sha256::new();
+    hash.update(key.to_le_bytes());
+    hash.update(name.as_bytes());
+    first_word(&hash.finalize())
+}
+
+fn first_word(digest: &[u8]) -> u64 {
+    let mut word = [0; 8];
+    word.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(word)
+}
--- /dev/null
+++ b/lib/src/relay.rs
@@ -0,0 +1,426 @@
+//! Carries one prompt to an engine and its answer back to the caller.
+
+use tokio::{
+    sync::mpsc,
+    time::{Instant as Deadline, timeout},
+};
+
+use crate::{
+    answer::{Answer, Step, Stray},
+    backend::Backend,
+    core::Event,
+    engine::{Engine, Frames},
+    fault::Fault,
+    generated::wire::{Finish, Frame, Generate},
+    inflight::Visit,
+    key::Caller,
+    prelude::*,
+    prompt,
+    record::{Attempt, Record},
+    retry::Group,
+    route,
+    shared::Shared,
+    table::Table,
+};
+
+/// Pieces of an answer that wait for a slow caller.
+const BUFFERED_PIECES: usize = 16;
+
+/// A piece of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece {
+    /// Text.
+    Text(FastStr),
+    /// The last text, and the end of a whole answer.
+    End(FastStr, Usage),
+    /// The end of an answer that failed.
+    Fail(Error),
+}
+
+/// How an answer ended, and its token counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Usage {
+    /// Why the engine stopped.
+    pub reason: &'static str,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt that were in a cache.
+    pub cached_tokens: u32,
+    /// Tokens of the answer.
+    pub completion_tokens: u32,
+}
+
+/// A prompt that was let in.
+#[derive(Debug)]
+pub struct Job {
+    /// The request's id.
+    pub id: FastStr,
+    /// Who sent it.
+    pub caller: Caller,
+    /// The request.
+    pub request: prompt::Request,
+    /// Counts it as its workspace's.
+    pub visit: Visit,
+}
+
+/// Starts carrying a prompt. When the receiver is dropped, its run is cancelled.
+pub fn start<E, B, T>(shared: &Arc<Shared<E, B, T>>, job: Job) -> mpsc::Receiver<Piece>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    let (pieces, receiver) = mpsc::channel(BUFFERED_PIECES);
+    let relay = Relay::new(shared.clone(), job, pieces);
+    shared.tasks.spawn(relay.carry());
+    receiver
+}
+
+/// Why a stream of frames was left.
+enum Left {
+    /// The answer has ended, or the caller has gone.
+    Over,
+    /// The next step has to be taken.
+    Next(Step),
+}
+
+struct Relay<E, B, T> {
+    shared: Arc<Shared<E, B, T>>,
+    job: Job,
+    pieces: mpsc::Sender<Piece>,
+    answer: Answer,
+    group: Group,
+    received: Instant,
+    last_token: Option<Instant>,
+    deadline: Deadline,
+    record: Record,
+}
+
+impl<E, B, T> Relay<E, B, T>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    fn new(shared: Arc<Shared<E, B, T>>, job: Job, pieces: mpsc::Sender<Piece>) -> Self {
+        let record = Record {
+            request: job.id.clone(),
+            host: FastStr::new(shared.settings.host.as_str()),
+            workspace: FastStr::new(job.caller.workspace.as_str()),
+            class: FastStr::new(job.caller.class.as_str()),
+            target: FastStr::new(job.request.model.as_str()),
+            received_ms: crate::clock::unix_millis(),
+            ..Record::default()
+        };
+        Relay {
+            answer: Answer::new(job.request.max_tokens),
+            group: Group::Model(job.request.model.clone()),
+            received: shared.now(),
+            last_token: None,
+            deadline: Deadline::now() + shared.settings.catalog.limits.request,
+            shared,
+            job,
+            pieces,
+            record,
+        }
+    }
+
+    async fn carry(mut self) {
+        self.shared.metrics.in_flight.inc();
+        self.shared.budgets.earn(&self.job.caller.workspace, &self.group);
+        let mut step = Step::Dispatch;
+        while let Step::Dispatch = step {
+            match self.attempt().await {
+                Left::Over => break,
+                Left::Next(next) => step = next,
+            }
+        }
+        if let Step::Fail(err) = step {
+            self.fail(err).await;
+        }
+        self.finish();
+    }
+
+    /// Chooses an upstream, starts a run there and follows it to its end.
+    async fn attempt(&mut self) -> Left {
+        let pick = match self.pick() {
+            Ok(pick) => pick,
+            Err(err) => return Left::Next(self.answer.give_up(err)),
+        };
+        let upstream = self.shared.settings.catalog.upstreams[pick.index].clone();
+        let id = FastStr::from(uuid::Uuid::now_v7().simple().to_string());
+        self.answer.dispatched(id.clone(), pick.index);
+        self.shared.metrics.attempts.inc();
+        self.record.attempts.push(Attempt {
+            id: id.clone(),
+            upstream: FastStr::new(upstream.name.as_str()),
+            candidates: pick.candidates,
+            fault: None,
+        });
+        log::debug!(request = self.job.id.as_str(), workspace = self.job.caller.workspace.as_str(),
+            upstream = upstream.name.as_str(), attempt = id.as_str(); "attempt starts");
+        let guard = Guard {
+            shared: self.shared.clone(),
+            address: upstream.address,
+            attempt: id.clone(),
+            done: false,
+        };
+        let left = self.follow(guard, pick.index, &id).await;
+        drop(pick.permit);
+        left
+    }
+
+    fn pick(&self) -> Result<route::Pick, Error> {
+        let query = route::Query {
+            model: &self.job.request.model,
+            piece: self.job.request.piece(&self.job.caller.workspace),
+            prompt_tokens: self.job.request.estimated_tokens(),
+            tried: self.answer.tried(),
+            zone: &self.shared.settings.zone,
+        };
+        let view = self.shared.view.load();
+        route::pick(&view, &self.shared.counters, &query, self.shared.now())
+    }
+
+    async fn follow(&mut self, mut guard: Guard<E, B, T>, index: usize, id: &FastStr) -> Left {
+        let order = self.order(id);
+        let engine = self.shared.engine.clone();
+        let address = guard.address;
+        let mut opened = self.open(engine.generate(address, &order)).await;
+        loop {
+            let step = match opened {
+                Opened::Gone => return Left::Over,
+                Opened::Stream(frames) => {
+                    let boot = FastStr::new(frames.boot());
+                    self.shared.tell(Event::Seen { index, boot });
+                    self.read(frames, index).await
+                }
+                Opened::Failed(fault) => Some(self.broken(fault, index)),
+                Opened::Late => Some(self.late()),
+            };
+            match step {
+                Some(Step::Resume(from)) => {
+                    opened = self.open(engine.resume(address, id, from)).await;
+                }
+                Some(Step::Finish(..)) => {
+                    guard.done = true;
+                    return Left::Over;
+                }
+                Some(step) => return Left::Next(step),
+                None => return Left::Over,
+            }
+        }
+    }
+
+    fn order(&self, id: &FastStr) -> Generate {
+        let request = &self.job.request;
+        let class = self.shared.settings.catalog.classes.get(&self.job.caller.class);
+        let delivered = self.answer.delivered();
+        Generate {
+            attempt: id.to_string(),
+            model: request.model.to_string(),
+            prompt: request.text.clone(),
+            delivered: (!delivered.is_empty()).then(|| delivered.to_owned()),
+            max_tokens: self.answer.tokens_left(),
+            priority: class.map_or(0, |it| it.priority),
+            salt: self.job.caller.workspace.to_string(),
+            temperature: request.sampling.temperature,
+            top_p: request.sampling.top_p,
+            seed: request.sampling.seed,
+            stop: request.sampling.stop.clone(),
+        }
+    }
+
+    async fn open<F>(&self, frames: F) -> Opened<E::Frames>
+    where
+        F: Future<Output = Result<E::Frames, Fault>>,
+    {
+        tokio::select! {
+            () = self.pieces.closed() => Opened::Gone,
+            () = tokio::time::sleep_until(self.deadline) => Opened::Late,
+            frames = frames => frames.map_or_else(Opened::Failed, Opened::Stream),
+        }
+    }
+
+    /// Reads a stream until a step has to be taken; none when the caller has gone.
+    async fn read(&mut self, mut frames: E::Frames, index: usize) -> Option<Step> {
+        loop {
+            let frame = tokio::select! {
+                () = self.pieces.closed() => return None,
+                () = tokio::time::sleep_until(self.deadline) => return Some(self.late()),
+                frame = frames.next() => frame,
+            };
+            let step = match frame {
+                Ok(Some(frame)) => self.frame(frame, index),
+                Ok(None) => self.broken(Fault::BROKEN, index),
+                Err(fault) => self.broken(fault, index),
+            };
+            match step {
+                Step::Deliver(text) => self.deliver(Piece::Text(text)).await?,
+                Step::Finish(text, finish) => {
+                    let usage = self.usage(&finish);
+                    self.record.outcome = FastStr::from_static_str("ok");
+                    self.deliver(Piece::End(text.clone(), usage)).await?;
+                    return Some(Step::Finish(text, finish));
+                }
+                Step::Drop(stray) => self.dropped(stray, index),
+                step => return Some(step),
+            }
+        }
+    }
+
+    fn frame(&mut self, frame: Frame, index: usize) -> Step {
+        let seq = frame.seq;
+        let step = self.answer.frame(frame);
+        if matches!(step, Step::Resume(_) | Step::Dispatch) {
+            log::warn!(request = self.job.id.as_str(), upstream = self.name(index), seq = seq;
+                "frames are missing");
+        }
+        step
+    }
+
+    fn dropped(&mut self, stray: Stray, index: usize) {
+        let reason = match stray {
+            Stray::Late => "late",
+            Stray::Crossed => "crossed",
+            Stray::AfterEnd => "after_end",
+        };
+        self.record.dropped_frames += 1;
+        self.shared.metrics.dropped_frames.with_label_values(&[reason]).inc();
+        if stray == Stray::Crossed {
+            log::error!(request = self.job.id.as_str(), upstream = self.name(index);
+                "upstream sent a frame of another run");
+            self.shared.tell(Event::Crossed { index });
+        }
+    }
+
+    fn broken(&mut self, fault: Fault, index: usize) -> Step {
+        log::warn!(request = self.job.id.as_str(), upstream = self.name(index),
+            fault = fault.to_string().as_str(); "attempt failed");
+        if let Some(attempt) = self.record.attempts.last_mut() {
+            attempt.fault = Some(fault.to_string());
+        }
+        self.shared.tell(Event::Broken { index, fault });
+        let workspace = &self.job.caller.workspace;
+        self.answer.broken(fault, || self.shared.budgets.spend(workspace, &self.group))
+    }
+
+    fn late(&mut self) -> Step {
+        self.answer.give_up(Error::new(Kind::TimedOut, "the request took longer than the limit"))
+    }
+
+    fn name(&self, index: usize) -> &str {
+        self.shared.settings.catalog.upstreams[index].name.as_str()
+    }
+
+    /// Hands a piece to the caller; none when the caller has gone or takes nothing.
+    async fn deliver(&mut self, piece: Piece) -> Option<()> {
+        let now = self.shared.now();
+        match self.last_token.replace(now) {
+            Some(last) => self.shared.metrics.token_gap.observe(now.since(last).as_secs_f64()),
+            None => self.first_token(now),
+        }
+        match self.pieces.try_send(piece) {
+            Ok(()) => Some(()),
+            Err(mpsc::error::TrySendError::Closed(_)) => None,
+            Err(mpsc::error::TrySendError::Full(piece)) => {
+                let stall = self.shared.settings.catalog.limits.reader_stall;
+                let sent = timeout(stall, self.pieces.send(piece)).await;
+                if sent.is_err() {
+                    self.record.outcome = FastStr::from_static_str("reader_stalled");
+                    log::info!(request = self.job.id.as_str(); "caller takes nothing, stream ends");
+                }
+                sent.ok()?.ok()
+            }
+        }
+    }
+
+    fn first_token(&mut self, now: Instant) {
+        let wait = now.since(self.received);
+        let class = self.job.caller.class.as_str();
+        self.shared.metrics.first_token.with_label_values(&[class]).observe(wait.as_secs_f64());
+        self.record.first_token_ms = Some(millis(wait));
+    }
+
+    fn usage(&self, finish: &Finish) -> Usage {
+        let metrics = &self.shared.metrics;
+        metrics.prompt_tokens.inc_by(finish.prompt_tokens.into());
+        metrics.cached_tokens.inc_by(finish.cached_tokens.into());
+        Usage {
+            reason: match finish.reason {
+                crate::generated::wire::FinishReason::Stop => "stop",
+                crate::generated::wire::FinishReason::Length => "length",
+            },
+            prompt_tokens: finish.prompt_tokens,
+            cached_tokens: finish.cached_tokens,
+            completion_tokens: self.answer.tokens(),
+        }
+    }
+
+    async fn fail(&mut self, err: Error) {
+        self.record.outcome = FastStr::from_static_str(err.kind.answer().code);
+        let stall = self.shared.settings.catalog.limits.reader_stall;
+        let _ = timeout(stall, self.pieces.send(Piece::Fail(err))).await;
+    }
+
+    fn finish(mut self) {
+        let total = self.shared.now().since(self.received);
+        if self.record.outcome.is_empty() {
+            self.record.outcome = FastStr::from_static_str("caller_left");
+        }
+        self.record.total_ms = millis(total);
+        self.shared.metrics.in_flight.dec();
+        self.shared.metrics.tokens.inc_by(self.answer.tokens().into());
+        log::info!(request = self.job.id.as_str(),
+            workspace = self.job.caller.workspace.as_str(),
+            upstream = self.record.attempts.last().map_or("", |it| it.upstream.as_str()),
+            outcome = self.record.outcome.as_str(), attempts = self.answer.attempts(),
+            total_ms = self.record.total_ms; "request ended");
+        self.shared.records.push(self.record);
+    }
+}
+
+enum Opened<F> {
+    Stream(F),
+    Failed(Fault),
+    Late,
+    Gone,
+}
+
+/// Cancels a run that did not come to its end.
+struct Guard<E, B, T>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    shared: Arc<Shared<E, B, T>>,
+    address: std::net::SocketAddr,
+    attempt: FastStr,
+    done: bool,
+}
+
+impl<E, B, T> Drop for Guard<E, B, T>
+where
+    E: Engine,
+    B: Backend,
+    T: Table,
+{
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        let (engine, address) = (self.shared.engine.clone(), self.address);
+        let attempt = self.attempt.clone();
+        self.shared.tasks.spawn(async move {
+            if let Err(fault) = engine.cancel(address, &attempt).await {
+                log::debug!(attempt = attempt.as_str(), fault = fault.to_string().as_str();
+                    "run was not cancelled");
+            }
+        });
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/lib/src/settings/check.rs
@@ -0,0 +1,388 @@
+//! Checks that turn a settings document into checked settings.
+
+use std::{collections::HashSet, net::SocketAddr, sync::LazyLock};
+
+use jsonschema::{Validator, error::ValidationErrorKind};
+use log::LevelFilter;
+use serde_json::Value;
+
+use super::*;
+use crate::{generated::settings as raw, problem::Problem, unit, yaml::Document};
+
+const SCHEMA: &str = include_str!("../../schema/settings.schema.json");
+
+const TABLE_TIMEOUT: Duration = Duration::from_secs(2);
+const CLAIM_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
+const FIRST_TOKEN: Duration = Duration::from_millis(1200);
+const MAX_TOKENS: u32 = 4096;
+const MAX_IN_FLIGHT: u32 = 1024;
+const COLD_LIMIT: u32 = 1;
+const LIMITS: Limits = Limits {
+    body: 4 << 20,
+    header: 32 << 10,
+    body_stall: Duration::from_secs(10),
+    reader_stall: Duration::from_secs(30),
+    request: Duration::from_secs(600),
+    drain_delay: Duration::from_secs(5),
+};
+
+static VALIDATOR: LazyLock<Validator> = LazyLock::new(|| {
+    let schema: Value = serde_json::from_str(SCHEMA).expect("the settings' schema is JSON");
+    jsonschema::options()
+        .with_format("socket-address", |it| it.parse::<SocketAddr>().is_ok())
+        .with_format("duration-unit", |it| unit::duration(it).is_ok())
+        .with_format("byte-unit", |it| unit::bytes(it).is_ok())
+        .should_validate_formats(true)
+        .build(&schema)
+        .expect("the settings' schema is valid")
+});
+
+/// Checks a whole document. References are checked on the document itself, so that a
+/// mistake in one place never hides one in another.
+pub(super) fn settings(doc: &Document) -> Result<Settings, Problems> {
+    let mut check = Check { doc, problems: Vec::new() };
+    check.shape();
+    check.names();
+    check.references();
+    check.addresses();
+    let built = match serde_json::from_value::<raw::Settings>(doc.value.clone()) {
+        Ok(raw) => check.build(&raw),
+        Err(err) if check.problems.is_empty() => {
+            check.fail("", err.to_string());
+            None
+        }
+        Err(_) => None,
+    };
+    match built {
+        Some(settings) if check.problems.is_empty() => Ok(settings),
+        _ => Err(check.finish()),
+    }
+}
+
+struct Check<'a> {
+    doc: &'a Document,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Check<'a> {
+    fn fail(&mut self, pointer: &str, message: String) {
+        self.problems.push(self.doc.problem(pointer, message));
+    }
+
+    fn finish(mut self) -> Problems {
+        self.problems.sort_by(|a, b| (a.line, &a.field).cmp(&(b.line, &b.field)));
+        self.problems.dedup();
+        Problems { file: self.doc.file.clone(), list: self.problems }
+    }
+
+    /// Checks the document against its schema.
+    fn shape(&mut self) {
+        for err in VALIDATOR.iter_errors(&self.doc.value) {
+            let pointer = err.instance_path.to_string();
+            match &err.kind {
+                ValidationErrorKind::AdditionalProperties { unexpected } => {
+                    for name in unexpected {
+                        self.fail(&format!("{pointer}/{name}"), "unknown field".into());
+                    }
+                }
+                ValidationErrorKind::Required { property } => {
+                    let name = property.as_str().unwrap_or_default();
+                    self.fail(&pointer, format!("the field `{name}` is missing"));
+                }
+                ValidationErrorKind::Format { format } => {
+                    let text = err.instance.as_str().unwrap_or_default();
+                    self.fail(&pointer, format_message(format, text));
+                }
+                ValidationErrorKind::Type { .. } if err.instance.is_number() => {
+                    let hint = "durations and sizes need a unit, such as `2s` or `1MiB`";
+                    self.fail(&pointer, format!("{err}; {hint}"));
+                }
+                _ => self.fail(&pointer, err.to_string()),
+            }
+        }
+    }
+
+    /// Checks that names are unique within their list.
+    fn names(&mut self) {
+        for list in ["/models", "/classes", "/workspaces", "/upstreams", "/services"] {
+            self.unique(list, "name");
+        }
+        self.unique("/peers/hosts", "name");
+        for index in 0..self.list("/services").len() {
+            self.unique(&format!("/services/{index}/upstreams"), "name");
+        }
+        let own = self.text("/host/name");
+        for (pointer, name) in self.texts("/peers/hosts", "name") {
+            if Some(name) == own {
+                self.fail(&pointer, "is this host's own name".into());
+            }
+        }
+    }
+
+    /// Checks that what is named elsewhere is there.
+    fn references(&mut self) {
+        let models = self.defined("/models");
+        let classes = self.defined("/classes");
+        let services = self.defined("/services");
+        let mut keys = HashSet::new();
+        for index in 0..self.list("/workspaces").len() {
+            let workspace = format!("/workspaces/{index}");
+            self.known(&format!("{workspace}/models"), "", "model", &models);
+            self.known(&format!("{workspace}/services"), "", "service", &services);
+            self.known(&format!("{workspace}/keys"), "class", "class", &classes);
+            for (pointer, hash) in self.texts(&format!("{workspace}/keys"), "sha256") {
+                if !keys.insert(hash) {
+                    self.fail(&pointer, "duplicate key".into());
+                }
+            }
+        }
+        for index in 0..self.list("/upstreams").len() {
+            self.known(&format!("/upstreams/{index}/models"), "", "model", &models);
+        }
+    }
+
+    fn addresses(&mut self) {
+        let (public, admin) = (self.text("/listen/public"), self.text("/listen/admin"));
+        if public.is_some_and(|it| Some(it) == admin && !it.ends_with(":0")) {
+            self.fail("/listen/admin", "is the same address as `listen.public`".into());
+        }
+        if self.doc.value.get("peers").is_some() && self.text("/listen/peer").is_none() {
+            self.fail("/listen", "the field `peer` is missing, which `peers` needs".into());
+        }
+    }
+
+    fn list(&self, pointer: &str) -> &'a [Value] {
+        self.doc.value.pointer(pointer).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+    }
+
+    fn text(&self, pointer: &str) -> Option<&'a str> {
+        self.doc.value.pointer(pointer).and_then(Value::as_str)
+    }
+
+    /// Returns the texts of a list with their pointers: its items, or a field of each.
+    fn texts(&self, list: &str, field: &str) -> Vec<(String, &'a str)> {
+        let tail = if field.is_empty() { String::new() } else { format!("/{field}") };
+        let pointers = (0..self.list(list).len()).map(|index| format!("{list}/{index}{tail}"));
+        pointers.filter_map(|it| self.text(&it).map(|text| (it.clone(), text))).collect()
+    }
+
+    fn defined(&self, list: &str) -> HashSet<&'a str> {
+        self.texts(list, "name").into_iter().map(|(_, name)| name).collect()
+    }
+
+    fn known(&mut self, list: &str, field: &str, kind: &str, defined: &HashSet<&str>) {
+        for (pointer, name) in self.texts(list, field) {
+            if !defined.contains(name) {
+                self.fail(&pointer, format!("no {kind} `{name}`"));
+            }
+        }
+    }
+
+    fn unique(&mut self, list: &str, field: &str) {
+        let mut seen = HashSet::new();
+        for (pointer, name) in self.texts(list, field) {
+            if !seen.insert(name) {
+                self.fail(&pointer, format!("duplicate name `{name}`"));
+            }
+        }
+    }
+
+    /// Builds checked settings from a document whose shape is right.
+    fn build(&mut self, raw: &raw::Settings) -> Option<Settings> {
+        let listen = self.listen(&raw.listen);
+        let peers = match &raw.peers {
+            Some(peers) => Some(self.peers(peers)?),
+            None => None,
+        };
+        Some(Settings {
+            host: Host::new(raw.host.name.clone()),
+            zone: Zone::new(raw.host.zone.clone()),
+            listen: listen?,
+            peers,
+            table: Table {
+                address: raw.table.address.parse().ok()?,
+                timeout: duration(raw.table.timeout.as_deref(), TABLE_TIMEOUT),
+                claim_retention: duration(raw.table.claim_retention.as_deref(), CLAIM_RETENTION),
+            },
+            log: log(raw.log.as_ref()),
+            catalog: Arc::new(catalog(raw)?),
+        })
+    }
+
+    fn listen(&mut self, raw: &raw::Listen) -> Option<Listen> {
+        let tls = match &raw.tls {
+            Some(tls) => Some(self.identity(tls, "/listen/tls")?),
+            None => None,
+        };
+        Some(Listen {
+            public: raw.public.parse().ok()?,
+            admin: raw.admin.parse().ok()?,
+            peer: raw.peer.as_ref().and_then(|it| it.parse().ok()),
+            tls,
+        })
+    }
+
+    fn peers(&mut self, raw: &raw::Peers) -> Option<Peers> {
+        let hosts = raw.hosts.iter().map(|it| {
+            Some(Peer {
+                name: Host::new(it.name.clone()),
+                zone: Zone::new(it.zone.clone()),
+                address: it.address.parse().ok()?,
+            })
+        });
+        let hosts = hosts.collect::<Option<_>>();
+        let authority = self.pem(&raw.authority, "/peers/authority");
+        let identity = self.identity(&raw.identity, "/peers/identity");
+        Some(Peers { authority: authority?, identity: identity?, hosts: hosts? })
+    }
+
+    fn identity(&mut self, raw: &raw::Identity, pointer: &str) -> Option<Identity> {
+        let certificate = self.pem(&raw.certificate, &format!("{pointer}/certificate"));
+        let key = self.pem(&raw.key, &format!("{pointer}/key"));
+        Some(Identity { certificate: certificate?, key: key? })
+    }
+
+    /// Returns PEM text, reading the file where the text is a path.
+    fn pem(&mut self, text: &str, pointer: &str) -> Option<FastStr> {
+        const MARK: &str = "-----BEGIN ";
+        if text.trim_start().starts_with(MARK) {
+            return Some(text.to_owned().into());
+        }
+        match std::fs::read_to_string(text) {
+            Ok(pem) if pem.contains(MARK) => Some(pem.into()),
+            Ok(_) => {
+                self.fail(pointer, format!("the file `{text}` holds no PEM text"));
+                None
+            }
+            Err(err) => {
+                self.fail(pointer, format!("cannot read `{text}`: {err}"));
+                None
+            }
+        }
+    }
+}
+
+fn catalog(raw: &raw::Settings) -> Option<Catalog> {
+    let mut keys = key::Ring::default();
+    for workspace in &raw.workspaces {
+        for it in &workspace.keys {
+            let hash = key::Hash::try_from(it.sha256.as_str()).ok()?;
+            let class = Class::new(it.class.clone());
+            let workspace = Workspace::new(workspace.name.clone());
+            keys.insert(hash, key::Caller { workspace, class });
+        }
+    }
+    Some(Catalog {
+        models: raw.models.iter().map(model).collect(),
+        classes: raw.classes.iter().map(class).collect(),
+        workspaces: raw.workspaces.iter().map(workspace).collect(),
+        keys,
+        upstreams: raw.upstreams.iter().map(upstream).collect::<Option<_>>()?,
+        services: raw.services.iter().map(service).collect::<Option<_>>()?,
+        limits: limits(raw.limits.as_ref()),
+    })
+}
+
+fn workspace(raw: &raw::Workspace) -> (Workspace, Arc<WorkspaceEntry>) {
+    let name = Workspace::new(raw.name.clone());
+    let entry = WorkspaceEntry {
+        name: name.clone(),
+        models: raw.models.iter().cloned().map(Model::new).collect(),
+        services: raw.services.iter().cloned().map(Service::new).collect(),
+        max_in_flight: raw.max_in_flight.unwrap_or(MAX_IN_FLIGHT),
+    };
+    (name, Arc::new(entry))
+}
+
+fn upstream(raw: &raw::Upstream) -> Option<Arc<UpstreamEntry>> {
+    Some(Arc::new(UpstreamEntry {
+        name: Upstream::new(raw.name.clone()),
+        zone: Zone::new(raw.zone.clone()),
+        address: raw.address.parse().ok()?,
+        models: raw.models.iter().cloned().map(Model::new).collect(),
+        cold_limit: raw.cold_limit.unwrap_or(COLD_LIMIT),
+    }))
+}
+
+fn service(raw: &raw::Service) -> Option<(Service, Arc<ServiceEntry>)> {
+    let upstreams = raw.upstreams.iter().map(|it| {
+        Some(Instance {
+            name: Upstream::new(it.name.clone()),
+            zone: Zone::new(it.zone.clone()),
+            address: it.address.parse().ok()?,
+        })
+    });
+    let calls = raw
+        .idempotent
+        .iter()
+        .map(|it| Call { method: it.method.to_string().into(), path: it.path.clone().into() });
+    let name = Service::new(raw.name.clone());
+    let entry = ServiceEntry {
+        name: name.clone(),
+        upstreams: upstreams.collect::<Option<_>>()?,
+        idempotent: calls.collect(),
+        timeout: duration(raw.timeout.as_deref(), SERVICE_TIMEOUT),
+    };
+    Some((name, Arc::new(entry)))
+}
+
+fn format_message(format: &str, text: &str) -> String {
+    let reason = match format {
+        "duration-unit" => unit::duration(text).err(),
+        "byte-unit" => unit::bytes(text).err(),
+        _ => Some("must be an IP number and a port, such as `10.0.0.1:8080`".into()),
+    };
+    format!("`{text}`: {}", reason.unwrap_or_default())
+}
+
+fn duration(text: Option<&str>, default: Duration) -> Duration {
+    text.and_then(|it| unit::duration(it).ok()).unwrap_or(default)
+}
+
+fn bytes(text: Option<&str>, default: usize) -> usize {
+    text.and_then(|it| unit::bytes(it).ok()).unwrap_or(default)
+}
+
+fn model(raw: &raw::Model) -> (Model, ModelEntry) {
+    let entry = ModelEntry { max_tokens: raw.max_tokens.unwrap_or(MAX_TOKENS) };
+    (Model::new(raw.name.clone()), entry)
+}
+
+fn class(raw: &raw::Class) -> (Class, ClassEntry) {
+    let first_token = duration(raw.first_token.as_deref(), FIRST_TOKEN);
+    let entry = ClassEntry { priority: raw.priority, first_token };
+    (Class::new(raw.name.clone()), entry)
+}
+
+fn limits(raw: Option<&raw::Limits>) -> Limits {
+    let Some(raw) = raw else { return LIMITS };
+    Limits {
+        body: bytes(raw.body.as_deref(), LIMITS.body),
+        header: bytes(raw.header.as_deref(), LIMITS.header),
+        body_stall: duration(raw.body_stall.as_deref(), LIMITS.body_stall),
+        reader_stall: duration(raw.reader_stall.as_deref(), LIMITS.reader_stall),
+        request: duration(raw.request.as_deref(), LIMITS.request),
+        drain_delay: duration(raw.drain_delay.as_deref(), LIMITS.drain_delay),
+    }
+}
+
+fn log(raw: Option<&raw::Log>) -> Log {
+    let mut log = Log { level: LevelFilter::Info, modules: BTreeMap::new() };
+    if let Some(raw) = raw {
+        log.level = raw.level.map_or(log.level, level);
+        log.modules = raw.modules.iter().map(|(name, it)| (name.clone(), level(*it))).collect();
+    }
+    log
+}
+
+fn level(raw: raw::Level) -> LevelFilter {
+    match raw {
+        raw::Level::Off => LevelFilter::Off,
+        raw::Level::Error => LevelFilter::Error,
+        raw::Level::Warn => LevelFilter::Warn,
+        raw::Level::Info => LevelFilter::Info,
+        raw::Level::Debug => LevelFilter::Debug,
+        raw::Level::Trace => LevelFilter::Trace,
+    }
+}
--- /dev/null
+++ b/lib/src/tls.rs
@@ -0,0 +1,105 @@
+//! TLS configurations from PEM text.
+
+use rustls::{
+    ClientConfig, RootCertStore, ServerConfig,
+    crypto::{CryptoProvider, aws_lc_rs},
+    pki_types::{CertificateDer, PrivateKeyDer, pem, pem::PemObject},
+    server::{VerifierBuilderError, WebPkiClientVerifier},
+};
+use thiserror::Error as ThisError;
+
+use crate::{
+    prelude::*,
+    settings::{Identity, Peers},
+};
+
+/// Protocol name of calls between hosts.
+const PEER_ALPN: &[u8] = b"mothvale-peer/1";
+
+/// Why a TLS configuration cannot be made.
+#[derive(Debug, ThisError)]
+pub enum TlsError {
+    /// The text is not PEM.
+    #[error("PEM text is not usable: {0}")]
+    Pem(#[from] pem::Error),
+    /// The key does not fit the certificate, or neither is usable.
+    #[error("certificate or key is not usable: {0}")]
+    Rustls(#[from] rustls::Error),
+    /// The authority's certificate is not usable.
+    #[error("authority is not usable: {0}")]
+    Authority(#[from] VerifierBuilderError),
+}
+
+/// Makes the configuration for callers.
+///
+/// # Errors
+///
+/// Returns an error when the certificate or key is not usable.
+pub fn front(identity: &Identity) -> Result<ServerConfig, TlsError> {
+    let (chain, key) = parse(identity)?;
+    let builder = ServerConfig::builder_with_provider(provider())
+        .with_safe_default_protocol_versions()?
+        .with_no_client_auth();
+    let mut config = builder.with_single_cert(chain, key)?;
+    config.alpn_protocols = vec![b"h2".to_vec(), b"http/1.1".to_vec()];
+    Ok(config)
+}
+
+/// Makes the configuration that answers other hosts; they have to show a certificate.
+///
+/// # Errors
+///
+/// Returns an error when a certificate or key is not usable.
+pub fn peer_server(peers: &Peers) -> Result<ServerConfig, TlsError> {
+    let (chain, key) = parse(&peers.identity)?;
+    let verifier =
+        WebPkiClientVerifier::builder_with_provider(Arc::new(authority(peers)?), provider())
+            .build()?;
+    let builder = ServerConfig::builder_with_provider(provider())
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_client_cert_verifier(verifier);
+    let mut config = builder.with_single_cert(chain, key)?;
+    config.alpn_protocols = vec![PEER_ALPN.to_vec()];
+    Ok(config)
+}
+
+/// Makes the configuration for calling other hosts.
+///
+/// # Errors
+///
+/// Returns an error when a certificate or key is not usable.
+pub fn peer_client(peers: &Peers) -> Result<ClientConfig, TlsError> {
+    let (chain, key) = parse(&peers.identity)?;
+    let builder = ClientConfig::builder_with_provider(provider())
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_root_certificates(authority(peers)?);
+    let mut config = builder.with_client_auth_cert(chain, key)?;
+    config.alpn_protocols = vec![PEER_ALPN.to_vec()];
+    Ok(config)
+}
+
+/// Returns the name that a host's certificate must carry.
+pub fn host_name(host: &Host) -> String {
+    format!("{}.mothvale.internal", host.as_str().replace('_', "-"))
+}
+
+fn provider() -> Arc<CryptoProvider> {
+    Arc::new(aws_lc_rs::default_provider())
+}
+
+fn authority(peers: &Peers) -> Result<RootCertStore, TlsError> {
+    let mut roots = RootCertStore::empty();
+    for cert in CertificateDer::pem_slice_iter(peers.authority.as_bytes()) {
+        roots.add(cert?)?;
+    }
+    Ok(roots)
+}
+
+fn parse(
+    identity: &Identity,
+) -> Result<(Vec<CertificateDer<'static>>, PrivateKeyDer<'static>), TlsError> {
+    let chain = CertificateDer::pem_slice_iter(identity.certificate.as_bytes());
+    let chain = chain.collect::<Result<Vec<_>, _>>()?;
+    let key = PrivateKeyDer::from_pem_slice(identity.key.as_bytes())?;
+    Ok((chain, key))
+}
--- /dev/null
+++ b/lib/standin/src/objects.rs
@@ -0,0 +1,72 @@
+//! Stand-in for the object store, the weight store and the platform's list of hosts.
+
+use std::{
+    collections::BTreeMap,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use mothvale_lib::{
+    front::{body_response, json},
+    generated::wire::Members,
+};
+use volo_http::{request::Request, response::Response};
+
+use crate::server::{Handler, bytes, status};
+
+/// Objects in memory, read at a limited rate.
+#[derive(Debug)]
+pub struct Objects {
+    bytes_per_second: f64,
+    objects: Mutex<BTreeMap<String, Bytes>>,
+    /// When the bytes promised so far will have been read.
+    busy_until: Mutex<Instant>,
+    hosts: Mutex<Members>,
+}
+
+impl Objects {
+    /// Creates an empty store that serves `bytes_per_second` to all readers together.
+    pub fn new(bytes_per_second: f64) -> Self {
+        Objects {
+            bytes_per_second,
+            objects: Mutex::default(),
+            busy_until: Mutex::new(Instant::now()),
+            hosts: Mutex::new(Members { hosts: Vec::new() }),
+        }
+    }
+
+    /// Sets the list of hosts.
+    pub fn set_hosts(&self, hosts: Members) {
+        *self.hosts.lock().unwrap() = hosts;
+    }
+
+    fn wait(&self, len: usize) -> Duration {
+        let mut busy = self.busy_until.lock().unwrap();
+        let now = Instant::now();
+        *busy = (*busy).max(now) + Duration::from_secs_f64(len as f64 / self.bytes_per_second);
+        busy.duration_since(now)
+    }
+}
+
+impl Handler for Objects {
+    async fn handle(&self, request: Request) -> Response {
+        let (head, body) = request.into_parts();
+        if head.uri.path() == "/hosts/v1/list" {
+            return json(StatusCode::OK, &*self.hosts.lock().unwrap());
+        }
+        let Some(name) = head.uri.path().strip_prefix("/objects/v1/") else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        if head.method == Method::PUT {
+            let data = bytes(body).await;
+            self.objects.lock().unwrap().insert(name.to_owned(), data);
+            return status(StatusCode::OK);
+        }
+        let found = self.objects.lock().unwrap().get(name).cloned();
+        let Some(data) = found else { return status(StatusCode::NOT_FOUND) };
+        tokio::time::sleep(self.wait(data.len())).await;
+        body_response("application/octet-stream", data)
+    }
+}
--- /dev/null
+++ b/lib/standin/src/store.rs
@@ -0,0 +1,106 @@
+//! Stand-in for a store host: pieces are readable once their manifest is published.
+
+use std::{collections::BTreeMap, sync::Mutex};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use mothvale_lib::{
+    front::{body_response, json},
+    generated::wire::{Manifest, Manifests},
+};
+use sha2::{Digest, Sha256};
+use volo_http::{request::Request, response::Response};
+
+use crate::server::{Handler, bytes, decode, status};
+
+/// Pieces in memory, up to a number of bytes.
+#[derive(Debug)]
+pub struct Store {
+    capacity: usize,
+    pieces: Mutex<BTreeMap<(String, u64), Piece>>,
+}
+
+#[derive(Debug)]
+struct Piece {
+    data: Bytes,
+    manifest: Option<Manifest>,
+}
+
+impl Store {
+    /// Creates an empty store of `capacity` bytes.
+    pub fn new(capacity: usize) -> Self {
+        Store { capacity, pieces: Mutex::default() }
+    }
+
+    fn write(&self, key: (String, u64), data: Bytes) -> StatusCode {
+        let mut pieces = self.pieces.lock().unwrap();
+        let used: usize = pieces.values().map(|it| it.data.len()).sum();
+        if used + data.len() > self.capacity {
+            return StatusCode::INSUFFICIENT_STORAGE;
+        }
+        pieces.insert(key, Piece { data, manifest: None });
+        StatusCode::OK
+    }
+
+    fn publish(&self, manifest: Manifest) -> StatusCode {
+        let mut pieces = self.pieces.lock().unwrap();
+        match pieces.get_mut(&(manifest.piece.clone(), manifest.generation)) {
+            Some(piece) if hex::encode(Sha256::digest(&piece.data)) == manifest.checksum => {
+                piece.manifest = Some(manifest);
+                StatusCode::OK
+            }
+            Some(_) => StatusCode::CONFLICT,
+            None => StatusCode::NOT_FOUND,
+        }
+    }
+
+    fn read(&self, key: &(String, u64)) -> Option<Bytes> {
+        let pieces = self.pieces.lock().unwrap();
+        let piece = pieces.get(key).filter(|it| it.manifest.is_some())?;
+        Some(piece.data.clone())
+    }
+
+    fn free(&self, key: &(String, u64)) -> StatusCode {
+        match self.pieces.lock().unwrap().remove(key) {
+            Some(_) => StatusCode::OK,
+            None => StatusCode::NOT_FOUND,
+        }
+    }
+
+    fn list(&self) -> Manifests {
+        let pieces = self.pieces.lock().unwrap();
+        Manifests { pieces: pieces.values().filter_map(|it| it.manifest.clone()).collect() }
+    }
+}
+
+impl Handler for Store {
+    async fn handle(&self, request: Request) -> Response {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        if path == "/store/v1/manifests" {
+            return match head.method {
+                Method::GET => json(StatusCode::OK, &self.list()),
+                Method::POST => match decode(body).await {
+                    Some(manifest) => status(self.publish(manifest)),
+                    None => status(StatusCode::BAD_REQUEST),
+                },
+                _ => status(StatusCode::METHOD_NOT_ALLOWED),
+            };
+        }
+        let Some(key) = piece_key(path) else { return status(StatusCode::NOT_FOUND) };
+        match head.method {
+            Method::PUT => status(self.write(key, bytes(body).await)),
+            Method::DELETE => status(self.free(&key)),
+            Method::GET => match self.read(&key) {
+                Some(data) => body_response("application/octet-stream", data),
+                None => status(StatusCode::NOT_FOUND),
+            },
+            _ => status(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+}
+
+fn piece_key(path: &str) -> Option<(String, u64)> {
+    let (piece, generation) = path.strip_prefix("/store/v1/pieces/")?.split_once('/')?;
+    Some((piece.to_owned(), generation.parse().ok()?))
+}
--- /dev/null
+++ b/lib/testutils/src/caller.rs
@@ -0,0 +1,171 @@
+//! A caller of the system, over real sockets.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode};
+use mothvale_lib::{
+    client::{Call, Client},
+    fault::Fault,
+    generated::openai::{Answer, ErrorBody, ErrorObject},
+};
+use mothvale_standin::dev::KEYS;
+use serde_json::{Value, json};
+use volo_http::client::sse::SseReader;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A caller with a key.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    address: SocketAddr,
+    key: String,
+}
+
+/// Answer to a caller.
+#[derive(Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Value,
+}
+
+impl Reply {
+    /// Returns the error object.
+    pub fn error(&self) -> ErrorObject {
+        serde_json::from_value::<ErrorBody>(self.body.clone()).unwrap().error
+    }
+
+    /// Returns a header field.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|it| it.to_str().ok())
+    }
+}
+
+/// What a caller got of a streamed answer.
+#[derive(Debug, Default)]
+pub struct Streamed {
+    /// The text.
+    pub text: String,
+    /// The last `finish_reason`.
+    pub finish: Option<String>,
+    /// Completion tokens, where the usage came.
+    pub tokens: Option<u32>,
+    /// Whether `[DONE]` came.
+    pub done: bool,
+    /// The error event, where one came.
+    pub error: Option<ErrorObject>,
+    /// Whether the connection broke.
+    pub broken: bool,
+}
+
+impl Caller {
+    /// Creates a caller from workspace `bedline` to a host.
+    pub fn new(address: SocketAddr) -> Self {
+        Caller { client: Client::pooled(), address, key: KEYS[0].into() }
+    }
+
+    /// Uses another key.
+    pub fn with_key(self, key: &str) -> Self {
+        Caller { key: key.into(), ..self }
+    }
+
+    /// Builds a call.
+    pub fn call(&self, method: Method, path: &str) -> Call {
+        let mut call = Call::new(self.address, method, path, TIMEOUT);
+        let bearer = format!("Bearer {}", self.key);
+        call.headers.insert(http::header::AUTHORIZATION, bearer.parse().unwrap());
+        call
+    }
+
+    /// Sends a call and returns the whole answer.
+    pub async fn send(&self, call: Call) -> Result<Reply, Fault> {
+        let answer: Response<_> = self.client.whole(call).await?;
+        let (head, body) = answer.into_parts();
+        let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        Ok(Reply { status: head.status, headers: head.headers, body })
+    }
+
+    /// Sends a GET.
+    pub async fn get(&self, path: &str) -> Reply {
+        self.send(self.call(Method::GET, path)).await.unwrap()
+    }
+
+    /// Sends a JSON body.
+    pub async fn post(&self, path: &str, body: &Value) -> Reply {
+        self.send(self.call(Method::POST, path).json(body)).await.unwrap()
+    }
+
+    /// Sends a call under an idempotency key.
+    pub async fn post_once(&self, path: &str, key: &str, body: &Value) -> Result<Reply, Fault> {
+        let mut call = self.call(Method::POST, path).json(body);
+        let name = HeaderName::from_static("idempotency-key");
+        call.headers.insert(name, HeaderValue::from_str(key).unwrap());
+        self.send(call).await
+    }
+
+    /// Sends a chat of one message, to be answered whole.
+    pub async fn chat(&self, text: &str, tokens: u32) -> Reply {
+        self.post("/v1/chat/completions", &chat_body(text, tokens, false)).await
+    }
+
+    /// Sends a chat of one message and reads the stream to its end.
+    pub async fn stream(&self, text: &str, tokens: u32) -> Streamed {
+        let call = self.call(Method::POST, "/v1/chat/completions");
+        let response = self.client.send(call.json(&chat_body(text, tokens, true))).await.unwrap();
+        let mut streamed = Streamed::default();
+        let Ok(mut reader) = SseReader::into_sse(response) else {
+            streamed.broken = true;
+            return streamed;
+        };
+        loop {
+            match reader.read().await {
+                Ok(Some(event)) => streamed.take(event.data().unwrap_or_default()),
+                Ok(None) => return streamed,
+                Err(_) => {
+                    streamed.broken = true;
+                    return streamed;
+                }
+            }
+        }
+    }
+}
+
+impl Streamed {
+    fn take(&mut self, data: &str) {
+        if data == "[DONE]" {
+            self.done = true;
+            return;
+        }
+        if let Ok(body) = serde_json::from_str::<ErrorBody>(data) {
+            self.error = Some(body.error);
+            return;
+        }
+        let answer: Answer = serde_json::from_str(data).unwrap();
+        for choice in &answer.choices {
+            let delta = choice.delta.as_ref().and_then(|it| it.content.as_deref());
+            self.text.push_str(delta.or(choice.text.as_deref()).unwrap_or_default());
+            self.finish = choice.finish_reason.clone().or(self.finish.take());
+        }
+        self.tokens = answer.usage.map(|it| it.completion_tokens).or(self.tokens);
+    }
+}
+
+/// Builds the body of a chat of one message.
+pub fn chat_body(text: &str, tokens: u32, stream: bool) -> Value {
+    json!({
+        "model": "demo",
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": tokens,
+        "stream": stream,
+        "stream_options": {"include_usage": stream},
+    })
+}
+
+/// Returns the canonical prompt of a chat of one message.
+pub fn canonical(text: &str) -> String {
+    format!("{}\n", serde_json::to_string(&("user", text, None::<&str>)).unwrap())
+}
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,11 @@
+//! Helpers of the tests.
+
+use std::sync::Once;
+
+pub mod caller;
+
+/// Makes broken invariants panic; every test that runs the program's own code calls this.
+pub fn init() {
+    static ONCE: Once = Once::new();
+    ONCE.call_once(mothvale_lib::invariant::panic_when_broken);
+}
