lib: connections stay off the control thread; faults, claims and bad input get tests

Cause: the first tests of faults and the first benchmark showed four faults. (1) A connection is driven by the runtime that opened it, and control and traffic shared one pool, so that traffic passed the control thread: control took 14% of a core in one run over HTTP/2. (2) The same for calls between hosts: closing them waited for drivers that had ended with the control thread, and a shutdown of two hosts hung. (3) The HTTP library reports a refused connection as a failed request, so that "not sent" was never proved and a dead engine only turned cold. (4) A stream's future held 14 KB, with a timer made and dropped for each token.

Ruled out for (1): the copying of prompts, logs (none was installed).

Change: a client of its own for the control thread; peers' connections are opened on the traffic runtime; a socket's own error counts as not sent; opening a run is boxed and one timer serves a stream (4 KB). Send buffers are bounded. HTTP/2 to engines by setting. `bench path` measures against direct calls and against a relay that only copies bytes.

--- /dev/null
+++ b/bench/src/load.rs
@@ -0,0 +1,204 @@
+//! Open-loop load: streams that start at seeded random times, whatever became of others.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use http::Method;
+use mothvale_lib::{
+    client::{Call, Client},
+    generated::{
+        openai::Answer,
+        wire::{Frame, Generate},
+    },
+};
+use mothvale_standin::{dev::KEYS, engine::epoch};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use serde_json::json;
+use tokio::{sync::Mutex, task::JoinSet};
+use volo_http::{client::sse::SseReader, response::Response};
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+const PROMPT: &str = "Which beds are free tonight, and for whom are they held? ";
+/// Tokens of a held stream; the second never comes.
+const HELD_TOKENS: u32 = 2;
+/// Longest latency that the histograms hold, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+
+/// Where streams go.
+#[derive(Clone, Copy, Debug)]
+pub enum Target {
+    /// To the engine itself.
+    Engine(SocketAddr),
+    /// Through a host.
+    Host(SocketAddr),
+}
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Streams started a second.
+    pub rate: f64,
+    /// Tokens of each stream.
+    pub tokens: u32,
+    /// How long streams are started.
+    pub length: Duration,
+    /// Seed of the times at which they start.
+    pub seed: u64,
+}
+
+/// What was seen.
+#[derive(Debug)]
+pub struct Seen {
+    /// Time from sending a request to its first token, in microseconds.
+    pub first: Histogram<u64>,
+    /// Time from the making of a token to its arrival, in microseconds.
+    pub token: Histogram<u64>,
+    /// Streams that came to their end.
+    pub whole: u64,
+    /// Streams that did not.
+    pub failed: u64,
+}
+
+impl Seen {
+    fn new() -> Self {
+        let histogram =
+            || Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are valid");
+        Seen { first: histogram(), token: histogram(), whole: 0, failed: 0 }
+    }
+}
+
+/// Runs a load to its end.
+pub async fn run(target: Target, plan: Plan) -> Seen {
+    let client = Client::pooled();
+    let seen = Arc::new(Mutex::new(Seen::new()));
+    let mut rng = Pcg64::seed_from_u64(plan.seed);
+    let mut streams = JoinSet::new();
+    let start = tokio::time::Instant::now();
+    let mut at = 0.0;
+    let mut number = 0;
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / plan.rate;
+        if at > plan.length.as_secs_f64() {
+            break;
+        }
+        tokio::time::sleep_until(start + Duration::from_secs_f64(at)).await;
+        let (client, seen) = (client.clone(), seen.clone());
+        number += 1;
+        streams.spawn(async move {
+            let result = stream(&client, target, plan, number).await;
+            let mut seen = seen.lock().await;
+            match result {
+                Some((first, tokens)) => {
+                    seen.whole += 1;
+                    seen.first.saturating_record(micros(first));
+                    tokens.iter().for_each(|it| seen.token.saturating_record(*it));
+                }
+                None => seen.failed += 1,
+            }
+        });
+    }
+    while streams.join_next().await.is_some() {}
+    Arc::into_inner(seen).expect("all streams have ended").into_inner()
+}
+
+/// Opens streams and holds them until `held` of them have their first token; returns the
+/// readers, which keep the streams open.
+pub async fn hold(target: Target, held: u64) -> Vec<SseReader<volo_http::body::Body>> {
+    let client = Client::pooled();
+    let ready = Arc::new(AtomicU64::new(0));
+    let mut streams = JoinSet::new();
+    for number in 0..held {
+        let (client, ready) = (client.clone(), ready.clone());
+        streams.spawn(async move {
+            let response = open(&client, target, HELD_TOKENS, number).await?;
+            let mut reader = SseReader::into_sse(response).ok()?;
+            reader.read().await.ok()?;
+            ready.fetch_add(1, Ordering::Relaxed);
+            Some(reader)
+        });
+        tokio::time::sleep(Duration::from_micros(500)).await;
+    }
+    streams.join_all().await.into_iter().flatten().collect()
+}
+
+async fn open(client: &Client, target: Target, tokens: u32, number: u64) -> Option<Response> {
+    let prompt = format!("{PROMPT}{number}");
+    let call = match target {
+        Target::Engine(address) => {
+            let order = Generate {
+                attempt: format!("direct-{number}-{}", epoch().elapsed().as_nanos()),
+                model: "demo".into(),
+                prompt,
+                delivered: None,
+                max_tokens: tokens,
+                priority: 0,
+                salt: "bench".into(),
+                temperature: None,
+                top_p: None,
+                seed: None,
+                stop: Vec::new(),
+            };
+            Call::new(address, Method::POST, "/engine/v1/runs", TIMEOUT).json(&order)
+        }
+        Target::Host(address) => {
+            let body = json!({
+                "model": "demo",
+                "messages": [{"role": "user", "content": prompt}],
+                "max_tokens": tokens,
+                "stream": true,
+            });
+            let mut call =
+                Call::new(address, Method::POST, "/v1/chat/completions", TIMEOUT).json(&body);
+            let bearer = format!("Bearer {}", KEYS[0]).parse().ok()?;
+            call.headers.insert(http::header::AUTHORIZATION, bearer);
+            call
+        }
+    };
+    client.send(call).await.ok()
+}
+
+/// Returns the time to the first token and each token's delay, where the stream is whole.
+async fn stream(
+    client: &Client,
+    target: Target,
+    plan: Plan,
+    number: u64,
+) -> Option<(Duration, Vec<u64>)> {
+    let sent = Instant::now();
+    let response = open(client, target, plan.tokens, number).await?;
+    let mut reader = SseReader::into_sse(response).ok()?;
+    let mut first = None;
+    let mut delays = Vec::with_capacity(plan.tokens as usize);
+    while let Some(event) = reader.read().await.ok()? {
+        let Some(text) = text(target, event.data()?) else { continue };
+        let made: u64 = text.trim().parse().ok()?;
+        let now = u64::try_from(epoch().elapsed().as_nanos()).ok()?;
+        delays.push(now.saturating_sub(made) / 1000);
+        first.get_or_insert_with(|| sent.elapsed());
+    }
+    (delays.len() == plan.tokens as usize).then_some((first?, delays))
+}
+
+/// Returns the text of an event, where it has some.
+fn text(target: Target, data: &str) -> Option<String> {
+    match target {
+        Target::Engine(_) => serde_json::from_str::<Frame>(data).ok()?.text,
+        Target::Host(_) => {
+            let answer: Answer = serde_json::from_str(data).ok()?;
+            let delta = answer.choices.into_iter().next()?.delta?;
+            delta.content.filter(|it| !it.is_empty())
+        }
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,2 +1,45 @@
-//! x.
-fn main() {}
+//! Measurements, each printed as JSON lines.
+
+mod load;
+mod path;
+mod process;
+
+use std::process::ExitCode;
+
+use lexopt::Arg::{Long, Value};
+use peak_alloc::PeakAlloc;
+
+#[global_allocator]
+static ALLOCATED: PeakAlloc = PeakAlloc;
+
+const HELP: &str = "\
+Usage: mothvale-bench COMMAND
+
+Commands:
+  path [--rate N] [--tokens N] [--seconds N] [--seed N] [--streams N] [--http1]
+       [--host-threads N] [--outside-threads N]
+      What one host adds to the first and to each token, against direct calls in the same run;
+      processor time for each 1,000 tokens; memory for each open stream.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("mothvale-bench: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), Box<dyn std::error::Error>> {
+    let mut args = lexopt::Parser::from_env();
+    match args.next()? {
+        Some(Value(name)) if name == "path" => path::run(args),
+        Some(Long("help")) | None => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Some(other) => Err(other.unexpected().into()),
+    }
+}
--- /dev/null
+++ b/bench/src/path.rs
@@ -0,0 +1,245 @@
+//! What one host adds to a token's way from the engine to the caller.
+
+use std::{error::Error, net::SocketAddr, time::Duration};
+
+use hdrhistogram::Histogram;
+use lexopt::{Arg::Long, Parser, ValueExt};
+use mothvale_lib::host::{Clients, Host};
+use mothvale_standin::{
+    dev::{DevHost, Options, Standins},
+    engine::Config,
+};
+use serde_json::json;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime::{Builder, Runtime},
+};
+
+use crate::{
+    load::{self, Plan, Seen, Target},
+    process,
+};
+
+const HOST_THREADS: &str = "host";
+const WARM_UP: Duration = Duration::from_secs(2);
+const TOKEN_TIME: Duration = Duration::from_millis(20);
+/// Time between tokens of held streams, so long that they only wait.
+const HELD_TOKEN_TIME: Duration = Duration::from_secs(600);
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// Runs the command.
+pub fn run(mut args: Parser) -> Result<(), Box<dyn Error>> {
+    let mut plan = Plan { rate: 400.0, tokens: 50, length: Duration::from_secs(15), seed: 1 };
+    let mut streams = 1000;
+    let mut threads = Threads { host: 1, outside: 2 };
+    let mut http2 = true;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("rate") => plan.rate = args.value()?.parse()?,
+            Long("tokens") => plan.tokens = args.value()?.parse()?,
+            Long("seconds") => plan.length = Duration::from_secs(args.value()?.parse()?),
+            Long("seed") => plan.seed = args.value()?.parse()?,
+            Long("host-threads") => threads.host = args.value()?.parse()?,
+            Long("outside-threads") => threads.outside = args.value()?.parse()?,
+            Long("http1") => http2 = false,
+            Long("streams") => streams = args.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let outside = runtime("outside", threads.outside)?;
+    latency(&outside, threads, http2, plan)?;
+    memory(&outside, threads, http2, streams)
+}
+
+/// Threads of the two runtimes.
+#[derive(Clone, Copy, Debug)]
+struct Threads {
+    host: usize,
+    outside: usize,
+}
+
+/// Memory while streams are held.
+struct Peak {
+    streams: u64,
+    resident: u64,
+    live: u64,
+}
+
+/// A host on a runtime of its own, with its stand-ins on another.
+struct Bench {
+    standins: Standins,
+    host: DevHost,
+    inside: Runtime,
+}
+
+impl Bench {
+    fn start(
+        outside: &Runtime,
+        threads: Threads,
+        http2: bool,
+        engine: Config,
+    ) -> Result<Self, Box<dyn Error>> {
+        let options = Options { hosts: 1, engines: 1, engine, http2, ..Options::default() };
+        let standins = outside.block_on(Standins::start(&options))?;
+        let mut settings = standins.settings(&options)?;
+        let settings = settings.pop().ok_or("no settings")?;
+        let inside = runtime(HOST_THREADS, threads.host)?;
+        let host = inside.block_on(async {
+            let host = Host::start(settings.clone(), Clients::http(&settings)).await?;
+            while !host.is_ready() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            Ok::<_, Box<dyn Error>>(host)
+        })?;
+        Ok(Bench { standins, host, inside })
+    }
+
+    fn engine(&self) -> SocketAddr {
+        self.standins.engines[0].address
+    }
+
+    fn stop(self) {
+        self.inside.block_on(self.host.shut_down());
+        self.inside.shutdown_background();
+    }
+}
+
+fn latency(
+    outside: &Runtime,
+    threads: Threads,
+    http2: bool,
+    plan: Plan,
+) -> Result<(), Box<dyn Error>> {
+    let bench = Bench::start(outside, threads, http2, engine(TOKEN_TIME))?;
+    let relay = bench.inside.block_on(copying_relay(bench.engine()))?;
+    let (direct, host) = (Target::Engine(bench.engine()), Target::Host(bench.host.public()));
+    let copied = Target::Engine(relay);
+    let warm_up = Plan { length: WARM_UP, ..plan };
+    outside.block_on(load::run(direct, warm_up));
+    let direct = outside.block_on(load::run(direct, plan));
+    outside.block_on(load::run(copied, warm_up));
+    let copied = outside.block_on(load::run(copied, plan));
+    outside.block_on(load::run(host, warm_up));
+    let before = process::thread_time(HOST_THREADS)?;
+    let control = process::thread_time("control")?;
+    let through = outside.block_on(load::run(host, plan));
+    let traffic = process::thread_time(HOST_THREADS)? - before;
+    let control = process::thread_time("control")? - control;
+    line("direct", plan, &direct);
+    line("through_copying_relay", plan, &copied);
+    line("through_host", plan, &through);
+    let tokens = through.token.len() as f64;
+    println!(
+        "{}",
+        json!({
+            "bench": "path",
+            "what": "added",
+            "http2": http2,
+            "copying_relay_first_us": added(&direct.first, &copied.first),
+            "copying_relay_token_us": added(&direct.token, &copied.token),
+            "first_us": added(&direct.first, &through.first),
+            "token_us": added(&direct.token, &through.token),
+            "host_cpu_ms_per_1000_tokens": traffic.as_secs_f64() * 1e6 / tokens,
+            "control_cpu_percent": control.as_secs_f64() * 100.0 / plan.length.as_secs_f64(),
+        })
+    );
+    bench.stop();
+    Ok(())
+}
+
+/// Starts a relay that only copies bytes, on the host's threads: what any process in
+/// between adds on this machine.
+async fn copying_relay(to: SocketAddr) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut from, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut to = TcpStream::connect(to).await?;
+                from.set_nodelay(true)?;
+                to.set_nodelay(true)?;
+                tokio::io::copy_bidirectional(&mut from, &mut to).await
+            });
+        }
+    });
+    Ok(address)
+}
+
+fn memory(
+    outside: &Runtime,
+    threads: Threads,
+    http2: bool,
+    streams: u64,
+) -> Result<(), Box<dyn Error>> {
+    let bench = Bench::start(outside, threads, http2, engine(HELD_TOKEN_TIME))?;
+    let mut peaks = Vec::new();
+    // The first round opens what later ones reuse.
+    let host = Target::Host(bench.host.public());
+    for target in [host, Target::Engine(bench.engine()), host] {
+        let held = outside.block_on(load::hold(target, streams));
+        std::thread::sleep(SETTLE);
+        peaks.push(Peak {
+            streams: held.len() as u64,
+            resident: process::memory()?,
+            live: crate::ALLOCATED.current_usage() as u64,
+        });
+        drop(held);
+        std::thread::sleep(SETTLE);
+    }
+    let (direct, through) = (&peaks[1], &peaks[2]);
+    println!(
+        "{}",
+        json!({
+            "bench": "path",
+            "what": "memory",
+            "streams_direct": direct.streams,
+            "streams_through_host": through.streams,
+            "live_bytes_per_open_stream": through.live.saturating_sub(direct.live) / streams,
+            "resident_bytes_per_open_stream":
+                through.resident.saturating_sub(direct.resident) / streams,
+        })
+    );
+    bench.stop();
+    Ok(())
+}
+
+fn engine(token_time: Duration) -> Config {
+    Config { slots: 100_000, prefill: 1e9, token_time, stamps: true, ..Options::default().engine }
+}
+
+fn runtime(name: &str, threads: usize) -> std::io::Result<Runtime> {
+    Builder::new_multi_thread().worker_threads(threads).thread_name(name).enable_all().build()
+}
+
+fn line(what: &str, plan: Plan, seen: &Seen) {
+    println!(
+        "{}",
+        json!({
+            "bench": "path",
+            "what": what,
+            "rate": plan.rate,
+            "tokens": plan.tokens,
+            "seconds": plan.length.as_secs(),
+            "seed": plan.seed,
+            "whole": seen.whole,
+            "failed": seen.failed,
+            "first_us": quantiles(&seen.first),
+            "token_us": quantiles(&seen.token),
+        })
+    );
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> serde_json::Value {
+    json!({
+        "p50": histogram.value_at_quantile(0.50),
+        "p95": histogram.value_at_quantile(0.95),
+        "p99": histogram.value_at_quantile(0.99),
+    })
+}
+
+fn added(direct: &Histogram<u64>, through: &Histogram<u64>) -> serde_json::Value {
+    let added = |quantile| {
+        through.value_at_quantile(quantile) as i64 - direct.value_at_quantile(quantile) as i64
+    };
+    json!({"p50": added(0.50), "p95": added(0.95), "p99": added(0.99)})
+}
--- a/cli/src/commands/dev.rs
+++ b/cli/src/commands/dev.rs
@@ -52,15 +52,15 @@
 fn ready(cluster: &Cluster) -> serde_json::Value {
     let hosts = cluster.hosts.iter();
     let hosts = hosts.map(|it| json!({"public": it.public(), "admin": it.admin()}));
-    let engines = cluster.engines.iter().map(|it| it.address);
-    let stores = cluster.stores.iter().map(|it| it.address);
+    let engines = cluster.standins.engines.iter().map(|it| it.address);
+    let stores = cluster.standins.stores.iter().map(|it| it.address);
     json!({
         "event": "ready",
         "hosts": hosts.collect::<Vec<_>>(),
         "engines": engines.collect::<Vec<_>>(),
         "stores": stores.collect::<Vec<_>>(),
-        "holds": cluster.bookings.address,
-        "table": cluster.table.address,
+        "holds": cluster.standins.bookings.address,
+        "table": cluster.standins.table.address,
         "keys": KEYS,
         "model": MODEL,
     })
--- a/lib/src/admin.rs
+++ b/lib/src/admin.rs
@@ -92,7 +92,7 @@
         let status = view.upstreams.iter().enumerate().map(|(index, it)| UpstreamStatus {
             name: it.entry.name.as_str(),
             zone: it.entry.zone.as_str(),
-            address: it.entry.address.to_string(),
+            address: it.entry.endpoint.address.to_string(),
             state: it.state.name(),
             boot: &it.boot,
             models: it.confirmed.iter().map(Model::as_str).collect(),
--- a/lib/src/client.rs
+++ b/lib/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for the outside systems; every failure tells how far the call came.
 
-use std::net::SocketAddr;
+use std::{error::Error as _, net::SocketAddr};
 
 use http::{HeaderMap, Method, header};
 use http_body_util::{BodyExt, Limited};
@@ -14,7 +14,6 @@
 
 use crate::{fault::Fault, prelude::*};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle connections kept to one address. Streams hold one connection each, so that a
 /// smaller pool would open connections at the rate of requests.
 const POOLED: usize = 256;
@@ -35,6 +34,8 @@
     pub body: Bytes,
     /// Longest wait for the head of the answer.
     pub timeout: Duration,
+    /// Whether the other side speaks HTTP/2 without being asked first.
+    pub http2: bool,
 }
 
 impl Call {
@@ -44,7 +45,7 @@
         S: Into<String>,
     {
         let (headers, body) = (HeaderMap::new(), Bytes::new());
-        Call { address, method, path: path.into(), headers, body, timeout }
+        Call { address, method, path: path.into(), headers, body, timeout, http2: false }
     }
 
     /// Gives the call a JSON body.
@@ -82,7 +83,6 @@
     /// Panics when the HTTP library rejects its own default configuration.
     fn with_pool(idle: usize) -> Self {
         let mut builder = HttpClient::builder();
-        builder.set_connect_timeout(CONNECT_TIMEOUT);
         builder.set_max_idle_per_host(idle);
         Client { http: builder.build().expect("the default HTTP client builds") }
     }
@@ -95,6 +95,9 @@
     pub async fn send(&self, call: Call) -> Result<Response, Fault> {
         let mut request = self.http.request(call.method, call.path.as_str()).address(call.address);
         request.headers_mut().extend(call.headers);
+        if call.http2 {
+            request = request.version(http::Version::HTTP_2);
+        }
         let answer = request.body(Body::from(call.body)).send::<Body>();
         match tokio::time::timeout(call.timeout, answer).await {
             Ok(Ok(response)) => Ok(response),
@@ -136,14 +139,43 @@
         }
         serde_json::from_slice(answer.body()).map_err(|_| Fault::PROTOCOL)
     }
+
+    /// Sends a call and returns the body of a successful answer; none when there is
+    /// nothing of that name.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed; any answer but a success or 404 is a failure.
+    pub async fn fetch(&self, call: Call) -> Result<Option<Bytes>, Fault> {
+        let answer = self.whole(call).await?;
+        match answer.status().as_u16() {
+            200..=299 => Ok(Some(answer.into_body())),
+            404 => Ok(None),
+            status => Err(Fault::refused(status)),
+        }
+    }
+
+    /// Sends a call that has to succeed, and drops the answer's body.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed; an answer that is not a success is a failure.
+    pub async fn done(&self, call: Call) -> Result<(), Fault> {
+        self.fetch(call).await?.map(|_| ()).ok_or(Fault::refused(404))
+    }
 }
 
-/// Only an error from before the connection was there proves that nothing was sent.
+/// Only an error from before the connection was there proves that nothing was sent. The
+/// HTTP library reports a connection that did not come about as a failed request, but with
+/// the socket's own error as its source; once there is a connection, the source is an error
+/// of the protocol.
 fn fault(err: &ClientError) -> Fault {
+    let of_socket = err.source().is_some_and(<dyn std::error::Error>::is::<std::io::Error>);
     match err.kind() {
         ErrorKind::Connect | ErrorKind::Builder | ErrorKind::Context | ErrorKind::LoadBalance => {
             Fault::CONNECT
         }
+        ErrorKind::Request if of_socket => Fault::CONNECT,
         _ => Fault::BROKEN,
     }
 }
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -29,6 +29,7 @@
 /// Returns an error when no thread can be started.
 pub fn start<E, B, T>(
     shared: Arc<Shared<E, B, T>>,
+    engine: E,
     core: Core,
     peers: Option<Peers>,
     events: mpsc::Receiver<Event>,
@@ -39,13 +40,14 @@
     T: Table,
 {
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    let control = Control { shared, core, peers, events, work: JoinSet::new() };
+    let control = Control { shared, engine, core, peers, events, work: JoinSet::new() };
     let name = "control".to_owned();
     std::thread::Builder::new().name(name).spawn(move || runtime.block_on(control.run()))
 }
 
 struct Control<E, B, T> {
     shared: Arc<Shared<E, B, T>>,
+    engine: E,
     core: Core,
     peers: Option<Peers>,
     events: mpsc::Receiver<Event>,
@@ -80,8 +82,8 @@
         match command {
             Command::Publish(view) => self.shared.view.store(view),
             Command::Poll(index) => {
-                let shared = self.shared.clone();
-                self.work.spawn(async move { poll(&shared, index).await });
+                let (shared, engine) = (self.shared.clone(), self.engine.clone());
+                self.work.spawn(async move { poll(&shared, &engine, index).await });
             }
             Command::Probe(host) => {
                 let Some(peers) = self.peers.clone() else { return };
@@ -94,12 +96,12 @@
     }
 }
 
-async fn poll<E, B, T>(shared: &Shared<E, B, T>, index: usize) -> Event
+async fn poll<E, B, T>(shared: &Shared<E, B, T>, engine: &E, index: usize) -> Event
 where
     E: Engine,
 {
     let asked = shared.now();
-    let address = shared.settings.catalog.upstreams[index].address;
-    let result = shared.engine.load(address).await;
+    let endpoint = shared.settings.catalog.upstreams[index].endpoint;
+    let result = engine.load(endpoint).await;
     Event::Report { index, asked, own: shared.counters.get(index), result }
 }
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -69,8 +69,12 @@
 /// Clients of the outside systems.
 #[derive(Clone)]
 pub struct Clients<E, B, T> {
-    /// Model engines.
+    /// Model engines, for traffic.
     pub engine: E,
+    /// Model engines, for the control thread. A connection is driven by the thread that
+    /// opened it, so that traffic over this client's connections would have to pass the
+    /// control thread.
+    pub control: E,
     /// Plain services.
     pub backend: B,
     /// The table service.
@@ -84,6 +88,7 @@
         let table = &settings.table;
         Clients {
             engine: HttpEngine::new(client.clone()),
+            control: HttpEngine::new(Client::pooled()),
             backend: HttpBackend::new(client.clone()),
             table: HttpTable::new(client, table.address, table.timeout),
         }
@@ -134,7 +139,7 @@
         let admin = listen("listen.admin", shared.settings.listen.admin, None, &shared).await?;
         let (public_address, admin_address) = (public.address(), admin.address());
         let core = core(&shared.settings);
-        let control = control::start(shared.clone(), core, peers.clone(), queue);
+        let control = control::start(shared.clone(), clients.control, core, peers.clone(), queue);
         let control = control.map_err(StartError::Thread)?;
         serve_public(&shared, public);
         serve_admin(&shared, peers.clone(), admin);
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, io, net::SocketAddr};
 
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, mpsc},
@@ -22,6 +23,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Connections that may be in setup at once, TLS handshakes for the most part.
 const SETUPS: usize = 1024;
+/// Bytes that wait in the kernel for one caller; it keeps as much again for itself.
+const SEND_BUFFER: usize = 64 << 10;
 const READY_CONNECTIONS: usize = 64;
 
 /// A listener for the HTTP server.
@@ -120,6 +123,10 @@
     tls: Option<TlsAcceptor>,
     ready: mpsc::Sender<Conn>,
 ) {
+    // Without a bound the kernel would hold megabytes for a caller that takes nothing.
+    if let Err(err) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER) {
+        log::debug!(error = err.to_string().as_str(); "send buffer keeps its size");
+    }
     let conn = match tls {
         None => ConnStream::from(stream),
         Some(acceptor) => match timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await {
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -8,7 +8,7 @@
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
 use thiserror::Error as ThisError;
-use tokio::{sync::Mutex, time::timeout};
+use tokio::{runtime::Handle, sync::Mutex, time::timeout};
 
 use crate::{
     generated::peer::{Alive, Call, Explain, Probe, Record, Reply, call, reply},
@@ -18,6 +18,8 @@
 
 const MESSAGE_BYTES: usize = 256 << 10;
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for the other hosts to learn that this one is gone.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_MS: u32 = 30_000;
 /// Calls that one other host may have open at once.
 const STREAMS: u32 = 64;
@@ -52,6 +54,8 @@
 
 struct Inner {
     me: Host,
+    /// Drives the connections, whichever thread calls.
+    runtime: Handle,
     endpoint: Endpoint,
     hosts: Vec<Link>,
 }
@@ -88,7 +92,9 @@
         let link =
             |peer: &settings::Peer| Link { peer: peer.clone(), connection: Mutex::default() };
         let hosts = config.hosts.iter().map(link).collect();
-        Ok(Peers { inner: Arc::new(Inner { me: me.clone(), endpoint, hosts }) })
+        Ok(Peers {
+            inner: Arc::new(Inner { me: me.clone(), runtime: Handle::current(), endpoint, hosts }),
+        })
     }
 
     /// Returns the address that is listened at.
@@ -121,7 +127,7 @@
     /// Tells the other hosts that this one is gone.
     pub async fn close(&self) {
         self.inner.endpoint.close(VarInt::from_u32(0), b"shut down");
-        self.inner.endpoint.wait_idle().await;
+        let _ = timeout(CLOSE_TIMEOUT, self.inner.endpoint.wait_idle()).await;
     }
 
     async fn call(&self, host: &str, body: call::Body) -> Option<reply::Body> {
@@ -152,8 +158,12 @@
             return Some(connection.clone());
         }
         let name = tls::host_name(&link.peer.name);
-        let connecting = self.inner.endpoint.connect(link.peer.address, &name).ok()?;
-        let connection = connecting.await.ok()?;
+        let (endpoint, address) = (self.inner.endpoint.clone(), link.peer.address);
+        let connecting = self.inner.runtime.spawn(async move {
+            let connecting = endpoint.connect(address, &name).ok()?;
+            connecting.await.ok()
+        });
+        let connection = connecting.await.ok()??;
         *held = Some(connection.clone());
         Some(connection)
     }
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -2,14 +2,14 @@
 
 use tokio::{
     sync::mpsc,
-    time::{Instant as Deadline, timeout},
+    time::{Instant as Deadline, sleep_until, timeout},
 };
 
 use crate::{
     answer::{Answer, Step, Stray},
     backend::Backend,
     core::Event,
-    engine::{Engine, Frames},
+    engine::{Endpoint, Engine, Frames},
     fault::Fault,
     generated::wire::{Finish, Frame, Generate},
     inflight::Visit,
@@ -25,6 +25,10 @@
 
 /// Pieces of an answer that wait for a slow caller.
 const BUFFERED_PIECES: usize = 16;
+/// Longest wait for the first frame, in which the engine takes the prompt.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(120);
+/// Longest wait between frames.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A piece of an answer.
 #[derive(Clone, Debug, PartialEq)]
@@ -93,7 +97,7 @@
     received: Instant,
     last_token: Option<Instant>,
     deadline: Deadline,
-    record: Record,
+    record: Box<Record>,
 }
 
 impl<E, B, T> Relay<E, B, T>
@@ -103,7 +107,7 @@
     T: Table,
 {
     fn new(shared: Arc<Shared<E, B, T>>, job: Job, pieces: mpsc::Sender<Piece>) -> Self {
-        let record = Record {
+        let record = Box::new(Record {
             request: job.id.clone(),
             host: FastStr::new(shared.settings.host.as_str()),
             workspace: FastStr::new(job.caller.workspace.as_str()),
@@ -111,7 +115,7 @@
             target: FastStr::new(job.request.model.as_str()),
             received_ms: crate::clock::unix_millis(),
             ..Record::default()
-        };
+        });
         Relay {
             answer: Answer::new(job.request.max_tokens),
             group: Group::Model(job.request.model.clone()),
@@ -161,7 +165,7 @@
             upstream = upstream.name.as_str(), attempt = id.as_str(); "attempt starts");
         let guard = Guard {
             shared: self.shared.clone(),
-            address: upstream.address,
+            endpoint: upstream.endpoint,
             attempt: id.clone(),
             done: false,
         };
@@ -183,10 +187,13 @@
     }
 
     async fn follow(&mut self, mut guard: Guard<E, B, T>, index: usize, id: &FastStr) -> Left {
-        let order = self.order(id);
         let engine = self.shared.engine.clone();
-        let address = guard.address;
-        let mut opened = self.open(engine.generate(address, &order)).await;
+        let endpoint = guard.endpoint;
+        // Opening takes much more room than following; boxed, it is given back.
+        let mut opened = {
+            let order = self.order(id);
+            Box::pin(self.open(engine.generate(endpoint, &order))).await
+        };
         loop {
             let step = match opened {
                 Opened::Gone => return Left::Over,
@@ -200,7 +207,7 @@
             };
             match step {
                 Some(Step::Resume(from)) => {
-                    opened = self.open(engine.resume(address, id, from)).await;
+                    opened = Box::pin(self.open(engine.resume(endpoint, id, from))).await;
                 }
                 Some(Step::Finish(..)) => {
                     guard.done = true;
@@ -237,19 +244,37 @@
     {
         tokio::select! {
             () = self.pieces.closed() => Opened::Gone,
-            () = tokio::time::sleep_until(self.deadline) => Opened::Late,
+            () = sleep_until(self.deadline) => Opened::Late,
             frames = frames => frames.map_or_else(Opened::Failed, Opened::Stream),
         }
     }
 
     /// Reads a stream until a step has to be taken; none when the caller has gone.
     async fn read(&mut self, mut frames: E::Frames, index: usize) -> Option<Step> {
+        let pieces = self.pieces.clone();
+        let mut closed = std::pin::pin!(pieces.closed());
+        let mut limit = FIRST_FRAME_TIMEOUT;
+        let mut last = Deadline::now();
+        // One timer serves the whole stream: it is moved only when it fires.
+        let mut alarm = std::pin::pin!(sleep_until(self.deadline.min(last + limit)));
         loop {
             let frame = tokio::select! {
-                () = self.pieces.closed() => return None,
-                () = tokio::time::sleep_until(self.deadline) => return Some(self.late()),
+                () = &mut closed => return None,
+                () = &mut alarm => {
+                    let now = Deadline::now();
+                    if now >= self.deadline {
+                        return Some(self.late());
+                    }
+                    if now < last + limit {
+                        alarm.as_mut().reset(self.deadline.min(last + limit));
+                        continue;
+                    }
+                    Err(Fault::TIMEOUT)
+                }
                 frame = frames.next() => frame,
             };
+            last = Deadline::now();
+            limit = FRAME_TIMEOUT;
             let step = match frame {
                 Ok(Some(frame)) => self.frame(frame, index),
                 Ok(None) => self.broken(Fault::BROKEN, index),
@@ -376,7 +401,7 @@
             upstream = self.record.attempts.last().map_or("", |it| it.upstream.as_str()),
             outcome = self.record.outcome.as_str(), attempts = self.answer.attempts(),
             total_ms = self.record.total_ms; "request ended");
-        self.shared.records.push(self.record);
+        self.shared.records.push(*self.record);
     }
 }
 
@@ -395,7 +420,7 @@
     T: Table,
 {
     shared: Arc<Shared<E, B, T>>,
-    address: std::net::SocketAddr,
+    endpoint: Endpoint,
     attempt: FastStr,
     done: bool,
 }
@@ -410,10 +435,10 @@
         if self.done {
             return;
         }
-        let (engine, address) = (self.shared.engine.clone(), self.address);
+        let (engine, endpoint) = (self.shared.engine.clone(), self.endpoint);
         let attempt = self.attempt.clone();
         self.shared.tasks.spawn(async move {
-            if let Err(fault) = engine.cancel(address, &attempt).await {
+            if let Err(fault) = engine.cancel(endpoint, &attempt).await {
                 log::debug!(attempt = attempt.as_str(), fault = fault.to_string().as_str();
                     "run was not cancelled");
             }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -6,7 +6,7 @@
 
 use log::LevelFilter;
 
-use crate::{key, prelude::*, problem::Problems, yaml};
+use crate::{engine::Endpoint, key, prelude::*, problem::Problems, yaml};
 
 /// Settings of one host.
 #[derive(Clone, Debug)]
@@ -152,8 +152,8 @@
     pub name: Upstream,
     /// Its availability zone.
     pub zone: Zone,
-    /// Its address.
-    pub address: SocketAddr,
+    /// How it is reached.
+    pub endpoint: Endpoint,
     /// Models it may serve.
     pub models: Vec<Model>,
     /// Most requests it can bear from all hosts together while cold.
--- a/lib/src/settings/check.rs
+++ b/lib/src/settings/check.rs
@@ -299,7 +299,10 @@
     Some(Arc::new(UpstreamEntry {
         name: Upstream::new(raw.name.clone()),
         zone: Zone::new(raw.zone.clone()),
-        address: raw.address.parse().ok()?,
+        endpoint: Endpoint {
+            address: raw.address.parse().ok()?,
+            http2: raw.http2.unwrap_or(false),
+        },
         models: raw.models.iter().cloned().map(Model::new).collect(),
         cold_limit: raw.cold_limit.unwrap_or(COLD_LIMIT),
     }))
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -1,5 +1,4 @@
-//! Store hosts, the weight store, the object store and the platform's list of hosts:
-//! a trait for each, and one client of their HTTP protocols.
+//! Store hosts: the trait, and the client of their HTTP protocol.
 
 use std::{future::Future, net::SocketAddr};
 
@@ -8,7 +7,7 @@
 use crate::{
     client::{Call, Client},
     fault::{Cause, Fault},
-    generated::wire::{Manifest, Manifests, Members},
+    generated::wire::{Manifest, Manifests},
     prelude::*,
 };
 
@@ -53,31 +52,7 @@
     ) -> impl Future<Output = Result<(), Fault>> + Send;
 }
 
-/// Named bytes: what the weight store serves and the object store keeps.
-pub trait Objects: Clone + Send + Sync + 'static {
-    /// Reads an object; none when it does not exist.
-    fn get(
-        &self,
-        to: SocketAddr,
-        name: &str,
-    ) -> impl Future<Output = Result<Option<Bytes>, Fault>> + Send;
-
-    /// Writes an object.
-    fn put(
-        &self,
-        to: SocketAddr,
-        name: &str,
-        data: Bytes,
-    ) -> impl Future<Output = Result<(), Fault>> + Send;
-}
-
-/// The platform's lagging list of live and leaving hosts.
-pub trait HostList: Clone + Send + Sync + 'static {
-    /// Reads the list.
-    fn hosts(&self, to: SocketAddr) -> impl Future<Output = Result<Members, Fault>> + Send;
-}
-
-/// Speaks the HTTP protocols of all of these.
+/// Speaks the store hosts' HTTP protocol.
 #[derive(Clone)]
 pub struct HttpStore {
     client: Client,
@@ -88,19 +63,6 @@
     pub fn new(client: Client) -> Self {
         HttpStore { client }
     }
-
-    async fn fetch(&self, call: Call) -> Result<Option<Bytes>, Fault> {
-        let answer = self.client.whole(call).await?;
-        match answer.status().as_u16() {
-            200..=299 => Ok(Some(answer.into_body())),
-            404 => Ok(None),
-            status => Err(Fault::refused(status)),
-        }
-    }
-
-    async fn done(&self, call: Call) -> Result<(), Fault> {
-        self.fetch(call).await?.map(|_| ()).ok_or(Fault::refused(404))
-    }
 }
 
 fn piece_path(piece: &str, generation: u64) -> String {
@@ -118,12 +80,12 @@
         let path = piece_path(piece, generation);
         let mut call = Call::new(to, Method::PUT, path, TRANSFER_TIMEOUT);
         call.body = data;
-        self.done(call).await
+        self.client.done(call).await
     }
 
     async fn publish(&self, to: SocketAddr, manifest: &Manifest) -> Result<(), Fault> {
         let call = Call::new(to, Method::POST, "/store/v1/manifests", CONTROL_TIMEOUT);
-        self.done(call.json(manifest)).await
+        self.client.done(call.json(manifest)).await
     }
 
     async fn list(&self, to: SocketAddr) -> Result<Manifests, Fault> {
@@ -138,34 +100,15 @@
         generation: u64,
     ) -> Result<Option<Bytes>, Fault> {
         let path = piece_path(piece, generation);
-        self.fetch(Call::new(to, Method::GET, path, TRANSFER_TIMEOUT)).await
+        self.client.fetch(Call::new(to, Method::GET, path, TRANSFER_TIMEOUT)).await
     }
 
     async fn free(&self, to: SocketAddr, piece: &str, generation: u64) -> Result<(), Fault> {
         let path = piece_path(piece, generation);
-        match self.done(Call::new(to, Method::DELETE, path, CONTROL_TIMEOUT)).await {
+        match self.client.done(Call::new(to, Method::DELETE, path, CONTROL_TIMEOUT)).await {
             // Freed already.
             Err(Fault { cause: Cause::Refused(404), .. }) => Ok(()),
             other => other,
         }
     }
 }
-
-impl Objects for HttpStore {
-    async fn get(&self, to: SocketAddr, name: &str) -> Result<Option<Bytes>, Fault> {
-        let path = format!("/objects/v1/{name}");
-        self.fetch(Call::new(to, Method::GET, path, TRANSFER_TIMEOUT)).await
-    }
-
-    async fn put(&self, to: SocketAddr, name: &str, data: Bytes) -> Result<(), Fault> {
-        let mut call = Call::new(to, Method::PUT, format!("/objects/v1/{name}"), TRANSFER_TIMEOUT);
-        call.body = data;
-        self.done(call).await
-    }
-}
-
-impl HostList for HttpStore {
-    async fn hosts(&self, to: SocketAddr) -> Result<Members, Fault> {
-        self.client.decode(Call::new(to, Method::GET, "/hosts/v1/list", CONTROL_TIMEOUT)).await
-    }
-}
--- a/lib/standin/src/dev.rs
+++ b/lib/standin/src/dev.rs
@@ -69,6 +69,8 @@
     pub engines: usize,
     /// How the engines behave.
     pub engine: Config,
+    /// Whether hosts speak HTTP/2 to the engines.
+    pub http2: bool,
     /// YAML lines for the settings' `limits`.
     pub limits: Vec<String>,
 }
@@ -86,7 +88,9 @@
                 token_time: Duration::from_millis(10),
                 cache_pieces: 256,
                 checks_fence: true,
+                stamps: false,
             },
+            http2: true,
             limits: vec!["drain_delay: 100ms".into()],
         }
     }
@@ -95,10 +99,8 @@
 /// A host of the system.
 pub type DevHost = Host<HttpEngine, HttpBackend, HttpTable>;
 
-/// A running system.
-pub struct Cluster {
-    /// The hosts.
-    pub hosts: Vec<DevHost>,
+/// The stand-ins of a system.
+pub struct Standins {
     /// The engines.
     pub engines: Vec<Running<Engine>>,
     /// The store hosts.
@@ -109,6 +111,14 @@
     pub table: Running<Table>,
 }
 
+/// A running system.
+pub struct Cluster {
+    /// The hosts.
+    pub hosts: Vec<DevHost>,
+    /// The stand-ins.
+    pub standins: Standins,
+}
+
 impl Cluster {
     /// Starts a system and waits until its hosts have found their upstreams.
     ///
@@ -116,22 +126,23 @@
     ///
     /// Returns an error when a socket cannot be had or a host finds no upstream.
     pub async fn start(options: &Options) -> Result<Cluster, DevError> {
-        let mut engines = Vec::new();
-        for _ in 0..options.engines {
-            engines.push(server::start(loopback(), Engine::new(options.engine.clone())).await?);
-        }
-        let stores = vec![
-            server::start(loopback(), Store::new(STORE_BYTES)).await?,
-            server::start(loopback(), Store::new(STORE_BYTES)).await?,
-        ];
-        let bookings = server::start(loopback(), Bookings::default()).await?;
-        let table = server::start(loopback(), Table::default()).await?;
-        let mut cluster = Cluster { hosts: Vec::new(), engines, stores, bookings, table };
-        for text in cluster.settings(options)? {
-            let settings = Settings::parse("dev.yaml", &text)?;
+        let standins = Standins::start(options).await?;
+        let settings = standins.settings(options)?;
+        Cluster::with(standins, settings).await
+    }
+
+    /// Starts hosts with these settings and waits until they have found their upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a socket cannot be had or a host finds no upstream.
+    pub async fn with(standins: Standins, settings: Vec<Settings>) -> Result<Cluster, DevError> {
+        let mut hosts = Vec::new();
+        for settings in settings {
             let clients = Clients::http(&settings);
-            cluster.hosts.push(Host::start(settings, clients).await?);
+            hosts.push(Host::start(settings, clients).await?);
         }
+        let cluster = Cluster { hosts, standins };
         cluster.wait_ready().await?;
         Ok(cluster)
     }
@@ -152,9 +163,45 @@
         }
         Ok(())
     }
+}
 
-    /// Writes the settings of each host.
-    fn settings(&self, options: &Options) -> Result<Vec<String>, DevError> {
+impl Standins {
+    /// Starts the stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a socket cannot be had.
+    pub async fn start(options: &Options) -> io::Result<Self> {
+        let mut engines = Vec::new();
+        for _ in 0..options.engines {
+            engines.push(server::start(loopback(), Engine::new(options.engine.clone())).await?);
+        }
+        let stores = vec![
+            server::start(loopback(), Store::new(STORE_BYTES)).await?,
+            server::start(loopback(), Store::new(STORE_BYTES)).await?,
+        ];
+        let bookings = server::start(loopback(), Bookings::default()).await?;
+        let table = server::start(loopback(), Table::default()).await?;
+        Ok(Standins { engines, stores, bookings, table })
+    }
+
+    /// Makes the settings of each host, by way of their YAML text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when certificates or ports cannot be had.
+    pub fn settings(&self, options: &Options) -> Result<Vec<Settings>, DevError> {
+        let texts = self.texts(options)?;
+        let parse = |text: String| Settings::parse("dev.yaml", &text).map_err(DevError::from);
+        texts.into_iter().map(parse).collect()
+    }
+
+    /// Writes the settings of each host as YAML.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when certificates or ports cannot be had.
+    pub fn texts(&self, options: &Options) -> Result<Vec<String>, DevError> {
         let authority = Authority::new()?;
         let peers = (0..options.hosts).map(|_| free_udp_port()).collect::<Result<Vec<_>, _>>()?;
         let texts = (0..options.hosts).map(|index| {
@@ -201,9 +248,10 @@
             let _ = writeln!(
                 text,
                 "- {{name: engine{index}, zone: {}, address: \"{}\", models: [{MODEL}], \
-                 cold_limit: 2}}",
+                 cold_limit: 2, http2: {}}}",
                 zone(index),
                 engine.address,
+                options.http2,
             );
         }
         let _ = write!(
@@ -221,10 +269,11 @@
         }
         let _ = write!(
             text,
-            "peers:\n  authority: |\n{}  identity:\n    certificate: |\n{}    key: |\n{}  hosts:\n",
+            "peers:\n  authority: |\n{}  identity:\n    certificate: |\n{}    key: |\n{}  hosts:{}\n",
             indent(authority, 4),
             indent(&identity.certificate, 6),
             indent(&identity.key, 6),
+            if peers.len() == 1 { " []" } else { "" },
         );
         let others = peers.iter().enumerate().filter(|(other, _)| *other != index);
         for (other, address) in others {
--- a/lib/standin/src/engine.rs
+++ b/lib/standin/src/engine.rs
@@ -50,6 +50,15 @@
     pub cache_pieces: usize,
     /// Whether it refuses orders with an old fencing number.
     pub checks_fence: bool,
+    /// Whether each token's text is the time at which it was made, instead of a word: in
+    /// nanoseconds since [`epoch`].
+    pub stamps: bool,
+}
+
+/// Returns the start of the time that stamped tokens tell.
+pub fn epoch() -> std::time::Instant {
+    static EPOCH: std::sync::OnceLock<std::time::Instant> = std::sync::OnceLock::new();
+    *EPOCH.get_or_init(std::time::Instant::now)
 }
 
 /// Faults of an engine that show in its streams.
@@ -323,7 +332,11 @@
             tokio::time::sleep_until(due).await;
             let last = index + 1 == rest.len();
             let finish = last.then(|| self.finish(prompt_tokens, rest.len() as u32));
-            self.frame(index as u64, Some(word.clone()), finish);
+            let text = match self.config.stamps {
+                true => format!("{} ", epoch().elapsed().as_nanos()),
+                false => word.clone(),
+            };
+            self.frame(index as u64, Some(text), finish);
         }
     }
 
--- a/lib/standin/src/server.rs
+++ b/lib/standin/src/server.rs
@@ -21,6 +21,9 @@
     body::Body, context::ServerContext, request::Request, response::Response, server::Server,
 };
 
+/// HTTP/2 streams that one connection may have open.
+const STREAMS: u32 = 10_000;
+
 /// Faults that a stand-in can be told to show.
 #[derive(Debug, Default)]
 pub struct Faults {
@@ -105,7 +108,8 @@
     let address = listener.address();
     let (faults, handler) = (Arc::new(Faults::default()), Arc::new(handler));
     let service = Service { faults: faults.clone(), handler: handler.clone() };
-    let server = Server::new(service);
+    let mut server = Server::new(service);
+    server.http2_config().max_concurrent_streams(STREAMS);
     tokio::spawn(async move { server.run(listener).await.map_err(|err| err.to_string()) });
     Ok(Running { address, faults, handler, _stop: stop.drop_guard() })
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,3 +1,10 @@
 //! Runs all tests of the library in one program.
 
+mod test_adapters;
+mod test_bad_input;
+mod test_claim;
+mod test_log;
+mod test_path;
 mod test_settings;
+mod test_streams;
+mod test_tls;
--- /dev/null
+++ b/lib/tests/test_log.rs
@@ -0,0 +1,59 @@
+//! Logs: one JSON object a line, fields of the request, levels by module, no secrets.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex},
+};
+
+use log::{Level, LevelFilter, Record};
+use mothvale_lib::{log_setup, settings::Log};
+use serde_json::Value;
+
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_line_is_json_and_levels_are_by_module() {
+    let sink = Sink::default();
+    let modules = [("relay".to_owned(), LevelFilter::Debug)].into();
+    let settings = Log { level: LevelFilter::Info, modules };
+    let (_, logger) = log_setup::writer(&settings, Box::new(sink.clone())).into_log();
+    let fields = [("request", "r-1"), ("workspace", "bedline"), ("upstream", "engine\"1\"")];
+    for (target, level) in [
+        ("mothvale_lib::relay", Level::Debug),
+        ("mothvale_lib::core", Level::Debug),
+        ("mothvale_lib::core", Level::Warn),
+    ] {
+        let record = Record::builder()
+            .target(target)
+            .level(level)
+            .args(format_args!("two\nlines"))
+            .key_values(&fields)
+            .build();
+        logger.log(&record);
+    }
+    logger.flush();
+    let text = String::from_utf8(sink.0.lock().unwrap().clone()).unwrap();
+    let lines: Vec<Value> = text.lines().map(|it| serde_json::from_str(it).unwrap()).collect();
+    let seen: Vec<_> = lines.iter().map(|it| (&it["module"], &it["level"])).collect();
+    assert_eq!(
+        seen,
+        [
+            (&Value::from("mothvale_lib::relay"), &Value::from("debug")),
+            (&Value::from("mothvale_lib::core"), &Value::from("warn")),
+        ]
+    );
+    assert_eq!(lines[0]["upstream"], "engine\"1\"");
+    assert_eq!(lines[0]["message"], "two\nlines");
+}
