lib: tests of the core's decisions, removal of old claims, slopes and booking costs

Cause: the decision modules were covered only through sockets; claims stayed in the table service for ever; the capacity page needs measured slopes; and nobody knew what a booking costs the table service.

Callers' HTTP/2 connections take 4,096 streams: with the library's default of 200, further requests of a connection waited without a word.

--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -37,8 +37,12 @@
 pub enum Target {
     /// To the engine itself.
     Engine(SocketAddr),
+    /// To the engine itself, over HTTP/2.
+    Http2Engine(SocketAddr),
     /// Through a host.
     Host(SocketAddr),
+    /// Through a host, over HTTP/2.
+    Http2Host(SocketAddr),
 }
 
 /// What is asked for.
@@ -132,7 +136,7 @@
 async fn open(client: &Client, target: Target, tokens: u32, number: u64) -> Option<Response> {
     let prompt = format!("{PROMPT}{number}");
     let call = match target {
-        Target::Engine(address) => {
+        Target::Engine(address) | Target::Http2Engine(address) => {
             let order = Generate {
                 attempt: format!("direct-{number}-{}", epoch().elapsed().as_nanos()),
                 model: "demo".into(),
@@ -146,9 +150,11 @@
                 seed: None,
                 stop: Vec::new(),
             };
-            Call::new(address, Method::POST, "/engine/v1/runs", TIMEOUT).json(&order)
+            let call = Call::new(address, Method::POST, "/engine/v1/runs", TIMEOUT);
+            let http2 = matches!(target, Target::Http2Engine(_));
+            Call { http2, ..call }.json(&order)
         }
-        Target::Host(address) => {
+        Target::Host(address) | Target::Http2Host(address) => {
             let body = json!({
                 "model": "demo",
                 "messages": [{"role": "user", "content": prompt}],
@@ -159,6 +165,7 @@
                 Call::new(address, Method::POST, "/v1/chat/completions", TIMEOUT).json(&body);
             let bearer = format!("Bearer {}", KEYS[0]).parse().ok()?;
             call.headers.insert(http::header::AUTHORIZATION, bearer);
+            call.http2 = matches!(target, Target::Http2Host(_));
             call
         }
     };
@@ -190,8 +197,10 @@
 /// Returns the text of an event, where it has some.
 fn text(target: Target, data: &str) -> Option<String> {
     match target {
-        Target::Engine(_) => serde_json::from_str::<Frame>(data).ok()?.text,
-        Target::Host(_) => {
+        Target::Engine(_) | Target::Http2Engine(_) => {
+            serde_json::from_str::<Frame>(data).ok()?.text
+        }
+        Target::Host(_) | Target::Http2Host(_) => {
             let answer: Answer = serde_json::from_str(data).ok()?;
             let delta = answer.choices.into_iter().next()?.delta?;
             delta.content.filter(|it| !it.is_empty())
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,10 @@
 //! Measurements, each printed as JSON lines.
 
+mod claims;
 mod load;
 mod path;
 mod process;
+mod slopes;
 
 use std::process::ExitCode;
 
@@ -20,6 +22,10 @@
        [--host-threads N] [--outside-threads N]
       What one host adds to the first and to each token, against direct calls in the same run;
       processor time for each 1,000 tokens; memory for each open stream.
+  claims [--seconds N]
+      Transactions and time that a booking takes, at several rates and with a slow table.
+  slopes
+      How memory, messages and processor time grow with upstreams, workspaces and records.
 ";
 
 fn main() -> ExitCode {
@@ -36,6 +42,8 @@
     let mut args = lexopt::Parser::from_env();
     match args.next()? {
         Some(Value(name)) if name == "path" => path::run(args),
+        Some(Value(name)) if name == "claims" => claims::run(args),
+        Some(Value(name)) if name == "slopes" => slopes::run(args),
         Some(Long("help")) | None => {
             print!("{HELP}");
             Ok(())
--- a/bench/src/path.rs
+++ b/bench/src/path.rs
@@ -118,7 +118,9 @@
     outside.block_on(load::run(direct, warm_up));
     let direct = outside.block_on(load::run(direct, plan));
     outside.block_on(load::run(copied, warm_up));
+    let before = process::thread_time(HOST_THREADS)?;
     let copied = outside.block_on(load::run(copied, plan));
+    let copying = process::thread_time(HOST_THREADS)? - before;
     outside.block_on(load::run(host, warm_up));
     let before = process::thread_time(HOST_THREADS)?;
     let control = process::thread_time("control")?;
@@ -139,6 +141,7 @@
             "copying_relay_token_us": added(&direct.token, &copied.token),
             "first_us": added(&direct.first, &through.first),
             "token_us": added(&direct.token, &through.token),
+            "copying_relay_cpu_ms_per_1000_tokens": copying.as_secs_f64() * 1e6 / tokens,
             "host_cpu_ms_per_1000_tokens": traffic.as_secs_f64() * 1e6 / tokens,
             "control_cpu_percent": control.as_secs_f64() * 100.0 / plan.length.as_secs_f64(),
         })
@@ -173,9 +176,13 @@
 ) -> Result<(), Box<dyn Error>> {
     let bench = Bench::start(outside, threads, http2, engine(HELD_TOKEN_TIME))?;
     let mut peaks = Vec::new();
-    // The first round opens what later ones reuse.
-    let host = Target::Host(bench.host.public());
-    for target in [host, Target::Engine(bench.engine()), host] {
+    // Callers and engines speak one version of HTTP, so that the difference between the
+    // rounds is the host's alone. The first round opens what later ones reuse.
+    let (host, direct) = match http2 {
+        true => (Target::Http2Host(bench.host.public()), Target::Http2Engine(bench.engine())),
+        false => (Target::Host(bench.host.public()), Target::Engine(bench.engine())),
+    };
+    for target in [host, direct, host] {
         let held = outside.block_on(load::hold(target, streams));
         std::thread::sleep(SETTLE);
         peaks.push(Peak {
@@ -192,6 +199,7 @@
         json!({
             "bench": "path",
             "what": "memory",
+            "http2": http2,
             "streams_direct": direct.streams,
             "streams_through_host": through.streams,
             "live_bytes_per_open_stream": through.live.saturating_sub(direct.live) / streams,
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -28,11 +28,14 @@
     retry::Budgets,
     settings::Settings,
     shared::Shared,
+    sweep,
     table::{HttpTable, Table},
     tls,
     view::View,
 };
 
+/// HTTP/2 streams of one caller's connection, or of a balancer that joins many callers.
+const CALLER_STREAMS: u32 = 4096;
 const EVENT_QUEUE: usize = 4096;
 /// Longest wait for work that is still going on when the listeners have closed, beyond
 /// the longest time of a request.
@@ -141,6 +144,7 @@
         let core = core(&shared.settings);
         let control = control::start(shared.clone(), clients.control, core, peers.clone(), queue);
         let control = control.map_err(StartError::Thread)?;
+        shared.tasks.spawn(sweep::run(shared.clone()));
         serve_public(&shared, public);
         serve_admin(&shared, peers.clone(), admin);
         Ok(Host { shared, peers, control, public: public_address, admin: admin_address })
@@ -263,7 +267,8 @@
     B: Backend,
     T: Table,
 {
-    let server = Server::new(Front::new(shared.clone()));
+    let mut server = Server::new(Front::new(shared.clone()));
+    server.http2_config().max_concurrent_streams(CALLER_STREAMS);
     tokio::spawn(async move { server.run(listener).await.map_err(|err| err.to_string()) });
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod settings;
 pub mod shared;
 pub mod store;
+pub mod sweep;
 pub mod table;
 pub mod tls;
 pub mod unit;
--- a/lib/standin/src/dev.rs
+++ b/lib/standin/src/dev.rs
@@ -71,6 +71,8 @@
     pub engine: Config,
     /// Whether hosts speak HTTP/2 to the engines.
     pub http2: bool,
+    /// How long the outcome of a request that is not idempotent is kept.
+    pub claim_retention: Duration,
     /// YAML lines for the settings' `limits`.
     pub limits: Vec<String>,
 }
@@ -91,6 +93,7 @@
                 stamps: false,
             },
             http2: true,
+            claim_retention: Duration::from_secs(24 * 60 * 60),
             limits: vec!["drain_delay: 100ms".into()],
         }
     }
@@ -224,7 +227,7 @@
         let mut text = format!(
             "host: {{name: {}, zone: {}}}\n\
              listen: {{public: \"{public}\", admin: \"127.0.0.1:0\", peer: \"{}\"}}\n\
-             table: {{address: \"{}\", timeout: 500ms}}\n\
+             table: {{address: \"{}\", timeout: 500ms, claim_retention: {}ms}}\n\
              models: [{{name: {MODEL}}}]\n\
              classes:\n\
              - {{name: paid, priority: 200, first_token: 1200ms}}\n\
@@ -234,6 +237,7 @@
             zone(index),
             peers[index],
             self.table.address,
+            options.claim_retention.as_millis(),
         );
         for (workspace, key) in ["bedline", "kilimani"].iter().zip(KEYS) {
             let hash = hash_text(key);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,10 +1,13 @@
 //! Runs all tests of the library in one program.
 
 mod test_adapters;
+mod test_answer;
 mod test_bad_input;
 mod test_claim;
+mod test_core;
 mod test_log;
 mod test_path;
+mod test_route;
 mod test_settings;
 mod test_streams;
 mod test_tls;
--- /dev/null
+++ b/lib/tests/test_answer.rs
@@ -0,0 +1,148 @@
+//! The answer's state: any frames in any order give the whole text once, or an error.
+
+use mothvale_lib::{
+    answer::{Answer, Step, Stray},
+    error::{Kind, Run},
+    fault::Fault,
+    generated::wire::{Finish, FinishReason, Frame},
+};
+use mothvale_testutils::init;
+use proptest::prelude::*;
+
+const LENGTH: u64 = 8;
+
+fn frame(attempt: &str, seq: u64) -> Frame {
+    let finish = (seq + 1 == LENGTH).then_some(Finish {
+        reason: FinishReason::Stop,
+        prompt_tokens: 1,
+        cached_tokens: 0,
+        completion_tokens: LENGTH as u32,
+    });
+    Frame { attempt: attempt.into(), seq, text: Some(format!("{seq} ")), tokens: Some(1), finish }
+}
+
+fn started() -> Answer {
+    init();
+    let mut answer = Answer::new(100);
+    answer.dispatched("a".into(), 0);
+    answer
+}
+
+#[test]
+fn frames_in_order_are_delivered() {
+    let mut answer = started();
+    for seq in 0..LENGTH - 1 {
+        assert_eq!(answer.frame(frame("a", seq)), Step::Deliver(format!("{seq} ").into()));
+    }
+    assert!(matches!(answer.frame(frame("a", LENGTH - 1)), Step::Finish(..)));
+    assert_eq!(answer.tokens(), LENGTH as u32);
+    assert_eq!(answer.frame(frame("a", LENGTH)), Step::Drop(Stray::AfterEnd));
+}
+
+#[test]
+fn late_and_crossed_frames_are_dropped_and_a_gap_is_asked_for() {
+    let mut answer = started();
+    answer.frame(frame("a", 0));
+    assert_eq!(answer.frame(frame("a", 0)), Step::Drop(Stray::Late));
+    assert_eq!(answer.frame(frame("b", 1)), Step::Drop(Stray::Crossed));
+    assert_eq!(answer.frame(frame("a", 3)), Step::Resume(1));
+}
+
+#[test]
+fn a_break_is_resumed_then_continued_then_told() {
+    let mut answer = started();
+    answer.frame(frame("a", 0));
+    assert_eq!(answer.broken(Fault::BROKEN, || true), Step::Resume(1));
+    assert_eq!(answer.broken(Fault::BROKEN, || true), Step::Resume(1));
+    assert_eq!(answer.broken(Fault::BROKEN, || true), Step::Dispatch);
+    answer.dispatched("b".into(), 1);
+    assert_eq!((answer.delivered(), answer.tokens_left()), ("0 ", 99));
+    assert_eq!(answer.broken(Fault::refused(500), || true), Step::Dispatch);
+    answer.dispatched("c".into(), 2);
+    let Step::Fail(err) = answer.broken(Fault::refused(500), || true) else { panic!() };
+    assert_eq!(err.kind, Kind::UpstreamFailed);
+    assert_eq!(answer.tried(), [0, 1, 2]);
+}
+
+#[test]
+fn without_budget_the_first_failure_is_told_at_once() {
+    let mut answer = started();
+    let Step::Fail(err) = answer.broken(Fault::refused(500), || false) else { panic!() };
+    assert_eq!(err.kind.answer().run, Run::Unknown);
+}
+
+#[test]
+fn not_run_is_said_only_when_nothing_was_reached() {
+    let mut answer = started();
+    let Step::Fail(err) = answer.broken(Fault::CONNECT, || false) else { panic!() };
+    assert_eq!(err.kind.answer().run, Run::No);
+    let mut answer = started();
+    answer.broken(Fault::refused(503), || true);
+    let none = mothvale_lib::error::Error::new(Kind::NoUpstream, "none");
+    let Step::Fail(err) = answer.give_up(none) else { panic!() };
+    assert_eq!((err.kind, err.kind.answer().run), (Kind::UpstreamFailed, Run::Unknown));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 5000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(3),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_frames_and_breaks_give_the_text_once_and_in_order(
+        inputs in prop::collection::vec((0u8..8, 0..LENGTH), 0..80),
+    ) {
+        let mut answer = started();
+        // What the engine would send next, as if every step were carried out.
+        let (mut attempt, mut base, mut next) = (0_u64, 0, 0);
+        let mut text = String::new();
+        let mut ended = false;
+        for (kind, seq) in inputs {
+            let id = if attempt == 0 { "a".to_owned() } else { attempt.to_string() };
+            let shifted = |seq: u64| {
+                let mut it = frame(&id, seq + base);
+                it.seq = seq;
+                it
+            };
+            let step = match kind {
+                0..=4 if base + next < LENGTH => {
+                    next += 1;
+                    answer.frame(shifted(next - 1))
+                }
+                5 => answer.frame(frame("other", seq)),
+                6 => answer.frame(shifted(seq.min(LENGTH - 1 - base.min(LENGTH - 1)))),
+                _ => answer.broken(Fault::BROKEN, || true),
+            };
+            match step {
+                Step::Deliver(more) => {
+                    prop_assert!(!ended);
+                    text.push_str(&more);
+                    next = next.max(text.split_whitespace().count() as u64 - base);
+                }
+                Step::Finish(more, _) => {
+                    prop_assert!(!ended);
+                    text.push_str(&more);
+                    ended = true;
+                    let whole: String = (0..LENGTH).map(|it| format!("{it} ")).collect();
+                    prop_assert_eq!(&text, &whole);
+                }
+                Step::Resume(from) => next = from,
+                Step::Dispatch => {
+                    attempt += 1;
+                    (base, next) = (text.split_whitespace().count() as u64, 0);
+                    answer.dispatched(attempt.to_string().into(), attempt as usize);
+                }
+                Step::Fail(_) => {
+                    prop_assert!(!ended);
+                    ended = true;
+                }
+                Step::Drop(_) => {}
+            }
+            let whole: String = (0..LENGTH).map(|it| format!("{it} ")).collect();
+            prop_assert!(whole.starts_with(&text), "{text}");
+            prop_assert_eq!(answer.delivered(), &text);
+        }
+    }
+}
--- a/lib/tests/test_path.rs
+++ b/lib/tests/test_path.rs
@@ -3,6 +3,11 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
+use mothvale_lib::{
+    generated::wire::{Claim, Transaction, Write},
+    name::Host,
+    sweep,
+};
 use mothvale_standin::engine::words;
 use mothvale_testutils::{
     caller::{canonical, chat_body},
@@ -113,6 +118,44 @@
     assert_eq!(cluster.standins.bookings.handler.holds("4").len(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn claims_are_removed_after_their_retention_and_not_before() {
+    let cluster = start(|it| it.claim_retention = Duration::from_millis(1)).await;
+    let caller = caller(&cluster, 0);
+    let shared = cluster.hosts[0].shared().clone();
+    let path = "/v1/services/holds/beds/9";
+    let table = &cluster.standins.table.handler;
+    for key in ["k1", "k2", "k3"] {
+        caller.post_once(path, key, &json!({})).await.unwrap();
+    }
+    let row = table.rows("claims/").pop().unwrap();
+    let mut claim: Claim = serde_json::from_str(&row.value).unwrap();
+    claim.until_ms += 3_600_000;
+    let value = Some(serde_json::to_string(&claim).unwrap());
+    let write = Write { key: row.key.clone(), version: row.version, value };
+    assert!(table.commit(Transaction { writes: vec![write] }).committed);
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let mut removed = 0;
+    for bucket in 0..sweep::BUCKETS {
+        removed += sweep::sweep(&shared, bucket).await.unwrap();
+    }
+    assert_eq!(removed, 2);
+    let left: Vec<_> = table.rows("claims/").into_iter().map(|it| it.key).collect();
+    assert_eq!(left, [row.key]);
+}
+
+#[test]
+fn each_bucket_of_claims_is_one_hosts() {
+    let hosts: Vec<_> = (0..9).map(|it| Host::new(format!("host{it}"))).collect();
+    for bucket in 0..sweep::BUCKETS {
+        let first = hosts.iter().filter(|me| {
+            let others: Vec<_> = hosts.iter().filter(|it| it != me).cloned().collect();
+            sweep::is_first(bucket, me, &others)
+        });
+        assert_eq!(first.count(), 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn any_host_explains_a_request() {
     let cluster = start(|it| it.hosts = 3).await;
