group: single writes share transactions of the table service

Cause: three transactions a booking are 900 a second at 300 bookings/s; the table service takes several hundred from everyone.

Change: `GroupTable` batches single writes with different keys; the fleet's 270 transactions/s are split over its hosts, with a burst of 15. A conflict settles only its own write.

--- a/bench/src/claims.rs
+++ b/bench/src/claims.rs
@@ -24,15 +24,17 @@
 /// Runs the command.
 pub fn run(mut args: Parser) -> Result<(), Box<dyn Error>> {
     let mut seconds = 10;
+    let mut hosts = 1;
     while let Some(arg) = args.next()? {
         match arg {
             Long("seconds") => seconds = args.value()?.parse()?,
+            Long("hosts") => hosts = args.value()?.parse()?,
             other => return Err(other.unexpected().into()),
         }
     }
     let mut runtime = tokio::runtime::Builder::new_multi_thread();
     let runtime = runtime.worker_threads(3).enable_all().build()?;
-    runtime.block_on(measure(Duration::from_secs(seconds)))
+    runtime.block_on(measure(hosts, Duration::from_secs(seconds)))
 }
 
 impl Bookings {
@@ -95,8 +97,8 @@
     }
 }
 
-async fn measure(length: Duration) -> Result<(), Box<dyn Error>> {
-    let cluster = Cluster::start(&Options { hosts: 1, ..Options::default() }).await?;
+async fn measure(hosts: usize, length: Duration) -> Result<(), Box<dyn Error>> {
+    let cluster = Cluster::start(&Options { hosts, ..Options::default() }).await?;
     for rate in RATES {
         round(&cluster, rate, length, Duration::ZERO).await;
     }
@@ -116,27 +118,25 @@
     };
     let direct = bookings(cluster.standins.bookings.address, "");
     let direct = direct.run(rate, length).await;
-    let calls = || {
-        let shared = cluster.hosts[0].shared();
-        let count = |outcome| shared.metrics.table.with_label_values(&[outcome]).get();
-        count("ok") + count("failed")
-    };
-    let before = calls();
+    let table = &cluster.standins.table.handler;
+    let before = table.transactions();
     let claimed = bookings(cluster.hosts[0].public(), "/v1/services/holds");
     let claimed = claimed.run(rate, length).await;
     let done = claimed.time.len() + claimed.failed;
+    let transactions = (table.transactions() - before) as f64;
     println!(
         "{}",
         json!({
             "bench": "claims",
+            "hosts": cluster.hosts.len(),
             "rate": rate,
             "seconds": length.as_secs(),
             "table_delay_ms": delay.as_millis() as u64,
             "bookings": done,
             "failed_direct": direct.failed,
             "failed": claimed.failed,
-            "table_calls_per_booking": (calls() - before) as f64 / done as f64,
-            "table_calls_per_second": (calls() - before) as f64 / length.as_secs_f64(),
+            "transactions_per_booking": transactions / done as f64,
+            "transactions_per_second": transactions / length.as_secs_f64(),
             "direct_us": quantiles(&direct.time),
             "claimed_us": quantiles(&claimed.time),
         })
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -22,8 +22,8 @@
        [--host-threads N] [--outside-threads N]
       What one host adds to the first and to each token, against direct calls in the same run;
       processor time for each 1,000 tokens; memory for each open stream.
-  claims [--seconds N]
-      Transactions and time that a booking takes, at several rates and with a slow table.
+  claims [--seconds N] [--hosts N]
+      Transactions and time that a booking takes, at several rates and with a slow table; one host of N gets them all.
   slopes
       How memory, messages and processor time grow with upstreams, workspaces and records.
 ";
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -19,6 +19,7 @@
     engine::{Engine, HttpEngine},
     front::Front,
     generated::peer::Alive,
+    group::GroupTable,
     inflight,
     listener::Listener,
     metric::Metrics,
@@ -84,16 +85,18 @@
     pub table: T,
 }
 
-impl Clients<HttpEngine, HttpBackend, HttpTable> {
-    /// Creates the clients that speak the systems' HTTP protocols.
+impl Clients<HttpEngine, HttpBackend, GroupTable<HttpTable>> {
+    /// Creates the clients that speak the systems' HTTP protocols, on the current runtime.
     pub fn http(settings: &Settings) -> Self {
         let client = Client::pooled();
         let table = &settings.table;
+        let hosts = 1 + settings.peers.as_ref().map_or(0, |it| it.hosts.len());
+        let http = HttpTable::new(client.clone(), table.address, table.timeout);
         Clients {
             engine: HttpEngine::new(client.clone()),
             control: HttpEngine::new(Client::pooled()),
-            backend: HttpBackend::new(client.clone()),
-            table: HttpTable::new(client, table.address, table.timeout),
+            backend: HttpBackend::new(client),
+            table: GroupTable::start(http, hosts),
         }
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fault;
 pub mod front;
 pub mod generated;
+pub mod group;
 pub mod host;
 pub mod host_list;
 pub mod inflight;
--- a/lib/standin/src/dev.rs
+++ b/lib/standin/src/dev.rs
@@ -10,6 +10,7 @@
 use mothvale_lib::{
     backend::HttpBackend,
     engine::HttpEngine,
+    group::GroupTable,
     host::{Clients, Host, StartError},
     key::Hash,
     problem::Problems,
@@ -100,7 +101,7 @@
 }
 
 /// A host of the system.
-pub type DevHost = Host<HttpEngine, HttpBackend, HttpTable>;
+pub type DevHost = Host<HttpEngine, HttpBackend, GroupTable<HttpTable>>;
 
 /// The stand-ins of a system.
 pub struct Standins {
--- a/lib/standin/src/table.rs
+++ b/lib/standin/src/table.rs
@@ -21,12 +21,14 @@
 struct State {
     rows: BTreeMap<String, Row>,
     version: u64,
+    transactions: u64,
 }
 
 impl Table {
     /// Commits a transaction.
     pub fn commit(&self, transaction: Transaction) -> Outcome {
         let mut state = self.state.lock().unwrap();
+        state.transactions += 1;
         let differs = transaction.writes.iter().find(|write| {
             let version = state.rows.get(&write.key).map_or(0, |row| row.version);
             version != write.version
@@ -51,6 +53,11 @@
         Outcome { committed: true, conflict: None, version: Some(version) }
     }
 
+    /// Returns how many transactions came, committed or not.
+    pub fn transactions(&self) -> u64 {
+        self.state.lock().unwrap().transactions
+    }
+
     /// Returns a row.
     pub fn row(&self, key: &str) -> Option<Row> {
         self.state.lock().unwrap().rows.get(key).cloned()
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_bad_input;
 mod test_claim;
 mod test_core;
+mod test_group;
 mod test_log;
 mod test_path;
 mod test_route;
--- /dev/null
+++ b/lib/tests/test_group.rs
@@ -0,0 +1,141 @@
+//! Group commit: every write is settled once, with its own outcome.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use mothvale_lib::{
+    clock::Instant,
+    fault::Fault,
+    generated::wire::{Transaction, Write},
+    group::{BATCH, BURST, FLEET_RATE, GroupTable, Next, Queue},
+    table::Table as _,
+};
+use mothvale_standin::table::Table;
+use proptest::prelude::*;
+
+fn write(key: usize, version: u64) -> Write {
+    Write { key: format!("k{key}"), version, value: Some("v".into()) }
+}
+
+#[test]
+fn a_lone_write_goes_at_once_and_a_crowd_shares() {
+    let start = Instant::default();
+    let mut queue = Queue::new(start, 1);
+    queue.push(0, write(0, 0));
+    assert_eq!(queue.next(start), Next::Send(vec![(0, write(0, 0))]));
+    assert_eq!(queue.next(start), Next::Idle);
+    (0..100).for_each(|it| queue.push(it, write(it as usize, 0)));
+    let Next::Send(batch) = queue.next(start) else { panic!() };
+    assert_eq!((batch.len(), queue.len()), (BATCH, 100 - BATCH));
+}
+
+#[test]
+fn transactions_are_bounded_in_the_long_run() {
+    let start = Instant::default();
+    let (mut queue, mut sent, seconds) = (Queue::new(start, 9), 0, 20);
+    for milli in 0..seconds * 1000 {
+        queue.push(milli, write(milli as usize, 0));
+        while let Next::Send(_) = queue.next(start + Duration::from_millis(milli)) {
+            sent += 1;
+        }
+    }
+    assert!(9.0 * f64::from(sent) <= 9.0 * BURST + FLEET_RATE * seconds as f64, "{sent}");
+    assert!(queue.len() < 100);
+}
+
+#[test]
+fn a_conflict_settles_only_its_own_write() {
+    let start = Instant::default();
+    let (table, mut queue) = (Table::default(), Queue::new(start, 1));
+    table.commit(Transaction { writes: vec![write(1, 0)] });
+    (0..3).for_each(|it| queue.push(it, write(it as usize, 0)));
+    queue.push(3, write(0, 0));
+    let mut settled = BTreeMap::new();
+    while let Next::Send(batch) = queue.next(start) {
+        let writes = batch.iter().map(|it| it.1.clone()).collect();
+        let outcome = table.commit(Transaction { writes });
+        settled.extend(queue.done(batch, Ok(outcome)));
+    }
+    let committed = |number| settled[&number].as_ref().unwrap().committed;
+    assert_eq!([0, 1, 2, 3].map(committed), [true, false, true, false]);
+}
+
+#[test]
+fn a_lost_transaction_is_lost_for_all_its_writes() {
+    let start = Instant::default();
+    let mut queue = Queue::new(start, 1);
+    (0..3).for_each(|it| queue.push(it, write(it as usize, 0)));
+    let Next::Send(batch) = queue.next(start) else { panic!() };
+    let settled = queue.done(batch, Err(Fault::TIMEOUT));
+    assert!(settled.len() == 3 && settled.iter().all(|it| it.1 == Err(Fault::TIMEOUT)));
+    assert!(queue.is_empty());
+}
+
+#[tokio::test]
+async fn writes_through_a_shared_table_come_back_with_their_outcome() {
+    let running =
+        mothvale_standin::server::start(mothvale_standin::dev::loopback(), Table::default())
+            .await
+            .unwrap();
+    let client = mothvale_lib::client::Client::pooled();
+    let timeout = Duration::from_secs(2);
+    let inner = mothvale_lib::table::HttpTable::new(client, running.address, timeout);
+    let table = GroupTable::start(inner, 1);
+    let writes = (0..200).map(|it| {
+        let table = table.clone();
+        async move {
+            let writes = vec![write(it % 100, 0)];
+            table.commit(&Transaction { writes }).await.unwrap().committed
+        }
+    });
+    let outcomes = futures_util::future::join_all(writes).await;
+    assert_eq!(outcomes.iter().filter(|it| **it).count(), 100);
+    assert_eq!(running.handler.rows("").len(), 100);
+    assert!(running.handler.transactions() < 200, "{}", running.handler.transactions());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: prop::test_runner::RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_write_is_settled_once_and_a_key_is_written_by_one(
+        keys in prop::collection::vec(0usize..20, 1..120),
+        lost in prop::collection::vec(0u8..10, 200),
+    ) {
+        let (table, mut queue) = (Table::default(), Queue::new(Instant::default(), 1));
+        for (number, key) in keys.iter().enumerate() {
+            queue.push(number as u64, write(*key, 0));
+        }
+        let (mut now, mut settled, mut lost) = (Instant::default(), BTreeMap::new(), lost.into_iter());
+        loop {
+            match queue.next(now) {
+                Next::Idle => break,
+                Next::Wait(time) => now = now + time + Duration::from_millis(1),
+                Next::Send(batch) => {
+                    let writes = batch.iter().map(|it| it.1.clone()).collect();
+                    let outcome = table.commit(Transaction { writes });
+                    // One answer in ten is lost after its effect.
+                    let result = match lost.next() {
+                        Some(0) => Err(Fault::TIMEOUT),
+                        _ => Ok(outcome),
+                    };
+                    for (number, result) in queue.done(batch, result) {
+                        prop_assert!(settled.insert(number, result).is_none());
+                    }
+                }
+            }
+        }
+        prop_assert_eq!(settled.len(), keys.len());
+        for row in table.rows("") {
+            let mine = |number: &u64| format!("k{}", keys[*number as usize]) == row.key;
+            let known = settled.iter().filter(|(number, it)| {
+                mine(number) && matches!(it, Ok(outcome) if outcome.committed)
+            });
+            let versions: Vec<_> = known.map(|it| it.1.clone().unwrap().version).collect();
+            prop_assert!(versions.len() <= 1 && versions.iter().all(|it| *it == Some(row.version)));
+        }
+    }
+}
