lib, bench: stand-ins in a process of their own, rows of the table that had no test

Change: `mothvale-bench standins` writes settings files for hosts in other processes; tests for shutting down, not run, and an engine that breaks the protocol (told as `upstream_invalid` now); the seeded test sends warm reports from before the doubt. The record of a request is made in one place.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod path;
 mod process;
 mod slopes;
+mod standins;
 
 use std::process::ExitCode;
 
@@ -24,6 +25,8 @@
       processor time for each 1,000 tokens; memory for each open stream.
   claims [--seconds N] [--hosts N]
       Transactions and time that a booking takes, at several rates and with a slow table; one host of N gets them all.
+  standins --settings FOLDER [--hosts N] [--seconds N]
+      Run stand-ins alone and write settings files for hosts in processes of their own.
   slopes
       How memory, messages and processor time grow with upstreams, workspaces and records.
 ";
@@ -42,6 +45,7 @@
     let mut args = lexopt::Parser::from_env();
     match args.next()? {
         Some(Value(name)) if name == "path" => path::run(args),
+        Some(Value(name)) if name == "standins" => standins::run(args),
         Some(Value(name)) if name == "claims" => claims::run(args),
         Some(Value(name)) if name == "slopes" => slopes::run(args),
         Some(Long("help")) | None => {
--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -163,10 +163,10 @@
             return step;
         }
         if self.attempts >= ATTEMPTS {
-            return self.fail("every attempt failed");
+            return self.fail(fault, "every attempt failed");
         }
         if !allow() {
-            return self.fail("the attempt failed and retries are used up");
+            return self.fail(fault, "the attempt failed and retries are used up");
         }
         Step::Dispatch
     }
@@ -195,8 +195,12 @@
         Some(Step::Resume(self.next_seq))
     }
 
-    fn fail(&mut self, message: &str) -> Step {
-        self.give_up(Error::new(Kind::NoUpstream, message).retry_after(COME_BACK))
+    fn fail(&mut self, fault: Fault, message: &str) -> Step {
+        let kind = match fault.cause {
+            Cause::Protocol => Kind::UpstreamInvalid,
+            _ => Kind::NoUpstream,
+        };
+        self.give_up(Error::new(kind, message).retry_after(COME_BACK))
     }
 
     fn end(&mut self) {
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -7,7 +7,7 @@
 
 use serde::Serialize;
 
-use crate::{prelude::*, route::Candidate};
+use crate::{clock::unix_millis, key::Caller, prelude::*, route::Candidate};
 
 /// Records kept on one host.
 const KEPT: usize = 4096;
@@ -39,6 +39,21 @@
     pub outcome: FastStr,
 }
 
+impl Record {
+    /// Creates the record of a request that has just come to this host.
+    pub fn new(host: &Host, request: &FastStr, caller: &Caller, target: &str) -> Self {
+        Record {
+            request: request.clone(),
+            host: FastStr::new(host.as_str()),
+            workspace: FastStr::new(caller.workspace.as_str()),
+            class: FastStr::new(caller.class.as_str()),
+            target: FastStr::new(target),
+            received_ms: unix_millis(),
+            ..Record::default()
+        }
+    }
+}
+
 /// One attempt of a request.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Attempt {
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -107,15 +107,9 @@
     T: Table,
 {
     fn new(shared: Arc<Shared<E, B, T>>, job: Job, pieces: mpsc::Sender<Piece>) -> Self {
-        let record = Box::new(Record {
-            request: job.id.clone(),
-            host: FastStr::new(shared.settings.host.as_str()),
-            workspace: FastStr::new(job.caller.workspace.as_str()),
-            class: FastStr::new(job.caller.class.as_str()),
-            target: FastStr::new(job.request.model.as_str()),
-            received_ms: crate::clock::unix_millis(),
-            ..Record::default()
-        });
+        let host = &shared.settings.host;
+        let target = job.request.model.as_str();
+        let record = Box::new(Record::new(host, &job.id, &job.caller, target));
         Relay {
             answer: Answer::new(job.request.max_tokens),
             group: Group::Model(job.request.model.clone()),
--- a/lib/src/services.rs
+++ b/lib/src/services.rs
@@ -53,7 +53,8 @@
 {
     let started = shared.now();
     let path = call.message.path.split('?').next().unwrap_or_default();
-    let mut record = record(shared, call);
+    let host = &shared.settings.host;
+    let mut record = Record::new(host, &call.id, &call.caller, call.service.name.as_str());
     let result = if call.service.is_idempotent(call.message.method.as_str(), path) {
         repeatable(shared, call, &mut record).await
     } else {
@@ -69,18 +70,6 @@
     result
 }
 
-fn record<E, B, T>(shared: &Shared<E, B, T>, call: &Call) -> Record {
-    Record {
-        request: call.id.clone(),
-        host: FastStr::new(shared.settings.host.as_str()),
-        workspace: FastStr::new(call.caller.workspace.as_str()),
-        class: FastStr::new(call.caller.class.as_str()),
-        target: FastStr::new(call.service.name.as_str()),
-        received_ms: crate::clock::unix_millis(),
-        ..Record::default()
-    }
-}
-
 /// Sends a call that may be repeated, to another instance after each failure.
 async fn repeatable<E, B, T>(
     shared: &Shared<E, B, T>,
--- a/lib/tests/test_answer.rs
+++ b/lib/tests/test_answer.rs
@@ -71,6 +71,13 @@
     assert_eq!(err.kind.answer().run, Run::Unknown);
 }
 
+#[test]
+fn an_engine_that_breaks_the_protocol_is_told_apart() {
+    let mut answer = started();
+    let Step::Fail(err) = answer.broken(Fault::PROTOCOL, || false) else { panic!() };
+    assert_eq!((err.kind, err.kind.answer().run), (Kind::UpstreamInvalid, Run::Unknown));
+}
+
 #[test]
 fn not_run_is_said_only_when_nothing_was_reached() {
     let mut answer = started();
--- a/lib/tests/test_bad_input.rs
+++ b/lib/tests/test_bad_input.rs
@@ -223,6 +223,17 @@
     assert!(caller(&cluster, 0).chat("x", 2).await.status.is_success());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_outlives_the_listener_is_told_that_the_host_leaves() {
+    let cluster = small().await;
+    let caller = caller(&cluster, 0);
+    assert!(caller.chat("x", 2).await.status.is_success());
+    cluster.hosts[0].shared().stop.cancel();
+    let refused = caller.chat("x", 2).await;
+    assert_refused(&refused.error(), "shutting_down", None);
+    assert_eq!(refused.header("retry-after"), Some("1"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_takes_too_long_is_ended() {
     let cluster = start(|it| {
--- a/lib/tests/test_claim.rs
+++ b/lib/tests/test_claim.rs
@@ -273,6 +273,17 @@
     assert_eq!(err.kind, Kind::IdempotencyKeyReused);
 }
 
+#[test]
+fn a_service_that_cannot_be_reached_leaves_not_run_and_the_key_may_be_used_again() {
+    init();
+    let mut world = World::default();
+    world.attempt("first", &[Trouble::None, Trouble::None, Trouble::Lost]);
+    assert_eq!(world.told[0].result.as_ref().unwrap_err().kind, Kind::NotRun);
+    world.attempt("second", &[]);
+    assert!(world.told[1].result.is_ok());
+    world.check();
+}
+
 #[test]
 fn while_one_attempt_runs_another_is_told_to_come_back() {
     init();
--- a/lib/tests/test_core.rs
+++ b/lib/tests/test_core.rs
@@ -210,8 +210,10 @@
     ) {
         let mut bench = Bench::new();
         let mut doubted = Instant::default();
+        let mut before_doubt = Instant::default();
         let mut warm_allowed = false;
         for (kind, millis) in events {
+            let last = bench.now;
             bench.pass(millis + 1);
             match kind {
                 0 => {
@@ -219,22 +221,23 @@
                     warm_allowed = true;
                 }
                 1 => {
-                    let asked = doubted;
-                    bench.report_asked(asked, "a", true);
-                    warm_allowed = false;
+                    // A report that was on its way when the doubt came proves nothing.
+                    let asked = before_doubt;
+                    bench.report_asked(asked, "a", false);
+                    warm_allowed = doubted == Instant::default();
                 }
                 2 => {
                     bench.handle(Event::Broken { index: 0, fault: Fault::BROKEN });
-                    (doubted, warm_allowed) = (bench.now, false);
+                    (before_doubt, doubted, warm_allowed) = (last, bench.now, false);
                 }
                 3 => {
                     bench.fail();
-                    (doubted, warm_allowed) = (bench.now, false);
+                    (before_doubt, doubted, warm_allowed) = (last, bench.now, false);
                 }
                 4 => {
                     bench.handle(Event::Seen { index: 0, boot: "b".into() });
                     if bench.state() == State::Cold {
-                        (doubted, warm_allowed) = (bench.now, false);
+                        (before_doubt, doubted, warm_allowed) = (last, bench.now, false);
                     }
                 }
                 _ => {
