--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -28,6 +28,8 @@
     Fail(Error),
     /// Drop the frame.
     Drop(Stray),
+    /// The stream is of no more use; [`Answer::broken`] decides what follows.
+    Leave(Fault),
 }
 
 /// Why a frame is dropped.
@@ -121,7 +123,7 @@
             return Step::Drop(Stray::Late);
         }
         if frame.seq > self.next_seq {
-            return self.resume().unwrap_or(Step::Dispatch);
+            return self.resume().unwrap_or(Step::Leave(Fault::PROTOCOL));
         }
         self.accept(frame)
     }
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -10,9 +10,9 @@
     backend::Backend,
     core::Event,
     engine::{Endpoint, Engine, Frames},
-    fault::Fault,
+    fault::{Fault, Reach},
     generated::wire::{Finish, Frame, Generate},
-    inflight::Visit,
+    inflight::{Permit, Visit},
     key::Caller,
     prelude::*,
     prompt,
@@ -27,6 +27,8 @@
 const BUFFERED_PIECES: usize = 16;
 /// Longest wait for the first frame, in which the engine takes the prompt.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(120);
+/// Pause between two tries to cancel a run.
+const CANCEL_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait between frames.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -161,11 +163,10 @@
             shared: self.shared.clone(),
             endpoint: upstream.endpoint,
             attempt: id.clone(),
+            permit: Some(pick.permit),
             done: false,
         };
-        let left = self.follow(guard, pick.index, &id).await;
-        drop(pick.permit);
-        left
+        self.follow(guard, pick.index, &id).await
     }
 
     fn pick(&self) -> Result<route::Pick, Error> {
@@ -278,8 +279,8 @@
                 Step::Deliver(text) => self.deliver(Piece::Text(text)).await?,
                 Step::Finish(text, finish) => {
                     let usage = self.usage(&finish);
-                    self.record.outcome = FastStr::from_static_str("ok");
                     self.deliver(Piece::End(text.clone(), usage)).await?;
+                    self.record.outcome = FastStr::from_static_str("ok");
                     return Some(Step::Finish(text, finish));
                 }
                 Step::Drop(stray) => self.dropped(stray, index),
@@ -291,11 +292,14 @@
     fn frame(&mut self, frame: Frame, index: usize) -> Step {
         let seq = frame.seq;
         let step = self.answer.frame(frame);
-        if matches!(step, Step::Resume(_) | Step::Dispatch) {
+        if matches!(step, Step::Resume(_) | Step::Leave(_)) {
             log::warn!(request = self.job.id.as_str(), upstream = self.name(index), seq = seq;
                 "frames are missing");
         }
-        step
+        match step {
+            Step::Leave(fault) => self.broken(fault, index),
+            step => step,
+        }
     }
 
     fn dropped(&mut self, stray: Stray, index: usize) {
@@ -406,7 +410,7 @@
     Gone,
 }
 
-/// Cancels a run that did not come to its end.
+/// Cancels a run that did not come to its end, and counts it as in flight until it has.
 struct Guard<E, B, T>
 where
     E: Engine,
@@ -416,6 +420,7 @@
     shared: Arc<Shared<E, B, T>>,
     endpoint: Endpoint,
     attempt: FastStr,
+    permit: Option<Permit>,
     done: bool,
 }
 
@@ -429,17 +434,37 @@
         if self.done {
             return;
         }
-        let (engine, endpoint) = (self.shared.engine.clone(), self.endpoint);
-        let attempt = self.attempt.clone();
+        let (shared, endpoint) = (self.shared.clone(), self.endpoint);
+        let (attempt, permit) = (self.attempt.clone(), self.permit.take());
         self.shared.tasks.spawn(async move {
-            if let Err(fault) = engine.cancel(endpoint, &attempt).await {
-                log::debug!(attempt = attempt.as_str(), fault = fault.to_string().as_str();
-                    "run was not cancelled");
-            }
+            cancel(&shared, endpoint, &attempt).await;
+            drop(permit);
         });
     }
 }
 
+/// Cancels a run, again after each failure: a run that may still go on would be load that
+/// nobody counts. An engine that cannot be reached runs nothing for this host.
+async fn cancel<E, B, T>(shared: &Shared<E, B, T>, endpoint: Endpoint, attempt: &str)
+where
+    E: Engine,
+{
+    let end = Deadline::now() + shared.settings.catalog.limits.request;
+    loop {
+        let fault = match shared.engine.cancel(endpoint, attempt).await {
+            Ok(()) => return,
+            Err(fault) => fault,
+        };
+        log::debug!(attempt = attempt, fault = fault.to_string().as_str();
+            "run was not cancelled");
+        let over = Deadline::now() >= end || shared.stop.is_cancelled();
+        if over || fault.reach == Reach::NotSent {
+            return;
+        }
+        tokio::time::sleep(CANCEL_PAUSE).await;
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/lib/src/services.rs
+++ b/lib/src/services.rs
@@ -9,7 +9,7 @@
     backend::{Backend, Message},
     claim::{Input, Machine, Reply, Request, Step, Time},
     engine::Engine,
-    fault::Fault,
+    fault::{Fault, Reach},
     generated::wire::{Outcome, Row, Transaction, Write},
     key::Caller,
     prelude::*,
@@ -23,6 +23,9 @@
 
 /// Longest idempotency key, in bytes.
 const KEY_BYTES: usize = 255;
+/// Tries to store an outcome after its caller has been answered.
+const STORE_TRIES: u32 = 120;
+const STORE_PAUSE: Duration = Duration::from_millis(500);
 const COME_BACK: Duration = Duration::from_secs(1);
 
 /// A call that was let in.
@@ -45,7 +48,7 @@
 /// # Errors
 ///
 /// Returns an error that tells whether the call may have run.
-pub async fn carry<E, B, T>(shared: &Shared<E, B, T>, call: &Call) -> Result<Reply, Error>
+pub async fn carry<E, B, T>(shared: &Arc<Shared<E, B, T>>, call: &Call) -> Result<Reply, Error>
 where
     E: Engine,
     B: Backend,
@@ -88,7 +91,7 @@
         }
         match send(shared, call, &name, address, record).await {
             Ok(response) => return Ok(Reply::from(&response)),
-            Err(fault) => unknown |= fault.reach == crate::fault::Reach::Unknown,
+            Err(fault) => unknown |= fault.reach == Reach::Unknown,
         }
     }
     let kind = if unknown { Kind::UpstreamFailed } else { Kind::NoUpstream };
@@ -97,28 +100,58 @@
 
 /// Sends a call that may not be repeated, under a claim.
 async fn claimed<E, B, T>(
-    shared: &Shared<E, B, T>,
+    shared: &Arc<Shared<E, B, T>>,
     call: &Call,
     record: &mut Record,
 ) -> Result<Reply, Error>
 where
+    E: Engine,
     B: Backend,
     T: Table,
 {
     let request = claim_request(shared, call)?;
     let key = request.key.clone();
     let (mut machine, mut step) = Machine::start(request, time(shared));
+    let mut failed = None;
     loop {
         let input = match step {
             Step::Read => Input::Row(read(shared, &key).await),
-            Step::Write(write) => Input::Written(commit(shared, write).await),
+            Step::Write(write) => {
+                let result = commit(shared, write.clone()).await;
+                failed = result.is_err().then_some(write);
+                Input::Written(result)
+            }
             Step::Send => Input::Sent(send_once(shared, call, record).await),
-            Step::Answer(result) => return result,
+            Step::Answer(result) => {
+                if let Some(write) = failed.filter(|_| machine.sends() > 0) {
+                    shared.tasks.spawn(store_later(shared.clone(), write));
+                }
+                return result;
+            }
         };
         step = machine.next(time(shared), input);
     }
 }
 
+/// Stores an outcome that the table service did not take in time. The caller has its
+/// answer; the row lets it be replayed. Writing the same twice is safe, because both
+/// writes expect the same version.
+async fn store_later<E, B, T>(shared: Arc<Shared<E, B, T>>, write: Write)
+where
+    T: Table,
+{
+    for _ in 0..STORE_TRIES {
+        if shared.stop.is_cancelled() {
+            break;
+        }
+        tokio::time::sleep(STORE_PAUSE).await;
+        if commit(&shared, write.clone()).await.is_ok() {
+            return;
+        }
+    }
+    log::warn!(row = write.key.as_str(); "an outcome was not stored");
+}
+
 fn time<E, B, T>(shared: &Shared<E, B, T>) -> Time {
     Time { now: shared.now(), unix_ms: crate::clock::unix_millis() }
 }
--- a/lib/tests/test_answer.rs
+++ b/lib/tests/test_answer.rs
@@ -48,6 +48,31 @@
     assert_eq!(answer.frame(frame("a", 3)), Step::Resume(1));
 }
 
+#[test]
+fn gaps_without_end_are_bounded_like_any_failure() {
+    let mut answer = started();
+    let (mut asked, mut attempts) = (0, 1);
+    let err = loop {
+        let step = answer.frame(frame(if attempts == 1 { "a" } else { "b" }, 5));
+        match step {
+            Step::Resume(0) => continue,
+            Step::Leave(fault) => match answer.broken(fault, || {
+                asked += 1;
+                true
+            }) {
+                Step::Dispatch => {
+                    attempts += 1;
+                    answer.dispatched("b".into(), attempts);
+                }
+                Step::Fail(err) => break err,
+                step => panic!("{step:?}"),
+            },
+            step => panic!("{step:?}"),
+        }
+    };
+    assert_eq!((err.kind, attempts, asked), (Kind::UpstreamInvalid, 3, 2));
+}
+
 #[test]
 fn a_break_is_resumed_then_continued_then_told() {
     let mut answer = started();
@@ -146,6 +171,15 @@
                     ended = true;
                 }
                 Step::Drop(_) => {}
+                Step::Leave(fault) => {
+                    if answer.broken(fault, || true) == Step::Dispatch {
+                        attempt += 1;
+                        (base, next) = (text.split_whitespace().count() as u64, 0);
+                        answer.dispatched(attempt.to_string().into(), attempt as usize);
+                    } else {
+                        ended = true;
+                    }
+                }
             }
             let whole: String = (0..LENGTH).map(|it| format!("{it} ")).collect();
             prop_assert!(whole.starts_with(&text), "{text}");
--- a/lib/tests/test_path.rs
+++ b/lib/tests/test_path.rs
@@ -4,7 +4,7 @@
 
 use http::{Method, StatusCode};
 use mothvale_lib::{
-    generated::wire::{Claim, Transaction, Write},
+    generated::wire::{Claim, ClaimState, Transaction, Write},
     name::Host,
     sweep,
 };
@@ -118,6 +118,32 @@
     assert_eq!(cluster.standins.bookings.handler.holds("4").len(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outcome_that_the_table_did_not_take_is_stored_when_it_answers_again() {
+    let cluster = start(|_| {}).await;
+    let caller = caller(&cluster, 0);
+    let (table, bookings) = (&cluster.standins.table, &cluster.standins.bookings);
+    let path = "/v1/services/holds/beds/5";
+    bookings.faults.set_delay(Duration::from_millis(300));
+    let held = tokio::spawn({
+        let caller = caller.clone();
+        async move { caller.post_once(path, "k", &json!({})).await.unwrap() }
+    });
+    let state = || {
+        let row = table.handler.rows("claims/").pop()?;
+        Some(serde_json::from_str::<Claim>(&row.value).unwrap().state)
+    };
+    eventually("the request is sent", || state() == Some(ClaimState::Sent)).await;
+    table.faults.set_outage(true);
+    assert_eq!(held.await.unwrap().status, StatusCode::CREATED);
+    assert_eq!(state(), Some(ClaimState::Sent));
+    table.faults.set_outage(false);
+    eventually("the outcome is stored", || state() == Some(ClaimState::Done)).await;
+    let again = caller.post_once(path, "k", &json!({})).await.unwrap();
+    assert!(again.header("x-idempotent-replayed").is_some());
+    assert_eq!(bookings.handler.holds("5").len(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn claims_are_removed_after_their_retention_and_not_before() {
     let cluster = start(|it| it.claim_retention = Duration::from_millis(1)).await;
--- a/lib/tests/test_streams.rs
+++ b/lib/tests/test_streams.rs
@@ -112,6 +112,27 @@
     assert!(refused.header("retry-after").is_some());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_counts_as_in_flight_until_its_engine_has_cancelled_it() {
+    let cluster = start(|it| {
+        it.engines = 1;
+        it.engine.token_time = Duration::from_millis(50);
+    })
+    .await;
+    let shared = cluster.hosts[0].shared().clone();
+    let engine = &cluster.standins.engines[0];
+    let caller = caller(&cluster, 0);
+    let streaming = tokio::spawn(async move { caller.stream("left", 1000).await });
+    eventually("the run starts", || engine.handler.runs().0 == 1).await;
+    engine.faults.set_outage(true);
+    streaming.abort();
+    eventually("the request is gone", || shared.workspaces.total() == 0).await;
+    assert_eq!((shared.counters.get(0), engine.handler.runs().1), (1, 0));
+    engine.faults.set_outage(false);
+    eventually("the run is cancelled", || engine.handler.runs().1 == 1).await;
+    eventually("nothing is in flight", || shared.counters.get(0) == 0).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_engine_gets_no_more_than_its_share_while_cold() {
     let cluster = start(|it| {
