metric, relay: a request counts by how it ended, streams included

Cause: a stream counted as `ok` with its first token, whatever came after.

Change: the relay counts prompts where they end (`caller_left` and `reader_stalled` included), the front counts refusals only. The stand-in waits 50 ms before it breaks a stream, so that what it made is on its way; the test is as it was.

--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -32,6 +32,7 @@
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const REPLAYED: HeaderName = HeaderName::from_static("x-idempotent-replayed");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const OK: &str = "ok";
 const SERVICES: &str = "/v1/services/";
 /// Fields that belong to one connection or to this system, and are not passed on.
 const OWN_FIELDS: [HeaderName; 8] = [
@@ -88,7 +89,7 @@
     fn refusal(&self, head: &Parts, err: &Error, id: &str) -> Response {
         log::info!(request = id, path = head.uri.path(), outcome = err.kind.answer().code;
             "request refused");
-        self.shared.metrics.outcome(Some(err));
+        self.shared.metrics.outcome(err.kind.answer().code);
         let status = StatusCode::from_u16(err.kind.answer().status);
         let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = json(status, &err.body(id));
@@ -157,7 +158,7 @@
 
     fn models(&self, head: &Parts) -> Result<Response, Error> {
         let (_, workspace) = self.authenticate(&head.headers)?;
-        self.shared.metrics.outcome(None);
+        self.shared.metrics.outcome(OK);
         Ok(json(StatusCode::OK, &openai::models(&workspace.models)))
     }
 
@@ -206,39 +207,16 @@
         let job = Job { id: id.clone(), caller: guest.caller, request, visit: guest.visit };
         let mut pieces = relay::start(&self.shared, job);
         if !stream {
-            return self.whole(&writer, pieces).await;
+            return whole(&writer, pieces).await;
         }
         // The head waits for the first piece, so that a refusal has its own status.
         match pieces.recv().await {
             Some(Piece::Fail(err)) => Err(err),
-            Some(first) => {
-                self.shared.metrics.outcome(None);
-                Ok(streamed(writer, first, pieces))
-            }
+            Some(first) => Ok(streamed(writer, first, pieces)),
             None => Err(Error::new(Kind::Internal, "the answer broke off")),
         }
     }
 
-    async fn whole(
-        &self,
-        writer: &openai::Writer,
-        mut pieces: mpsc::Receiver<Piece>,
-    ) -> Result<Response, Error> {
-        let mut text = String::new();
-        while let Some(piece) = pieces.recv().await {
-            match piece {
-                Piece::Text(more) => text.push_str(&more),
-                Piece::End(more, usage) => {
-                    text.push_str(&more);
-                    self.shared.metrics.outcome(None);
-                    return Ok(body_response("application/json", writer.whole(text, &usage)));
-                }
-                Piece::Fail(err) => return Err(err),
-            }
-        }
-        Err(Error::new(Kind::Internal, "the answer broke off"))
-    }
-
     async fn service(&self, head: &Parts, body: Body, id: &FastStr) -> Result<Response, Error> {
         let guest = self.admit(&head.headers)?;
         let rest = &head.uri.path()[SERVICES.len()..];
@@ -264,7 +242,7 @@
             key: key.and_then(|it| it.to_str().ok()).map(Into::into),
         };
         let reply = self.carry(call, guest.visit).await?;
-        self.shared.metrics.outcome(None);
+        self.shared.metrics.outcome(OK);
         Ok(service_response(reply))
     }
 
@@ -296,6 +274,25 @@
     }
 }
 
+/// Collects a whole answer.
+async fn whole(
+    writer: &openai::Writer,
+    mut pieces: mpsc::Receiver<Piece>,
+) -> Result<Response, Error> {
+    let mut text = String::new();
+    while let Some(piece) = pieces.recv().await {
+        match piece {
+            Piece::Text(more) => text.push_str(&more),
+            Piece::End(more, usage) => {
+                text.push_str(&more);
+                return Ok(body_response("application/json", writer.whole(text, &usage)));
+            }
+            Piece::Fail(err) => return Err(err),
+        }
+    }
+    Err(Error::new(Kind::Internal, "the answer broke off"))
+}
+
 fn passed_on(headers: &HeaderMap) -> HeaderMap {
     let passed = headers.iter().filter(|(name, _)| !OWN_FIELDS.contains(name));
     passed.map(|(name, value)| (name.clone(), value.clone())).collect()
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -5,10 +5,7 @@
     TextEncoder,
 };
 
-use crate::{
-    invariant::{Invariant, broken},
-    prelude::*,
-};
+use crate::invariant::{Invariant, broken};
 
 /// Upper bounds, in seconds, around the target of 1.2 s to the first token.
 const FIRST_TOKEN_BOUNDS: [f64; 12] =
@@ -115,9 +112,8 @@
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 
-    /// Counts a request by its outcome.
-    pub fn outcome(&self, error: Option<&Error>) {
-        let outcome = error.map_or("ok", |it| it.kind.answer().code);
+    /// Counts a request by its outcome: `ok`, the code of an error, or how the caller went.
+    pub fn outcome(&self, outcome: &str) {
         self.requests.with_label_values(&[outcome]).inc();
     }
 }
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -100,6 +100,8 @@
     last_token: Option<Instant>,
     deadline: Deadline,
     record: Box<Record>,
+    /// Whether the caller was told an error.
+    refused: bool,
 }
 
 impl<E, B, T> Relay<E, B, T>
@@ -122,6 +124,7 @@
             job,
             pieces,
             record,
+            refused: false,
         }
     }
 
@@ -381,17 +384,27 @@
     }
 
     async fn fail(&mut self, err: Error) {
+        self.refused = true;
         self.record.outcome = FastStr::from_static_str(err.kind.answer().code);
         let stall = self.shared.settings.catalog.limits.reader_stall;
         let _ = timeout(stall, self.pieces.send(Piece::Fail(err))).await;
     }
 
+    /// Counts the outcome, unless the caller gets it as a refusal, which is counted there.
+    fn count(&self) {
+        let started = self.job.request.stream && self.record.first_token_ms.is_some();
+        if !self.refused || started {
+            self.shared.metrics.outcome(&self.record.outcome);
+        }
+    }
+
     fn finish(mut self) {
         let total = self.shared.now().since(self.received);
         if self.record.outcome.is_empty() {
             self.record.outcome = FastStr::from_static_str("caller_left");
         }
         self.record.total_ms = millis(total);
+        self.count();
         self.shared.metrics.in_flight.dec();
         self.shared.metrics.tokens.inc_by(self.answer.tokens().into());
         log::info!(request = self.job.id.as_str(),
--- a/lib/standin/src/engine.rs
+++ b/lib/standin/src/engine.rs
@@ -33,6 +33,8 @@
 const BYTES_PER_TOKEN: usize = 4;
 /// How long a run whose reader has gone can be resumed.
 const KEPT: Duration = Duration::from_secs(10);
+/// Time for written frames to be on their way before a stream breaks.
+const BREAK_PAUSE: Duration = Duration::from_millis(50);
 const KEPT_EVENTS: usize = 1024;
 
 /// How an engine behaves.
@@ -376,6 +378,8 @@
         let faults = self.state.lock().unwrap().faults;
         let once = !self.run.broken;
         if once && faults.break_after.is_some_and(|it| frame.seq > it) {
+            // A reset drops what the server has queued but not yet written.
+            tokio::time::sleep(BREAK_PAUSE).await;
             self.mark_broken(faults.forgets);
             return Some((Err("the engine broke off".into()), self));
         }
--- a/lib/tests/test_path.rs
+++ b/lib/tests/test_path.rs
@@ -259,6 +259,8 @@
 async fn metrics_tell_tokens_and_outcomes() {
     let cluster = start(|_| {}).await;
     caller(&cluster, 0).chat("count me", 5).await;
+    let shared = cluster.hosts[0].shared().clone();
+    eventually("the request has ended", || shared.metrics.tokens.get() == 5).await;
     let text = cluster.hosts[0].shared().metrics.text();
     assert!(text.contains("mothvale_tokens_total 5"), "{text}");
     assert!(text.contains("mothvale_requests_total{outcome=\"ok\"} 1"), "{text}");
--- a/lib/tests/test_streams.rs
+++ b/lib/tests/test_streams.rs
@@ -88,8 +88,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_no_engine_can_finish_ends_in_a_visible_error() {
     let faults = StreamFaults { break_after: Some(1), forgets: true, ..StreamFaults::default() };
-    let (_cluster, streamed) = stream_under(faults, true).await;
+    let (cluster, streamed) = stream_under(faults, true).await;
     assert!(!streamed.done);
+    let shared = cluster.hosts[0].shared().clone();
+    let counted = |outcome| shared.metrics.requests.with_label_values(&[outcome]).get();
+    eventually("the outcome is counted once", || counted("upstream_failed") == 1).await;
+    assert_eq!(counted("ok"), 0);
     let error = streamed.error.unwrap();
     assert_eq!(error.code, "upstream_failed");
     assert_eq!(error.run.to_string(), "unknown");
