bench, testutils: random runs of claims on hosts beside each other

Cause: the fault matrix makes attempts one after the other; takeovers while the former attempt still runs were only covered by pauses.

Change: `testutils::claims` holds the table, the service and the troubles; `interleave` runs attempts on three hosts step by step in a seeded order, with late writes and pauses, and checks after each step. 2,000 seeds in the tests; `bench random` for more.

A check was wrong and is replaced: "not run" to the first call under a key demanded that the key had not run at all. Trace of seed 8930: the first call reached no instance and wrote `not_run`; a second call took the row over and ran before the first answer went out. The answer is true of its call. The check now demands that no run is there while no other call under the key has come, which is the same in the runs that make one call after the other.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod load;
 mod path;
 mod process;
+mod random;
 mod slopes;
 mod standins;
 
@@ -27,6 +28,8 @@
       Transactions and time that a booking takes, at several rates and with a slow table; one host of N gets them all.
   standins --settings FOLDER [--hosts N] [--seconds N]
       Run stand-ins alone and write settings files for hosts in processes of their own.
+  random [--seeds N] [--from S]
+      Randomised runs of claims on several hosts beside each other, in virtual time.
   slopes
       How memory, messages and processor time grow with upstreams, workspaces and records.
 ";
@@ -47,6 +50,7 @@
         Some(Value(name)) if name == "path" => path::run(args),
         Some(Value(name)) if name == "standins" => standins::run(args),
         Some(Value(name)) if name == "claims" => claims::run(args),
+        Some(Value(name)) if name == "random" => random::run(args),
         Some(Value(name)) if name == "slopes" => slopes::run(args),
         Some(Long("help")) | None => {
             print!("{HELP}");
--- a/lib/standin/src/dev.rs
+++ b/lib/standin/src/dev.rs
@@ -13,6 +13,7 @@
     group::GroupTable,
     host::{Clients, Host, StartError},
     key::Hash,
+    peer::PeerError,
     problem::Problems,
     settings::Settings,
     table::HttpTable,
@@ -36,6 +37,8 @@
 
 const ZONES: [&str; 3] = ["hobart", "launceston", "burnie"];
 const STORE_BYTES: usize = 64 << 20;
+/// Further tries to find free ports for the hosts.
+const PORT_TRIES: u32 = 3;
 const READY_POLL: Duration = Duration::from_millis(10);
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -131,8 +134,15 @@
     /// Returns an error when a socket cannot be had or a host finds no upstream.
     pub async fn start(options: &Options) -> Result<Cluster, DevError> {
         let standins = Standins::start(options).await?;
-        let settings = standins.settings(options)?;
-        Cluster::with(standins, settings).await
+        let mut tries = PORT_TRIES;
+        loop {
+            let hosts = start_hosts(standins.settings(options)?).await;
+            match hosts {
+                // Somebody else took a port between its choice and its use.
+                Err(StartError::Peer(PeerError::Listen(_))) if tries > 0 => tries -= 1,
+                hosts => return Cluster::ready(standins, hosts?).await,
+            }
+        }
     }
 
     /// Starts hosts with these settings and waits until they have found their upstreams.
@@ -141,11 +151,11 @@
     ///
     /// Returns an error when a socket cannot be had or a host finds no upstream.
     pub async fn with(standins: Standins, settings: Vec<Settings>) -> Result<Cluster, DevError> {
-        let mut hosts = Vec::new();
-        for settings in settings {
-            let clients = Clients::http(&settings);
-            hosts.push(Host::start(settings, clients).await?);
-        }
+        let hosts = start_hosts(settings).await?;
+        Cluster::ready(standins, hosts).await
+    }
+
+    async fn ready(standins: Standins, hosts: Vec<DevHost>) -> Result<Cluster, DevError> {
         let cluster = Cluster { hosts, standins };
         cluster.wait_ready().await?;
         Ok(cluster)
@@ -169,6 +179,22 @@
     }
 }
 
+/// Starts hosts; when one cannot start, those before it stop.
+async fn start_hosts(settings: Vec<Settings>) -> Result<Vec<DevHost>, StartError> {
+    let mut hosts: Vec<DevHost> = Vec::new();
+    for settings in settings {
+        let clients = Clients::http(&settings);
+        match Host::start(settings, clients).await {
+            Ok(host) => hosts.push(host),
+            Err(err) => {
+                hosts.iter().for_each(|it| it.shared().stop.cancel());
+                return Err(err);
+            }
+        }
+    }
+    Ok(hosts)
+}
+
 impl Standins {
     /// Starts the stand-ins.
     ///
--- a/lib/tests/test_adapters.rs
+++ b/lib/tests/test_adapters.rs
@@ -27,6 +27,7 @@
     table::Table,
 };
 use sha2::{Digest, Sha256};
+use socket2::{Domain, Socket, Type};
 
 async fn engine() -> (Running<Engine>, HttpEngine, Endpoint) {
     let mut config = Options::default().engine;
@@ -182,7 +183,10 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn only_a_connection_that_never_was_proves_that_nothing_was_sent() {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let table = HttpTable::new(Client::pooled(), closed, Duration::from_secs(1));
+    // Bound but not listening: nobody else gets the port, and nobody answers at it.
+    let closed = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    closed.bind(&loopback().into()).unwrap();
+    let address = closed.local_addr().unwrap().as_socket().unwrap();
+    let table = HttpTable::new(Client::pooled(), address, Duration::from_secs(1));
     assert_eq!(table.read("k").await.unwrap_err(), Fault::CONNECT);
 }
--- a/lib/tests/test_claim.rs
+++ b/lib/tests/test_claim.rs
@@ -3,201 +3,18 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Response;
 use mothvale_lib::{
-    claim::{CLAIM_WINDOW, Input, Machine, Reply, Request, Step, Time},
-    clock::Instant,
-    error::{Error, Kind, Run},
-    fault::Fault,
-    generated::wire::{Outcome, Transaction, Write},
-    name::Host,
+    claim::{CLAIM_WINDOW, Input, Machine, Request, Step},
+    error::Kind,
+};
+use mothvale_testutils::{
+    claims::{KEY, TROUBLES, Trouble, World, interleave, request},
+    init,
 };
-use mothvale_standin::table::Table;
-use mothvale_testutils::init;
 use proptest::prelude::*;
 
-/// What can go wrong with one step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Trouble {
-    None,
-    /// The call never arrives.
-    Lost,
-    /// The call takes effect, its answer does not come.
-    AnswerLost,
-    /// The call takes effect late, after the next step.
-    Late,
-    /// The host pauses past its claim before it takes the answer.
-    Pause,
-    /// The host dies before the step.
-    CrashBefore,
-    /// The host dies after the step.
-    CrashAfter,
-}
-
-const TROUBLES: [Trouble; 7] = [
-    Trouble::None,
-    Trouble::Lost,
-    Trouble::AnswerLost,
-    Trouble::Late,
-    Trouble::Pause,
-    Trouble::CrashBefore,
-    Trouble::CrashAfter,
-];
-
-/// A table and a service that outlive the attempts at one request.
-#[derive(Default)]
-struct World {
-    table: Table,
-    late: Vec<Write>,
-    ran: u32,
-    now_ms: u64,
-    attempts: u32,
-    /// What callers were told, with the runs by then and those of the attempt itself.
-    told: Vec<Told>,
-}
-
-impl World {
-    fn time(&self) -> Time {
-        // An hour of wall-clock time lies before the start.
-        Time {
-            now: Instant::default() + Duration::from_millis(self.now_ms),
-            unix_ms: self.now_ms + 3_600_000,
-        }
-    }
-
-    fn pass(&mut self, time: Duration) {
-        self.now_ms += time.as_millis() as u64;
-    }
-
-    fn commit(&mut self, write: Write) -> Outcome {
-        self.table.commit(Transaction { writes: vec![write] })
-    }
-
-    fn deliver_late(&mut self) {
-        for write in std::mem::take(&mut self.late) {
-            self.commit(write);
-        }
-    }
-
-    fn serve(&mut self) -> Response<Bytes> {
-        self.ran += 1;
-        Response::new(Bytes::from(format!("run {}", self.ran)))
-    }
-
-    /// Carries out one step under a trouble; none when the host died.
-    fn carry_out(&mut self, step: &Step, trouble: Trouble) -> Option<Input> {
-        use Trouble::{AnswerLost, CrashAfter, CrashBefore, Late, Lost, Pause};
-        if trouble == CrashBefore {
-            return None;
-        }
-        let input = match step {
-            Step::Read => Input::Row(match trouble {
-                Lost | AnswerLost | Late => Err(Fault::TIMEOUT),
-                _ => Ok(self.table.row(KEY)),
-            }),
-            Step::Write(write) => Input::Written(match trouble {
-                Lost => Err(Fault::CONNECT),
-                Late => {
-                    self.late.push(write.clone());
-                    Err(Fault::TIMEOUT)
-                }
-                AnswerLost => {
-                    self.commit(write.clone());
-                    Err(Fault::TIMEOUT)
-                }
-                _ => Ok(self.commit(write.clone())),
-            }),
-            Step::Send => Input::Sent(match trouble {
-                Lost => Err(Fault::CONNECT),
-                AnswerLost | Late => {
-                    self.serve();
-                    Err(Fault::TIMEOUT)
-                }
-                _ => Ok(self.serve()),
-            }),
-            Step::Answer(_) => unreachable!("answers are not carried out"),
-        };
-        if trouble == CrashAfter {
-            return None;
-        }
-        if trouble == Pause {
-            self.pass(CLAIM_WINDOW + Duration::from_secs(1));
-        }
-        Some(input)
-    }
-
-    /// Makes one attempt, with the given troubles at its steps; returns its steps.
-    fn attempt(&mut self, attempt: &str, troubles: &[Trouble]) -> Vec<&'static str> {
-        let (mut machine, mut step) = Machine::start(request(attempt), self.time());
-        let mut steps = Vec::new();
-        let (first, before) = (self.attempts == 0, self.ran);
-        self.attempts += 1;
-        loop {
-            let trouble = troubles.get(steps.len()).copied().unwrap_or(Trouble::None);
-            steps.push(name(&step));
-            if let Step::Answer(result) = step {
-                let own = self.ran - before;
-                self.told.push(Told { result, first, ran: self.ran, own });
-                return steps;
-            }
-            let late = std::mem::take(&mut self.late);
-            let Some(input) = self.carry_out(&step, trouble) else { return steps };
-            late.into_iter().for_each(|it| drop(self.commit(it)));
-            self.pass(Duration::from_millis(10));
-            step = machine.next(self.time(), input);
-            assert!(steps.len() < 64, "the attempt does not end: {steps:?}");
-        }
-    }
-
-    /// Checks what must hold whatever happened.
-    fn check(&self) {
-        assert!(self.ran <= 1, "ran {} times", self.ran);
-        for it in &self.told {
-            match &it.result {
-                Ok(reply) => {
-                    assert_eq!(it.ran, 1, "an answer without a run");
-                    assert_eq!(reply.body, Bytes::from("run 1"));
-                }
-                // "Not run" speaks of the call that it answers. Of the first call under a
-                // key it has to be true of the key as well.
-                Err(err) if err.kind.answer().run == Run::No => {
-                    assert_eq!(it.own, 0, "told `{err}` after a run");
-                    assert!(!it.first || it.ran == 0, "told `{err}` after a run");
-                }
-                Err(_) => {}
-            }
-        }
-    }
-}
-
-struct Told {
-    result: Result<Reply, Error>,
-    first: bool,
-    ran: u32,
-    own: u32,
-}
-
-const KEY: &str = "claims/00/bedline.holds.0";
-
-fn request(attempt: &str) -> Request {
-    Request {
-        key: KEY.into(),
-        hash: "hash".into(),
-        attempt: attempt.into(),
-        host: Host::new("host1"),
-        timeout: Duration::from_secs(2),
-    }
-}
-
-fn name(step: &Step) -> &'static str {
-    match step {
-        Step::Read => "read",
-        Step::Write(_) => "write",
-        Step::Send => "send",
-        Step::Answer(_) => "answer",
-    }
-}
+/// Seeds of the attempts that run beside each other.
+const SEEDS: u64 = 2000;
 
 /// Runs an attempt under troubles, then others after it: at once, after the claim's
 /// window, and after everything is settled.
@@ -312,6 +129,14 @@
     assert_eq!(world.ran, 0);
 }
 
+#[test]
+fn attempts_beside_each_other_run_the_request_at_most_once() {
+    init();
+    let worlds: Vec<_> = (0..SEEDS).map(interleave).collect();
+    let ran = worlds.iter().filter(|it| it.ran == 1).count();
+    assert!(ran * 2 > worlds.len(), "only {ran} requests ran at all");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 4000,
--- /dev/null
+++ b/lib/testutils/src/claims.rs
@@ -0,0 +1,285 @@
+//! A table and a service in memory, and attempts at one request under every trouble.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use mothvale_lib::{
+    claim::{CLAIM_WINDOW, Input, Machine, Reply, Request, Step, Time},
+    clock::Instant,
+    error::{Error, Run},
+    fault::Fault,
+    generated::wire::{Outcome, Transaction, Write},
+    name::Host,
+};
+use mothvale_standin::table::Table;
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+
+/// Hosts whose attempts run beside each other.
+const HOSTS: usize = 3;
+/// Steps of a run, over all hosts.
+const STEPS: usize = 60;
+/// One step in so many is in trouble.
+const TROUBLE_IN: u32 = 4;
+
+/// What can go wrong with one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// The call never arrives.
+    Lost,
+    /// The call takes effect, its answer does not come.
+    AnswerLost,
+    /// The call takes effect late, after the next step.
+    Late,
+    /// The host pauses past its claim before it takes the answer.
+    Pause,
+    /// The host dies before the step.
+    CrashBefore,
+    /// The host dies after the step.
+    CrashAfter,
+}
+
+/// All troubles.
+pub const TROUBLES: [Trouble; 7] = [
+    Trouble::None,
+    Trouble::Lost,
+    Trouble::AnswerLost,
+    Trouble::Late,
+    Trouble::Pause,
+    Trouble::CrashBefore,
+    Trouble::CrashAfter,
+];
+
+/// A table and a service that outlive the attempts at one request.
+#[derive(Default)]
+pub struct World {
+    /// The table service.
+    pub table: Table,
+    /// How often the request ran.
+    pub ran: u32,
+    late: Vec<Write>,
+    now_ms: u64,
+    attempts: u32,
+    /// What callers were told, with the runs by then and those of the attempt itself.
+    pub told: Vec<Told>,
+}
+
+impl World {
+    /// Returns the time.
+    pub fn time(&self) -> Time {
+        // An hour of wall-clock time lies before the start.
+        Time {
+            now: Instant::default() + Duration::from_millis(self.now_ms),
+            unix_ms: self.now_ms + 3_600_000,
+        }
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, time: Duration) {
+        self.now_ms += time.as_millis() as u64;
+    }
+
+    /// Commits a write.
+    pub fn commit(&mut self, write: Write) -> Outcome {
+        self.table.commit(Transaction { writes: vec![write] })
+    }
+
+    /// Lets all late writes take effect.
+    pub fn deliver_late(&mut self) {
+        for write in std::mem::take(&mut self.late) {
+            self.commit(write);
+        }
+    }
+
+    fn serve(&mut self) -> Response<Bytes> {
+        self.ran += 1;
+        Response::new(Bytes::from(format!("run {}", self.ran)))
+    }
+
+    /// Carries out one step under a trouble; none when the host died.
+    fn carry_out(&mut self, step: &Step, trouble: Trouble) -> Option<Input> {
+        use Trouble::{AnswerLost, CrashAfter, CrashBefore, Late, Lost, Pause};
+        if trouble == CrashBefore {
+            return None;
+        }
+        let input = match step {
+            Step::Read => Input::Row(match trouble {
+                Lost | AnswerLost | Late => Err(Fault::TIMEOUT),
+                _ => Ok(self.table.row(KEY)),
+            }),
+            Step::Write(write) => Input::Written(match trouble {
+                Lost => Err(Fault::CONNECT),
+                Late => {
+                    self.late.push(write.clone());
+                    Err(Fault::TIMEOUT)
+                }
+                AnswerLost => {
+                    self.commit(write.clone());
+                    Err(Fault::TIMEOUT)
+                }
+                _ => Ok(self.commit(write.clone())),
+            }),
+            Step::Send => Input::Sent(match trouble {
+                Lost => Err(Fault::CONNECT),
+                AnswerLost | Late => {
+                    self.serve();
+                    Err(Fault::TIMEOUT)
+                }
+                _ => Ok(self.serve()),
+            }),
+            Step::Answer(_) => unreachable!("answers are not carried out"),
+        };
+        if trouble == CrashAfter {
+            return None;
+        }
+        if trouble == Pause {
+            self.pass(CLAIM_WINDOW + Duration::from_secs(1));
+        }
+        Some(input)
+    }
+
+    /// Makes one attempt, with the given troubles at its steps; returns its steps.
+    pub fn attempt(&mut self, attempt: &str, troubles: &[Trouble]) -> Vec<&'static str> {
+        let (mut machine, mut step) = Machine::start(request(attempt), self.time());
+        let mut steps = Vec::new();
+        let before = self.ran;
+        self.attempts += 1;
+        loop {
+            let trouble = troubles.get(steps.len()).copied().unwrap_or(Trouble::None);
+            steps.push(name(&step));
+            if let Step::Answer(result) = step {
+                let own = self.ran - before;
+                self.tell(result, own);
+                return steps;
+            }
+            let late = std::mem::take(&mut self.late);
+            let Some(input) = self.carry_out(&step, trouble) else { return steps };
+            late.into_iter().for_each(|it| drop(self.commit(it)));
+            self.pass(Duration::from_millis(10));
+            step = machine.next(self.time(), input);
+            assert!(steps.len() < 64, "the attempt does not end: {steps:?}");
+        }
+    }
+
+    fn tell(&mut self, result: Result<Reply, Error>, own: u32) {
+        let alone = self.attempts == 1;
+        self.told.push(Told { result, alone, ran: self.ran, own });
+    }
+
+    /// Checks what must hold whatever happened.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not.
+    pub fn check(&self) {
+        assert!(self.ran <= 1, "ran {} times", self.ran);
+        for it in &self.told {
+            match &it.result {
+                Ok(reply) => {
+                    assert_eq!(it.ran, 1, "an answer without a run");
+                    assert_eq!(reply.body, Bytes::from("run 1"));
+                }
+                // "Not run" speaks of the call that it answers. As long as no other call
+                // under the key has come, it has to be true of the key as well.
+                Err(err) if err.kind.answer().run == Run::No => {
+                    assert_eq!(it.own, 0, "told `{err}` after a run");
+                    assert!(!it.alone || it.ran == 0, "told `{err}` after a run");
+                }
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+/// What a caller was told.
+pub struct Told {
+    /// The answer.
+    pub result: Result<Reply, Error>,
+    /// Whether no other call under the key had come by then.
+    alone: bool,
+    /// Runs by then, whoever made them.
+    ran: u32,
+    /// Runs that the attempt itself made.
+    own: u32,
+}
+
+/// The row's key.
+pub const KEY: &str = "claims/00/bedline.holds.0";
+
+/// Builds the request of an attempt.
+pub fn request(attempt: &str) -> Request {
+    Request {
+        key: KEY.into(),
+        hash: "hash".into(),
+        attempt: attempt.into(),
+        host: Host::new("host1"),
+        timeout: Duration::from_secs(2),
+    }
+}
+
+fn name(step: &Step) -> &'static str {
+    match step {
+        Step::Read => "read",
+        Step::Write(_) => "write",
+        Step::Send => "send",
+        Step::Answer(_) => "answer",
+    }
+}
+
+/// An attempt that runs beside others.
+struct Attempt {
+    machine: Machine,
+    step: Step,
+    own: u32,
+}
+
+/// Runs attempts at one request on several hosts beside each other, step by step in an
+/// order and under troubles that the seed decides, and checks after every step.
+///
+/// # Panics
+///
+/// Panics when something that must hold does not.
+pub fn interleave(seed: u64) -> World {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut world = World::default();
+    let mut hosts: [Option<Attempt>; HOSTS] = Default::default();
+    for number in 0..STEPS {
+        let host = rng.random_range(0..HOSTS);
+        match hosts[host].take() {
+            None => {
+                let id = format!("{host}-{number}");
+                let (machine, step) = Machine::start(request(&id), world.time());
+                world.attempts += 1;
+                hosts[host] = Some(Attempt { machine, step, own: 0 });
+            }
+            Some(attempt) => hosts[host] = world.advance(attempt, &mut rng),
+        }
+        if rng.random_ratio(1, 8) {
+            world.deliver_late();
+        }
+        let pause = if rng.random_ratio(1, 20) { 6000 } else { rng.random_range(1..200) };
+        world.pass(Duration::from_millis(pause));
+        world.check();
+    }
+    world
+}
+
+impl World {
+    /// Takes an attempt one step further; none when it has ended or its host died.
+    fn advance(&mut self, mut attempt: Attempt, rng: &mut Pcg64) -> Option<Attempt> {
+        if let Step::Answer(result) = attempt.step {
+            self.tell(result, attempt.own);
+            return None;
+        }
+        let troubled = rng.random_ratio(1, TROUBLE_IN);
+        let trouble = TROUBLES.choose(rng).copied().filter(|_| troubled);
+        let before = self.ran;
+        let input = self.carry_out(&attempt.step, trouble.unwrap_or(Trouble::None))?;
+        attempt.own += self.ran - before;
+        attempt.step = attempt.machine.next(self.time(), input);
+        Some(attempt)
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 use std::sync::Once;
 
 pub mod caller;
+pub mod claims;
 pub mod cluster;
 
 /// Makes broken invariants panic; every test that runs the program's own code calls this.
