--- a/lib/src/services.rs
+++ b/lib/src/services.rs
@@ -8,6 +8,7 @@
 use crate::{
     backend::{Backend, Message},
     claim::{Input, Machine, Reply, Request, Step, Time},
+    clock::unix_millis,
     engine::Engine,
     fault::{Fault, Reach},
     generated::wire::{Outcome, Row, Transaction, Write},
@@ -153,7 +154,7 @@
 }
 
 fn time<E, B, T>(shared: &Shared<E, B, T>) -> Time {
-    Time { now: shared.now(), unix_ms: crate::clock::unix_millis() }
+    Time { now: shared.now(), unix_ms: unix_millis() }
 }
 
 fn claim_request<E, B, T>(shared: &Shared<E, B, T>, call: &Call) -> Result<Request, Error> {
