testutils, tests: a claim is left to its owner until its window has ended

Cause: with the window ignored, the random runs of claims still passed, since the row's version keeps a request from running twice.

Change: a test that a second call during the window is told to come back and a call after it runs the request.

--- a/lib/tests/test_claim.rs
+++ b/lib/tests/test_claim.rs
@@ -112,6 +112,19 @@
     assert!(err.retry_after.is_some());
 }
 
+#[test]
+fn a_claim_is_left_to_its_owner_until_its_window_has_ended() {
+    init();
+    let mut world = World::default();
+    world.attempt("first", &[Trouble::CrashAfter]);
+    world.attempt("second", &[]);
+    assert_eq!(world.told[0].result.as_ref().unwrap_err().kind, Kind::InProgress);
+    world.pass(CLAIM_WINDOW);
+    world.attempt("third", &[]);
+    assert!(world.told[1].result.is_ok());
+    world.check();
+}
+
 #[test]
 fn a_host_that_dies_before_sending_leaves_a_claim_that_can_be_taken_over() {
     init();
