answer: the check of whole answers no longer rests on what it checks

Cause: the invariant compared a frame's number with `next_seq` right after the code had done the same, so that a fault in that code moved both sides: skipping a gap broke tests but not the invariant.

Change: frames accepted are counted apart, and the invariant compares with that count.

Before: a gap that is skipped (trial) left the invariant unbroken.

--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -48,6 +48,9 @@
 pub struct Answer {
     attempt: FastStr,
     next_seq: u64,
+    /// Frames accepted of the current attempt, counted apart from `next_seq`, so that the
+    /// check of the invariant does not rest on what decides which frames count.
+    accepted: u64,
     attempts: u32,
     resumes: u32,
     max_tokens: u32,
@@ -65,6 +68,7 @@
         Answer {
             attempt: FastStr::default(),
             next_seq: 0,
+            accepted: 0,
             attempts: 0,
             resumes: 0,
             max_tokens,
@@ -80,6 +84,7 @@
     pub fn dispatched(&mut self, attempt: FastStr, upstream: usize) {
         self.attempt = attempt;
         self.next_seq = 0;
+        self.accepted = 0;
         self.attempts += 1;
         self.reached += 1;
         self.resumes = 0;
@@ -129,9 +134,10 @@
     }
 
     fn accept(&mut self, frame: Frame) -> Step {
-        if !holds(Invariant::AnswerWhole, frame.seq == self.next_seq) {
+        if !holds(Invariant::AnswerWhole, frame.seq == self.accepted) {
             return self.give_up(Error::new(Kind::Internal, "the answer would not be whole"));
         }
+        self.accepted += 1;
         self.next_seq += 1;
         self.tokens += frame.tokens.unwrap_or(0);
         let text = FastStr::from(frame.text.unwrap_or_default());
