--- /dev/null
+++ b/cli/src/commands/gateway.rs
@@ -0,0 +1,46 @@
+//! `mothvale gateway`.
+
+use std::{env, fs};
+
+use lexopt::Parser;
+use mothvale_lib::{log_setup, node::Node, settings::Log, site::Site};
+use mothvale_platform::{
+    Platform,
+    settings::{self, VARIABLE},
+    store::StoreClient,
+};
+
+use super::{given, print};
+use crate::failure::Failure;
+
+const HELP: &str = "\
+Usage: mothvale gateway
+
+Runs one host on the users' platform, with the settings file that MOTHVALE_CONFIG names. SIGTERM
+shuts it down: readiness turns, requests end, then it exits with 0. SIGHUP reads the settings again.
+";
+
+/// Runs the command.
+pub fn run(args: Parser) -> Result<(), Failure> {
+    let given = given(args, &[])?;
+    if given.help {
+        return print(HELP);
+    }
+    if !given.words.is_empty() {
+        return Err(Failure::wrong("usage: mothvale gateway"));
+    }
+    let site = load()?;
+    log_setup::install_stdout(&Log::default()).map_err(Failure::failed)?;
+    let node = Node::new(site, Platform).map_err(Failure::failed)?;
+    node.run(StoreClient::new).map_err(Failure::failed)
+}
+
+fn load() -> Result<Site, Failure> {
+    let file = env::var(VARIABLE).map_err(|_| Failure::wrong(format!("{VARIABLE} is not set")))?;
+    let text = fs::read_to_string(&file)
+        .map_err(|err| Failure::settings(format!("{file}: cannot read: {err}")))?;
+    settings::parse(&file, &text).map_err(|errors| {
+        let lines: Vec<_> = errors.iter().map(ToString::to_string).collect();
+        Failure::settings(lines.join("\n"))
+    })
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod dev;
 mod explain;
+mod gateway;
 mod key;
 mod serve;
 mod upstream;
@@ -24,6 +25,7 @@
 
 Commands:
   serve --settings FILE          Run one host
+  gateway                        Run one host on the users' platform
   dev [--listen IP:PORT]         Run a small system with stand-ins in one process
   config check FILE              Check a settings file
   upstream show --admin IP:PORT  Show what a host believes of its upstreams
@@ -52,6 +54,7 @@
             "dev" => dev::run(args),
             "config" => config::run(args),
             "upstream" => upstream::run(args),
+            "gateway" => gateway::run(args),
             "explain" => explain::run(args),
             "key" => key::run(args),
             other => Err(Failure::wrong(format!("no command `{other}`"))),
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -5,6 +5,8 @@
     time::Duration,
 };
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// A point of monotonic time, in nanoseconds since an arbitrary start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Instant(u64);
@@ -39,23 +41,32 @@
 }
 
 /// Reads the time of this process.
+///
+/// The time goes on while the machine is suspended, so that a process that wakes knows how
+/// old its beliefs are; the ordinary monotonic clock stands still meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: std::time::Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Creates a clock that starts now.
     pub fn start() -> Self {
-        Clock { start: std::time::Instant::now() }
+        Clock { start: since_boot() }
     }
 
     /// Returns the time since the clock's start.
     pub fn now(&self) -> Instant {
-        Instant::default() + self.start.elapsed()
+        Instant::default() + since_boot().saturating_sub(self.start)
     }
 }
 
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
+}
+
 /// Returns the wall-clock time, in milliseconds since the Unix epoch.
 pub fn unix_millis() -> u64 {
     std::time::SystemTime::now()
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -6,8 +6,8 @@
     fault::{Fault, Reach},
     generated::wire::Load,
     prelude::*,
-    rank,
     settings::Catalog,
+    share,
     view::{Report, State, Upstream, View},
 };
 
@@ -120,6 +120,7 @@
     /// every host must be given the same fleet, because the shares of cold upstreams are
     /// split over it.
     pub fn new(catalog: &Catalog, me: &Host, others: &[Host]) -> Self {
+        let fleet: Vec<_> = others.iter().chain([me]).cloned().collect();
         let upstreams = catalog.upstreams.iter().map(|entry| {
             Arc::new(Upstream {
                 entry: entry.clone(),
@@ -127,7 +128,7 @@
                 report: Report::default(),
                 boot: FastStr::default(),
                 confirmed: SmallVec::new(),
-                cold_share: cold_share(entry.cold_limit, &entry.name, me, others),
+                cold_share: share::split(entry.cold_limit, entry.name.as_str(), me, &fleet),
             })
         });
         let upstreams: Vec<_> = upstreams.collect();
@@ -305,16 +306,6 @@
         "upstream changed state");
 }
 
-/// Splits a cold upstream's limit over the fleet, the remainder by rank, so that all hosts
-/// together never exceed it.
-fn cold_share(limit: u32, upstream: &crate::name::Upstream, me: &Host, others: &[Host]) -> u32 {
-    let key = rank::key(&["cold", upstream.as_str()]);
-    let mine = rank::weight(key, me.as_str());
-    let ahead = others.iter().filter(|it| rank::weight(key, it.as_str()) > mine).count() as u32;
-    let hosts = others.len() as u32 + 1;
-    limit / hosts + u32::from(ahead < limit % hosts)
-}
-
 /// The hosts that follow `me` in the order of names, around the end.
 fn neighbours(me: &Host, others: &[Host]) -> Vec<Neighbour> {
     let mut ring: Vec<_> = others.to_vec();
--- /dev/null
+++ b/lib/src/dialect.rs
@@ -0,0 +1,189 @@
+//! How the platform writes down what the gateway knows; implemented beside the library.
+
+use http::{HeaderMap, StatusCode};
+
+use crate::{deployment::Deployment, fleet::Entry, prelude::*};
+
+/// What a caller's request says of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// Id of this attempt of the caller.
+    pub id: FastStr,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// The caller's key.
+    pub key: Option<FastStr>,
+    /// The model.
+    pub model: Option<Model>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens of the answer.
+    pub answer_tokens: u32,
+    /// Parts of the prompt in order; the caller's own part is the last.
+    pub parts: SmallVec<[Part; 4]>,
+}
+
+/// A part of a prompt, named by what it holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its id.
+    pub id: FastStr,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What the gateway adds to a request for an upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Dressing<'a> {
+    /// How long the upstream may work.
+    pub deadline: Duration,
+    /// The upstream that is meant; any other is to turn the request away.
+    pub upstream: &'a str,
+    /// The holder of the caller's key.
+    pub workspace: Option<&'a str>,
+    /// Rank among the requests at the upstream, 0 first.
+    pub urgency: Option<u8>,
+    /// Cached parts are only found under the same salt.
+    pub salt: Option<&'a str>,
+    /// Weight version that the upstream must have.
+    pub weights: Option<u32>,
+    /// Last event that the caller has, where an answer is gone on with.
+    pub last_event: Option<u64>,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reply {
+    /// Id of the request that it answers.
+    pub id: Option<FastStr>,
+    /// Whether it has the upstream's signature.
+    pub signed: bool,
+    /// Whether it says that the request did not run and never will.
+    pub not_run: bool,
+    /// Whether another upstream was meant.
+    pub moved: bool,
+    /// The upstream that answers, where it says.
+    pub upstream: Option<FastStr>,
+    /// Weight version that the run is made with.
+    pub weights: Option<u32>,
+}
+
+/// A change of what operators ask for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// The configuration.
+    Deployment(Box<Deployment>),
+    /// A zone is taken out, or back.
+    Evacuation {
+        /// The zone.
+        zone: Zone,
+        /// Whether it is out.
+        out: bool,
+    },
+    /// New weights are named.
+    Weights {
+        /// The model.
+        model: Model,
+        /// Their version.
+        version: u32,
+    },
+    /// Nothing that this program knows.
+    Unknown,
+}
+
+/// Order to an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// Its new weight version.
+    pub version: u32,
+    /// Who gives it.
+    pub holder: &'a str,
+    /// Grows with each holder.
+    pub fence: u64,
+    /// Orders that the upstream must have taken before.
+    pub orders: u64,
+}
+
+/// What an upstream reports of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Whether an order is in progress.
+    pub busy: bool,
+    /// Orders that it has taken since its start.
+    pub orders: u64,
+    /// Weight versions of its models.
+    pub models: SmallVec<[(Model, u32); 2]>,
+}
+
+/// Answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is being carried out.
+    Taken,
+    /// It holds already.
+    Holds,
+    /// Another order is in progress, or the number of orders differs.
+    Conflict,
+    /// A newer holder has given orders.
+    Fenced,
+    /// Anything else.
+    Refused,
+}
+
+/// Translates between the platform's formats and the gateway's types. It decides nothing.
+pub trait Dialect: Clone + Send + Sync + 'static {
+    /// Why a row of the store cannot be read.
+    type Error: std::fmt::Display;
+
+    /// Path of the balancer's question for readiness.
+    const READINESS: &'static str;
+    /// Path of an upstream's report.
+    const REPORT: &'static str;
+    /// Path for orders to an upstream.
+    const ORDER: &'static str;
+
+    /// Reads the head of a caller's request.
+    fn ask(&self, headers: &HeaderMap) -> Ask;
+
+    /// Writes the head for an upstream: what the caller sent, without what only concerns one
+    /// connection or is not the caller's to say, and with what the gateway adds.
+    fn dress(&self, headers: &HeaderMap, dressing: &Dressing<'_>) -> HeaderMap;
+
+    /// Reads the head of an upstream's answer.
+    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
+
+    /// Writes the head of an answer of the gateway's own to the request with this id.
+    fn refusal(&self, id: &str, retry_after: Option<Duration>) -> HeaderMap;
+
+    /// Names the upstream that a call of the gateway's own is meant for.
+    fn address(&self, headers: &mut HeaderMap, upstream: &str);
+
+    /// Reads a row of the operators' table.
+    ///
+    /// # Errors
+    ///
+    /// Returns what cannot be read.
+    fn notice(&self, key: &str, value: Option<&[u8]>) -> Result<Notice, Self::Error>;
+
+    /// Reads an upstream's row.
+    ///
+    /// # Errors
+    ///
+    /// Returns what cannot be read.
+    fn entry(&self, key: &str, value: &[u8]) -> Result<Entry, Self::Error>;
+
+    /// Writes an order's body.
+    fn order(&self, order: &Order<'_>) -> Bytes;
+
+    /// Reads the answer to an order.
+    fn verdict(&self, status: StatusCode) -> Verdict;
+
+    /// Reads an upstream's report.
+    ///
+    /// # Errors
+    ///
+    /// Returns what cannot be read.
+    fn report(&self, body: &[u8]) -> Result<Report, Self::Error>;
+}
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -113,6 +113,12 @@
     /// The table service does not answer, so that a request that is not idempotent
     /// cannot be claimed.
     TableUnavailable: 503 SERVER "table_unavailable" No true;
+    /// No route has the request's host name and path.
+    RouteUnknown: 404 INVALID "route_not_found" No false;
+    /// This host does not know the configuration yet.
+    NotConfigured: 503 SERVER "not_configured" No true;
+    /// Upstreams broke off each time they ran this request; it is kept from others.
+    Quarantined: 503 SERVER "quarantined" No true;
     /// The request was given up before it was sent, and never will be.
     NotRun: 503 SERVER "not_run" No true;
     /// The request was sent and its outcome was lost.
--- /dev/null
+++ b/lib/src/fleet.rs
@@ -0,0 +1,552 @@
+//! What this host believes of the upstreams, and which one a request is sent to.
+//!
+//! No I/O: entries of the store, outcomes of requests and the time go in, choices come out.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
+
+use crate::{
+    deployment::{Deployment, ServiceEntry},
+    prelude::*,
+    rank, share,
+    window::Window,
+};
+
+/// Span over which requests to a cold upstream are counted, the one its limit is for.
+const COLD_SPAN: Duration = Duration::from_secs(1);
+/// Part of the cold limit that is used while an upstream is known to be cold.
+const COLD_MARGIN: f64 = 0.7;
+/// Part of the limit to which an upstream is held that nobody has called cold: it may
+/// have become cold without a word.
+const WARM_MARGIN: f64 = 0.95;
+/// First time out of use of an upstream that cannot be reached; doubles with each failure.
+const EJECTION: Duration = Duration::from_millis(400);
+/// Longest time out of use without another attempt.
+const EJECTION_MAX: Duration = Duration::from_secs(4);
+/// How long an upstream that turned a request away gets no other one; doubles.
+const REFUSAL: Duration = Duration::from_millis(200);
+const REFUSAL_MAX: Duration = Duration::from_secs(1);
+/// Weight of the newest outcome in an upstream's share of failures.
+const FAILURE_WEIGHT: f64 = 0.12;
+/// Share of failures above which an upstream counts as faulty.
+const FAILURE_LIMIT: f64 = 0.3;
+/// Time out of use of a faulty upstream.
+const FAULTY: Duration = Duration::from_secs(3);
+/// Most of a service's upstreams, as one of so many, that may be out of use for failures
+/// of requests they took.
+const FAULTY_PART: usize = 3;
+/// Heartbeats that may be missed before an upstream is only a last resort.
+const SILENT_HEARTBEATS: f64 = 2.2;
+/// For so long after an upstream broke off, a row that says it is warm is not believed: it
+/// may have been written before.
+const DOUBT: Duration = Duration::from_millis(1500);
+/// An upstream may have this times the mean of this host's requests in flight before a
+/// session moves on to its next choice.
+const OVERFLOW: f64 = 1.4;
+/// Requests in flight that never make a session move on.
+const OVERFLOW_FREE: u32 = 2;
+/// Weight of the newest time in an upstream's mean time to the first byte.
+const DELAY_WEIGHT: f64 = 0.15;
+
+/// What a row of the store says of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Names one upstream, over its restarts.
+    pub id: Upstream,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its service.
+    pub service: Service,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// How much longer it is cold.
+    pub cold: Duration,
+    /// Weight versions of the models it has.
+    pub models: SmallVec<[(Model, u32); 2]>,
+    /// Identifies its present start: Unix milliseconds; 0 where it does not say.
+    pub born: u64,
+}
+
+/// How a request to an upstream went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It answered; the time to the first byte of the answer.
+    Served(Duration),
+    /// It answered that it failed.
+    Failed,
+    /// It answered that it did not run the request.
+    Refused,
+    /// Another upstream, or another start of it, has the address.
+    Moved,
+    /// No connection came about.
+    Unreachable,
+    /// The connection broke, or the answer was not one.
+    Broken,
+    /// The caller left, or time ran out; says nothing of the upstream.
+    Left,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    entry: Entry,
+    /// When the row last changed.
+    seen: Instant,
+    cold_until: Instant,
+    doubted: Instant,
+    in_flight: u32,
+    sent: Window,
+    /// Not used before this time.
+    ejected_until: Instant,
+    /// One request at a time until one succeeds.
+    trial: bool,
+    failures: u32,
+    failure_share: f64,
+    refused_until: Instant,
+    refusals: u32,
+    delay: f64,
+    /// Rank keys.
+    hash: u64,
+}
+
+/// What a request asks of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The service.
+    pub service: &'a Service,
+    /// The model, for model engines.
+    pub model: Option<&'a Model>,
+    /// Key of the session whose cache would be of use.
+    pub session: Option<u64>,
+    /// Upstreams that were tried.
+    pub tried: &'a [Upstream],
+}
+
+/// The upstream that was chosen. The request counts as in flight there until
+/// [`Fleet::settle`] is told how it went.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The upstream.
+    pub id: Upstream,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The weight version that it is believed to have of the request's model.
+    pub weights: Option<u32>,
+    /// Why this one.
+    pub reason: &'static str,
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// None is known to be of use; one may be after this time.
+    Nothing(Duration),
+    /// Those that are cannot take more for this time.
+    Full(Duration),
+}
+
+/// The upstreams.
+#[derive(Debug)]
+pub struct Fleet {
+    me: Host,
+    zone: Zone,
+    heartbeat: Duration,
+    cold_overshoot: f64,
+    cold_slack: f64,
+    hosts: Vec<Host>,
+    states: HashMap<Upstream, State>,
+    by_service: HashMap<Service, Vec<Upstream>>,
+    evacuated: HashSet<Zone>,
+    /// Newest named weight version by model.
+    named: HashMap<Model, u32>,
+}
+
+impl Fleet {
+    /// Creates a fleet without upstreams.
+    pub fn new(site: &crate::site::Site) -> Self {
+        Fleet {
+            me: site.host.clone(),
+            zone: site.zone.clone(),
+            heartbeat: site.heartbeat,
+            cold_overshoot: site.bounds.cold_overshoot,
+            cold_slack: site.bounds.cold_slack,
+            hosts: vec![site.host.clone()],
+            states: HashMap::new(),
+            by_service: HashMap::new(),
+            evacuated: HashSet::new(),
+            named: HashMap::new(),
+        }
+    }
+
+    /// Takes the list of all hosts, which share what upstreams bear.
+    pub fn set_hosts(&mut self, mut hosts: Vec<Host>) {
+        if !hosts.contains(&self.me) {
+            hosts.push(self.me.clone());
+        }
+        hosts.sort();
+        self.hosts = hosts;
+    }
+
+    /// Returns the number of hosts, this one included.
+    pub fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Takes a row of the store.
+    pub fn observe(&mut self, now: Instant, entry: Entry) {
+        let id = entry.id.clone();
+        let previous = self.states.remove(&id);
+        let restarted = previous
+            .as_ref()
+            .is_some_and(|it| it.entry.born != entry.born || it.entry.address != entry.address);
+        let cold_until = now + entry.cold;
+        let mut state = match previous {
+            Some(state) if !restarted => state,
+            // What was in flight at the former start is settled against a saturating count.
+            _ => State::new(&entry, now),
+        };
+        let doubted = now.since(state.doubted) < DOUBT && state.doubted != Instant::default();
+        if !doubted {
+            state.cold_until = cold_until;
+        } else {
+            state.cold_until = state.cold_until.max(cold_until);
+        }
+        if state.entry.service != entry.service || !self.listed(&entry.service, &id) {
+            self.unlist(&state.entry.service, &id);
+            self.by_service.entry(entry.service.clone()).or_default().push(id.clone());
+        }
+        if state.entry.draining != entry.draining || restarted {
+            log::info!(upstream = id.as_str(), draining = entry.draining, restarted = restarted;
+                "upstream changed");
+        }
+        state.seen = now;
+        state.entry = entry;
+        self.states.insert(id, state);
+    }
+
+    /// Takes the removal of an upstream's row.
+    pub fn remove(&mut self, id: &Upstream) {
+        if let Some(state) = self.states.remove(id) {
+            self.unlist(&state.entry.service, id);
+            log::info!(upstream = id.as_str(); "upstream is gone");
+        }
+    }
+
+    /// Takes a zone out, or back.
+    pub fn evacuate(&mut self, zone: Zone, out: bool) {
+        log::info!(zone = zone.as_str(), out = out; "zone is taken out or back");
+        if out {
+            self.evacuated.insert(zone);
+        } else {
+            self.evacuated.remove(&zone);
+        }
+    }
+
+    /// Takes the newest weight version of a model.
+    pub fn name_weights(&mut self, model: Model, version: u32) {
+        log::info!(model = model.as_str(), version = version; "weights are named");
+        self.named.insert(model, version);
+    }
+
+    /// Takes the weight version that an answer showed.
+    pub fn weights_seen(&mut self, id: &Upstream, model: &Model, version: u32) {
+        let Some(state) = self.states.get_mut(id) else { return };
+        for it in state.entry.models.iter_mut().filter(|it| it.0 == *model) {
+            it.1 = it.1.max(version);
+        }
+    }
+
+    /// Returns the upstreams that have an older version of a model than was named.
+    pub fn outdated(&self) -> Vec<(Entry, Model, u32)> {
+        let mut outdated = Vec::new();
+        for state in self.states.values() {
+            for (model, version) in &state.entry.models {
+                let Some(named) = self.named.get(model) else { continue };
+                if version < named && !state.entry.draining {
+                    outdated.push((state.entry.clone(), model.clone(), *named));
+                }
+            }
+        }
+        outdated.sort_by(|a, b| a.0.id.cmp(&b.0.id));
+        outdated
+    }
+
+    /// Returns an upstream's row.
+    pub fn entry(&self, id: &Upstream) -> Option<&Entry> {
+        self.states.get(id).map(|it| &it.entry)
+    }
+
+    /// Returns the number of upstreams that are not leaving.
+    pub fn len(&self) -> usize {
+        self.states.values().filter(|it| !it.entry.draining).count()
+    }
+
+    /// Tells whether no upstream is of use.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Chooses an upstream and counts the request as in flight there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        deployment: &Deployment,
+        query: &Query<'_>,
+    ) -> Result<Choice, Denial> {
+        let nothing = Denial::Nothing(REFUSAL_MAX);
+        let service = deployment.services.get(query.service).ok_or(nothing)?.clone();
+        let usable = self.usable(now, &service, query);
+        if usable.is_empty() {
+            return Err(self.denial(now, query));
+        }
+        let (id, reason) = self.best(now, &service, query, &usable);
+        let state = self.states.get_mut(&id).ok_or(nothing)?;
+        state.in_flight += 1;
+        state.sent.push(now);
+        let weights = query.model.and_then(|model| state.weights(model));
+        Ok(Choice {
+            address: state.entry.address,
+            zone: state.entry.zone.clone(),
+            weights,
+            id,
+            reason,
+        })
+    }
+
+    /// Takes how a request went that [`Fleet::choose`] placed.
+    pub fn settle(
+        &mut self,
+        now: Instant,
+        service: &ServiceEntry,
+        id: &Upstream,
+        outcome: Outcome,
+    ) {
+        let faulty_allowed = self.faulty_allowed(now, id);
+        let Some(state) = self.states.get_mut(id) else { return };
+        state.in_flight = state.in_flight.saturating_sub(1);
+        state.settle(now, service, outcome, faulty_allowed);
+    }
+
+    fn usable(&mut self, now: Instant, service: &ServiceEntry, query: &Query<'_>) -> Vec<Upstream> {
+        let Some(ids) = self.by_service.get(query.service) else { return Vec::new() };
+        let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
+        let mut usable = Vec::with_capacity(ids.len());
+        for id in ids {
+            let Some(state) = self.states.get_mut(id) else { continue };
+            if state.entry.draining
+                || query.tried.contains(id)
+                || self.evacuated.contains(&state.entry.zone)
+                || state.ejected_until > now
+                || state.refused_until > now
+                || (state.trial && state.in_flight > 0)
+            {
+                continue;
+            }
+            if service.cold_rate > 0.0 && state.cold_until > now {
+                let limit = (bearable * COLD_MARGIN) as u32;
+                let mine = share::split(limit, id.as_str(), &self.me, &self.hosts);
+                if state.sent.count(now) as u32 >= mine {
+                    continue;
+                }
+            }
+            usable.push(id.clone());
+        }
+        usable
+    }
+
+    fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
+        let states = self.by_service.get(query.service).into_iter().flatten();
+        let states = states.filter_map(|id| self.states.get(id));
+        let live =
+            states.filter(|it| !it.entry.draining && !self.evacuated.contains(&it.entry.zone));
+        let wait = live.map(|it| {
+            let until = it.ejected_until.max(it.refused_until);
+            if until > now { until.since(now) } else { COLD_SPAN / 2 }
+        });
+        match wait.min() {
+            Some(wait) => Denial::Full(wait.max(REFUSAL / 2)),
+            None => Denial::Nothing(REFUSAL_MAX),
+        }
+    }
+
+    /// Chooses among those that may be used.
+    fn best(
+        &mut self,
+        now: Instant,
+        service: &ServiceEntry,
+        query: &Query<'_>,
+        usable: &[Upstream],
+    ) -> (Upstream, &'static str) {
+        let silent = self.heartbeat.mul_f64(SILENT_HEARTBEATS);
+        let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
+        let ordinary = ((bearable * WARM_MARGIN) / self.hosts.len() as f64).max(1.0) as usize;
+        let newest = query.model.and_then(|it| self.named.get(it)).copied();
+        let total: u32 =
+            usable.iter().filter_map(|it| self.states.get(it)).map(|it| it.in_flight).sum();
+        let mean = f64::from(total) / usable.len() as f64;
+        let room = OVERFLOW_FREE.max((mean * OVERFLOW).ceil() as u32);
+        let mut best: Option<(Score, &Upstream)> = None;
+        for id in usable {
+            let Some(state) = self.states.get_mut(id) else { continue };
+            let outdated = match (newest, query.model.and_then(|it| state.weights(it))) {
+                (Some(newest), Some(weights)) => weights < newest,
+                _ => false,
+            };
+            let bursting = service.cold_rate > 0.0 && state.sent.count(now) >= ordinary;
+            let score = Score {
+                silent: now.since(state.seen) > silent,
+                bursting,
+                outdated,
+                crowded: state.in_flight >= room,
+                far: query.session.is_none() && state.entry.zone != self.zone && mean < 1.0,
+                in_flight: if query.session.is_some() { 0 } else { state.in_flight },
+                rank: match query.session {
+                    Some(session) => u64::MAX - rank::mix(session ^ state.hash),
+                    None => (state.delay * 1e6) as u64,
+                },
+            };
+            if best.as_ref().is_none_or(|(it, _)| score < *it) {
+                best = Some((score, id));
+            }
+        }
+        match best {
+            Some((score, id)) => (id.clone(), score.reason(query.session.is_some())),
+            None => (usable[0].clone(), "only"),
+        }
+    }
+
+    /// Tells whether one more upstream of the same service may be put out of use for
+    /// failures of requests that it took.
+    fn faulty_allowed(&self, now: Instant, id: &Upstream) -> bool {
+        let Some(state) = self.states.get(id) else { return false };
+        let Some(ids) = self.by_service.get(&state.entry.service) else { return false };
+        let states = ids.iter().filter_map(|it| self.states.get(it));
+        let out = states.filter(|it| it.ejected_until > now).count();
+        (out + 1) * FAULTY_PART <= ids.len()
+    }
+
+    fn listed(&self, service: &Service, id: &Upstream) -> bool {
+        self.by_service.get(service).is_some_and(|it| it.contains(id))
+    }
+
+    fn unlist(&mut self, service: &Service, id: &Upstream) {
+        if let Some(ids) = self.by_service.get_mut(service) {
+            ids.retain(|it| it != id);
+        }
+    }
+}
+
+/// How well an upstream suits a request; the least is best. The order of the fields is the
+/// order in which they matter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Score {
+    silent: bool,
+    bursting: bool,
+    outdated: bool,
+    crowded: bool,
+    far: bool,
+    in_flight: u32,
+    rank: u64,
+}
+
+impl Score {
+    fn reason(&self, session: bool) -> &'static str {
+        match () {
+            () if self.silent => "last_resort",
+            () if self.crowded => "least_crowded",
+            () if session => "session",
+            () => "least_loaded",
+        }
+    }
+}
+
+impl State {
+    fn new(entry: &Entry, now: Instant) -> Self {
+        State {
+            entry: entry.clone(),
+            seen: now,
+            cold_until: now + entry.cold,
+            doubted: Instant::default(),
+            in_flight: 0,
+            sent: Window::new(COLD_SPAN),
+            ejected_until: Instant::default(),
+            trial: false,
+            failures: 0,
+            failure_share: 0.0,
+            refused_until: Instant::default(),
+            refusals: 0,
+            delay: 0.0,
+            hash: rank::key(&["upstream", entry.id.as_str()]),
+        }
+    }
+
+    fn weights(&self, model: &Model) -> Option<u32> {
+        self.entry.models.iter().find(|it| it.0 == *model).map(|it| it.1)
+    }
+
+    fn settle(&mut self, now: Instant, service: &ServiceEntry, outcome: Outcome, allowed: bool) {
+        match outcome {
+            Outcome::Served(delay) => {
+                self.trial = false;
+                self.failures = 0;
+                self.refusals = 0;
+                self.delay += DELAY_WEIGHT * (delay.as_secs_f64() - self.delay);
+                self.failure_share *= 1.0 - FAILURE_WEIGHT;
+            }
+            Outcome::Failed => self.failed(now, allowed),
+            Outcome::Refused => {
+                let pause = REFUSAL * 2_u32.pow(self.refusals.min(4));
+                self.refused_until = now + pause.min(REFUSAL_MAX);
+                self.refusals += 1;
+            }
+            // The next row tells who has the address now.
+            Outcome::Moved => self.eject(now, EJECTION_MAX),
+            Outcome::Unreachable => self.unreachable(now, service),
+            Outcome::Broken => {
+                self.doubt(now, service);
+                self.failed(now, allowed);
+            }
+            Outcome::Left => {}
+        }
+    }
+
+    fn failed(&mut self, now: Instant, allowed: bool) {
+        self.failure_share += FAILURE_WEIGHT * (1.0 - self.failure_share);
+        if self.failure_share > FAILURE_LIMIT && allowed {
+            // Half of the limit is forgiven, so that a trial that succeeds brings it back.
+            self.failure_share = FAILURE_LIMIT / 2.0;
+            self.eject(now, FAULTY);
+        }
+    }
+
+    fn unreachable(&mut self, now: Instant, service: &ServiceEntry) {
+        let pause = EJECTION * 2_u32.pow(self.failures.min(4));
+        self.failures += 1;
+        self.doubt(now, service);
+        self.eject(now, pause.min(EJECTION_MAX));
+    }
+
+    /// After a break, an upstream may come back cold.
+    fn doubt(&mut self, now: Instant, service: &ServiceEntry) {
+        self.doubted = now;
+        self.cold_until = self.cold_until.max(now + service.cold_start);
+    }
+
+    fn eject(&mut self, now: Instant, pause: Duration) {
+        self.trial = true;
+        self.ejected_until = self.ejected_until.max(now + pause);
+        log::info!(upstream = self.entry.id.as_str(), failures = self.failures,
+            pause_ms = pause.as_millis() as u64; "upstream is out of use");
+    }
+}
--- /dev/null
+++ b/lib/src/gateway.rs
@@ -0,0 +1,268 @@
+//! What all connections and loops of a host share when it serves upstreams unchanged.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    clock::Clock,
+    deployment::Deployment,
+    dialect::{Dialect, Notice},
+    fleet::{Choice, Denial, Fleet, Outcome, Query},
+    link::Pool,
+    metric::Metrics,
+    prelude::*,
+    replica::Row,
+    site::Site,
+    suspect::{Crash, Fingerprint, Suspects},
+    window::Quota,
+};
+
+/// State of a gateway.
+#[derive(Debug)]
+pub struct Gateway<D> {
+    /// Where it runs.
+    pub site: Site,
+    /// Translates the platform's formats.
+    pub dialect: D,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Set when the host is to leave.
+    pub draining: CancellationToken,
+    /// Set once the balancer has let go of a host that leaves.
+    pub released: CancellationToken,
+    /// Told when upstreams may have to be given new weights.
+    pub outdated: Notify,
+    clock: Clock,
+    deployment: ArcSwapOption<Deployment>,
+    fleet: Mutex<Fleet>,
+    pool: Mutex<Pool>,
+    quotas: Mutex<HashMap<Service, Quota>>,
+    suspects: Mutex<Suspects>,
+    crashes: Mutex<Vec<Crash>>,
+    active: AtomicU32,
+}
+
+impl<D> Gateway<D>
+where
+    D: Dialect,
+{
+    /// Creates the state of a host that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when two metrics have the same name.
+    pub fn new(site: Site, dialect: D) -> Result<Self, prometheus::Error> {
+        Ok(Gateway {
+            fleet: Mutex::new(Fleet::new(&site)),
+            site,
+            dialect,
+            metrics: Metrics::new()?,
+            draining: CancellationToken::new(),
+            released: CancellationToken::new(),
+            outdated: Notify::new(),
+            clock: Clock::start(),
+            deployment: ArcSwapOption::empty(),
+            pool: Mutex::default(),
+            quotas: Mutex::default(),
+            suspects: Mutex::default(),
+            crashes: Mutex::default(),
+            active: AtomicU32::new(0),
+        })
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the newest configuration, once one is known.
+    pub fn deployment(&self) -> Option<Arc<Deployment>> {
+        self.deployment.load_full()
+    }
+
+    /// Returns the upstreams. The lock is held for decisions only, never over I/O.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Returns the kept connections.
+    pub fn pool(&self) -> MutexGuard<'_, Pool> {
+        lock(&self.pool)
+    }
+
+    /// Tells whether new callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.is_cancelled()
+            && self.deployment.load().is_some()
+            && !self.fleet().is_empty()
+    }
+
+    /// Returns the requests that are being worked on.
+    pub fn active(&self) -> u32 {
+        self.active.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as being worked on until the result is dropped.
+    pub fn enter(self: &Arc<Self>) -> Active<D> {
+        self.active.fetch_add(1, Ordering::AcqRel);
+        Active { gateway: self.clone() }
+    }
+
+    /// Takes rows of the operators' table.
+    pub fn take_notices(&self, rows: &[Row]) {
+        for row in rows {
+            match self.dialect.notice(&row.key, row.value.as_deref()) {
+                Ok(notice) => self.take_notice(notice, row.version),
+                Err(err) => log::warn!(row = row.key.as_str(), version = row.version,
+                    error = err.to_string().as_str(); "operators' row cannot be read"),
+            }
+        }
+    }
+
+    fn take_notice(&self, notice: Notice, row: u64) {
+        match notice {
+            Notice::Deployment(deployment) => {
+                let known = self.deployment.load().as_ref().map_or(0, |it| it.version);
+                if deployment.version <= known {
+                    log::info!(version = deployment.version, known = known;
+                        "older configuration is ignored");
+                    return;
+                }
+                log::info!(version = deployment.version, row = row; "configuration is in force");
+                self.deployment.store(Some(Arc::new(*deployment)));
+            }
+            Notice::Evacuation { zone, out } => self.fleet().evacuate(zone, out),
+            Notice::Weights { model, version } => {
+                self.fleet().name_weights(model, version);
+                self.outdated.notify_one();
+            }
+            Notice::Unknown => {}
+        }
+    }
+
+    /// Takes rows of the upstreams' table.
+    pub fn take_upstreams(&self, rows: &[Row]) {
+        let now = self.now();
+        for row in rows {
+            let id = Upstream::new(row.key.clone());
+            let Some(value) = &row.value else {
+                self.fleet().remove(&id);
+                self.pool().forget(&id);
+                continue;
+            };
+            match self.dialect.entry(&row.key, value) {
+                Ok(entry) => self.fleet().observe(now, entry),
+                // A row that is not an upstream's names none to use.
+                Err(err) => {
+                    log::debug!(row = row.key.as_str(), error = err.to_string().as_str();
+                        "upstream's row cannot be read");
+                    self.fleet().remove(&id);
+                }
+            }
+        }
+        if !self.fleet().outdated().is_empty() {
+            self.outdated.notify_one();
+        }
+    }
+
+    /// Chooses an upstream for a request; see [`Fleet::choose`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn choose(&self, deployment: &Deployment, query: &Query<'_>) -> Result<Choice, Denial> {
+        self.fleet().choose(self.now(), deployment, query)
+    }
+
+    /// Tells the fleet how a request went.
+    pub fn settle(&self, deployment: &Deployment, service: &Service, id: &Upstream, how: Outcome) {
+        let entry = deployment.services.get(service).cloned().unwrap_or_default();
+        self.fleet().settle(self.now(), &entry, id, how);
+        if matches!(how, Outcome::Unreachable | Outcome::Moved) {
+            self.pool().forget(id);
+        }
+    }
+
+    /// Counts a caller's request towards the quota of its service.
+    pub fn count_request(&self, service: &Service) {
+        let now = self.now();
+        self.with_quota(service, |quota| quota.request(now));
+    }
+
+    /// Asks whether a request may be sent once more, and counts it.
+    pub fn may_resend(&self, service: &Service) -> bool {
+        let now = self.now();
+        let bounds = self.site.bounds;
+        let hosts = self.fleet().hosts() as f64;
+        self.with_quota(service, |quota| {
+            quota.resend(now, bounds.retry_ratio, bounds.retry_slack / hosts)
+        })
+    }
+
+    fn with_quota<F, R>(&self, service: &Service, act: F) -> R
+    where
+        F: FnOnce(&mut Quota) -> R,
+    {
+        let mut quotas = lock(&self.quotas);
+        let fresh = || Quota::new(self.site.bounds.retry_window);
+        act(quotas.entry(service.clone()).or_insert_with(fresh))
+    }
+
+    /// Tells whether a request is kept away from upstreams.
+    pub fn is_quarantined(&self, request: Fingerprint) -> bool {
+        lock(&self.suspects).is_quarantined(self.now(), request)
+    }
+
+    /// Takes that an upstream broke off while it ran a request.
+    pub fn crashed(&self, request: Fingerprint, upstream: &Upstream) {
+        let crash = Crash { request, upstream: upstream.clone() };
+        if lock(&self.suspects).crashed(self.now(), &crash) {
+            lock(&self.crashes).push(crash);
+        }
+    }
+
+    /// Takes a crash that another host has seen.
+    pub fn crashed_elsewhere(&self, crash: &Crash) {
+        lock(&self.suspects).crashed(self.now(), crash);
+    }
+
+    /// Takes that an upstream ran a request to its end.
+    pub fn cleared(&self, request: Fingerprint) {
+        lock(&self.suspects).cleared(request);
+    }
+
+    /// Returns the crashes that other hosts have not been told of.
+    pub fn take_crashes(&self) -> Vec<Crash> {
+        std::mem::take(&mut *lock(&self.crashes))
+    }
+
+    /// Forgets what is old.
+    pub fn purge(&self) {
+        self.pool().purge();
+        lock(&self.suspects).purge(self.now());
+    }
+}
+
+/// A request that is being worked on.
+pub struct Active<D> {
+    gateway: Arc<Gateway<D>>,
+}
+
+impl<D> Drop for Active<D> {
+    fn drop(&mut self) {
+        self.gateway.active.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/lib/src/log_setup.rs
+++ b/lib/src/log_setup.rs
@@ -1,6 +1,15 @@
 //! Structured logs: one JSON object a line.
 
-use std::io::Write;
+use std::{
+    io::Write,
+    iter,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
 
 use fern::Dispatch;
 use log::{Record, kv};
@@ -9,10 +18,24 @@
 
 use crate::{clock::unix_millis, settings::Log};
 
-/// The logger is set already.
+/// Lines that wait for the thread that writes them.
+const WAITING_LINES: usize = 2048;
+/// Lines that are written in a second; a host answers about fifty requests in one.
+const LINES_PER_SECOND: u64 = 400;
+
+/// Lines that were dropped and not yet told.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Why the logger cannot be set.
 #[derive(Debug, ThisError)]
-#[error("log: {0}")]
-pub struct LogError(#[from] log::SetLoggerError);
+pub enum LogError {
+    /// It is set already.
+    #[error("log: {0}")]
+    Set(#[from] log::SetLoggerError),
+    /// The thread that writes cannot be started.
+    #[error("log: {0}")]
+    Thread(#[from] std::io::Error),
+}
 
 /// Sets the process's logger; lines go to standard error.
 ///
@@ -23,6 +46,56 @@
     Ok(dispatch(settings).chain(std::io::stderr()).apply()?)
 }
 
+/// Sets the process's logger; lines go to standard output from a thread of their own, so
+/// that whoever logs never waits. What is over the bound is dropped and counted.
+///
+/// # Errors
+///
+/// Returns an error when a logger is set already, or the thread cannot be started.
+pub fn install_stdout(settings: &Log) -> Result<(), LogError> {
+    let (lines, waiting) = mpsc::sync_channel(WAITING_LINES);
+    thread::Builder::new().name("log".into()).spawn(move || write_lines(&waiting))?;
+    let output = fern::Output::call(move |record| {
+        if lines.try_send(record.args().to_string()).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    Ok(dispatch(settings).chain(output).apply()?)
+}
+
+/// Writes lines as they come, those that wait together in one call.
+fn write_lines(waiting: &mpsc::Receiver<String>) {
+    let mut second = Instant::now();
+    let mut written = 0;
+    while let Ok(first) = waiting.recv() {
+        if second.elapsed() >= Duration::from_secs(1) {
+            (second, written) = (Instant::now(), 0);
+        }
+        let mut text = String::new();
+        for line in iter::once(first).chain(waiting.try_iter()) {
+            written += 1;
+            if written > LINES_PER_SECOND {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            text.push_str(&line);
+            text.push('\n');
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 && written <= LINES_PER_SECOND {
+            text.push_str(&format!(
+                "{{\"level\":\"warn\",\"message\":\"lines dropped\",\"dropped\":{dropped}}}\n"
+            ));
+        } else {
+            DROPPED.fetch_add(dropped, Ordering::Relaxed);
+        }
+        if std::io::stdout().write_all(text.as_bytes()).is_err() {
+            // Nobody reads the lines; there is nowhere to tell it.
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Builds a logger that writes to `output`, for tests.
 pub fn writer(settings: &Log, output: Box<dyn Write + Send>) -> Dispatch {
     dispatch(settings).chain(output)
--- /dev/null
+++ b/lib/src/node.rs
@@ -0,0 +1,230 @@
+//! One running gateway: its threads, its place in the list of hosts, its shutdown.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error as ThisError;
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    signal::unix::{SignalKind, signal},
+    time::{Instant as Moment, sleep, timeout},
+};
+
+use crate::{
+    dialect::Dialect,
+    gateway::Gateway,
+    ledger::{Ledger, LedgerError, Table, Write, Written},
+    prelude::*,
+    serve,
+    site::Site,
+    steer::{Board, Steering},
+};
+
+/// Port of the metrics, as `deploy/system.toml` names it.
+const METRICS_PORT: u16 = 9464;
+/// After SIGTERM, how long idle connections are kept: the balancer asks each second and lets
+/// go of a host after two misses.
+const RELEASE: Duration = Duration::from_millis(2700);
+/// Taken off the time from SIGTERM to the forced end.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// How often a host that leaves looks whether work is left.
+const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
+/// Pause after a failed write of the host's row.
+const REGISTER_RETRY: Duration = Duration::from_millis(700);
+/// Longest wait for the removal of the host's row.
+const UNREGISTER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a gateway cannot start.
+#[derive(Debug, ThisError)]
+pub enum NodeError {
+    /// Metrics cannot be set up.
+    #[error("metrics: {0}")]
+    Metric(#[from] prometheus::Error),
+    /// An address cannot be listened at.
+    #[error("{field}: cannot listen at {address}: {source}")]
+    Listen {
+        /// What for.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why not.
+        source: std::io::Error,
+    },
+    /// A thread, a runtime or a signal cannot be had.
+    #[error("cannot start: {0}")]
+    Start(#[from] std::io::Error),
+}
+
+/// A host's row in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRow {
+    /// Where other hosts reach it.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+}
+
+/// A gateway.
+#[derive(Debug)]
+pub struct Node<D> {
+    gateway: Arc<Gateway<D>>,
+}
+
+impl<D> Node<D>
+where
+    D: Dialect,
+{
+    /// Creates a gateway that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the metrics cannot be set up.
+    pub fn new(site: Site, dialect: D) -> Result<Self, NodeError> {
+        Ok(Node { gateway: Arc::new(Gateway::new(site, dialect)?) })
+    }
+
+    /// Runs until SIGTERM, then until the work is done. The calling thread carries the
+    /// traffic; another one follows the store, with the client that `connect` makes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address, a thread or a signal cannot be had.
+    pub fn run<L, F>(self, connect: F) -> Result<(), NodeError>
+    where
+        L: Ledger,
+        F: FnOnce(SocketAddr) -> L + Send + 'static,
+    {
+        let traffic = runtime()?;
+        let control = runtime()?;
+        let gateway = self.gateway.clone();
+        thread::Builder::new().name("control".into()).spawn(move || {
+            let ledger = connect(gateway.site.store);
+            control.block_on(steer(gateway, ledger));
+        })?;
+        traffic.block_on(carry(self.gateway))
+    }
+}
+
+fn runtime() -> std::io::Result<Runtime> {
+    Builder::new_current_thread().enable_all().build()
+}
+
+async fn steer<D, L>(gateway: Arc<Gateway<D>>, ledger: L)
+where
+    D: Dialect,
+    L: Ledger,
+{
+    let board = Arc::new(Board::default());
+    let steering = Steering { gateway: gateway.clone(), ledger: ledger.clone(), board };
+    let row = HostRow {
+        address: SocketAddr::new(gateway.site.front.ip(), gateway.site.peer_ports.0),
+        zone: gateway.site.zone.to_string(),
+    };
+    let registered = AtomicBool::new(false);
+    tokio::join!(
+        steering.run(),
+        register(&gateway, &ledger, &row, &registered),
+        unregister(&gateway, &ledger, &registered),
+    );
+}
+
+/// Writes the host's row, again until it is there.
+async fn register<D, L>(gateway: &Gateway<D>, ledger: &L, row: &HostRow, registered: &AtomicBool)
+where
+    D: Dialect,
+    L: Ledger,
+{
+    // A struct of texts can always be written.
+    let value: Bytes = serde_json::to_vec(row).unwrap_or_default().into();
+    while !gateway.draining.is_cancelled() {
+        let written = write(gateway, ledger, Some(value.clone())).await;
+        match written {
+            Ok(_) => {
+                registered.store(true, Ordering::Release);
+                log::info!(host = gateway.site.host.as_str(); "host is registered");
+                return;
+            }
+            Err(err) => {
+                log::warn!(error = err.to_string().as_str(); "host cannot be registered yet");
+            }
+        }
+        sleep(REGISTER_RETRY).await;
+    }
+}
+
+/// Removes the host's row when it leaves, so that the others share what it used.
+async fn unregister<D, L>(gateway: &Gateway<D>, ledger: &L, registered: &AtomicBool)
+where
+    D: Dialect,
+    L: Ledger,
+{
+    gateway.released.cancelled().await;
+    if !registered.load(Ordering::Acquire) {
+        return;
+    }
+    let removed = timeout(UNREGISTER_TIMEOUT, write(gateway, ledger, None)).await;
+    if !matches!(removed, Ok(Ok(_))) {
+        log::warn!(host = gateway.site.host.as_str(); "host's row is left behind");
+    }
+}
+
+async fn write<D, L>(
+    gateway: &Gateway<D>,
+    ledger: &L,
+    value: Option<Bytes>,
+) -> Result<Written, LedgerError>
+where
+    D: Dialect,
+    L: Ledger,
+{
+    let key = FastStr::new(gateway.site.host.as_str());
+    ledger.write(Write { table: Table::Hosts, key, value, expected: None }).await
+}
+
+async fn carry<D>(gateway: Arc<Gateway<D>>) -> Result<(), NodeError>
+where
+    D: Dialect,
+{
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let site = &gateway.site;
+    let front = listen("listen.front", site.front).await?;
+    let ready = listen("listen.ready", site.ready).await?;
+    let metrics = SocketAddr::new(site.front.ip(), METRICS_PORT);
+    let metrics = listen("metrics", metrics).await?;
+    log::info!(host = site.host.as_str(), zone = site.zone.as_str(),
+        front = site.front.to_string().as_str(); "started");
+    let accepting = tokio::spawn(serve::accept(gateway.clone(), front));
+    tokio::spawn(serve::observe(gateway.clone(), ready));
+    tokio::spawn(serve::observe(gateway.clone(), metrics));
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let stopped = Moment::now();
+    log::info!(active = gateway.active(); "stops");
+    gateway.draining.cancel();
+    sleep(RELEASE.min(site.bounds.grace / 2)).await;
+    accepting.abort();
+    gateway.released.cancel();
+    let end = stopped + site.bounds.grace.saturating_sub(GRACE_MARGIN);
+    // Connections write their last answers in the meantime.
+    sleep(SHUTDOWN_POLL * 4).await;
+    while gateway.active() > 0 && Moment::now() < end {
+        sleep(SHUTDOWN_POLL).await;
+    }
+    sleep(SHUTDOWN_POLL * 2).await;
+    log::info!(active = gateway.active(); "stopped");
+    log::logger().flush();
+    Ok(())
+}
+
+async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| NodeError::Listen { field, address, source })
+}
--- /dev/null
+++ b/lib/src/passage.rs
@@ -0,0 +1,664 @@
+//! One request's way to an upstream and its answer's way back.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response::Parts};
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use thiserror::Error as ThisError;
+use tokio::{
+    sync::mpsc,
+    time::{Instant as Moment, timeout, timeout_at},
+};
+
+use crate::{
+    deployment::{Deployment, Repeat, Route, Tenancy},
+    dialect::{Ask, Dialect, Dressing, Reply},
+    event::Splitter,
+    fault::Reach,
+    fleet::{Choice, Denial, Outcome, Query},
+    gateway::Gateway,
+    hop,
+    link::{self, Link},
+    prelude::*,
+    suspect::Fingerprint,
+};
+
+/// Idle time after which a kept connection carries no request that may run only once: the
+/// other side may just be closing it.
+const ONCE_IDLE: Duration = Duration::from_secs(2);
+/// Upstreams that may turn one request away before it is refused.
+const REFUSALS: u32 = 3;
+/// Upstreams that may be unreachable before a request is refused.
+const UNREACHABLE: u32 = 5;
+/// Bytes of an answer that is not a stream.
+const ANSWER_BYTES: usize = 8 << 20;
+/// Events that wait for a caller.
+const WAITING: usize = 32;
+/// Times the target after which a silent attempt is given up where another may follow.
+const PATIENCE: u32 = 2;
+/// Least time for an attempt.
+const ATTEMPT_MIN: Duration = Duration::from_millis(250);
+
+/// A request as it came from the caller.
+#[derive(Debug)]
+pub struct Job {
+    /// What its head says.
+    pub ask: Ask,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: Service,
+    /// The configuration by which it is handled.
+    pub deployment: Arc<Deployment>,
+    /// The holder of its key.
+    pub tenancy: Option<Arc<Tenancy>>,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Header fields as they came.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When its head had been read.
+    pub received: Moment,
+    /// When it is given up.
+    pub deadline: Moment,
+}
+
+impl Job {
+    /// Returns what a repeat of this request has in common with it.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::new(self.uri.path(), self.ask.key.as_deref(), &self.body)
+    }
+
+    fn query<'a>(&'a self, tried: &'a [Upstream], session: Option<u64>) -> Query<'a> {
+        Query { service: &self.service, model: self.ask.model.as_ref(), session, tried }
+    }
+
+    fn urgency(&self) -> Option<u8> {
+        self.ask.model.as_ref()?;
+        let own = self.tenancy.as_ref().and_then(|it| it.priority);
+        Some(own.unwrap_or(self.route.priority))
+    }
+
+    /// Names the cache parts that this request may use: of its model and weights, and of its
+    /// workspace alone where that is isolated.
+    fn salt(&self, weights: Option<u32>) -> Option<String> {
+        let model = self.ask.model.as_ref()?;
+        let mut salt = format!("{model}:{}", weights?);
+        if let Some(tenancy) = self.tenancy.as_ref().filter(|it| it.isolated) {
+            salt.push(':');
+            salt.push_str(tenancy.workspace.as_str());
+        }
+        Some(salt)
+    }
+
+    /// Returns the key of the session: of the last part that other requests share.
+    pub fn session(&self) -> Option<u64> {
+        let parts = &self.ask.parts;
+        let shared = parts.len().checked_sub(2).and_then(|at| parts.get(at)).or(parts.last())?;
+        Some(crate::rank::key(&["session", &shared.id]))
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Moment::now())
+    }
+}
+
+/// An answer that was cut off; the connection to the caller ends with it.
+#[derive(Clone, Copy, Debug, ThisError)]
+#[error("the answer was cut off")]
+pub struct Cut;
+
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub enum Body {
+    /// All of it.
+    Whole(Full<Bytes>),
+    /// Pieces as they come.
+    Stream(mpsc::Receiver<Result<Bytes, Cut>>),
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match self.get_mut() {
+            Body::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|_| Cut),
+            Body::Stream(pieces) => pieces.poll_recv(cx).map(|it| it.map(|it| it.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Body::Whole(body) if body.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(body) => body.size_hint(),
+            Body::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A request that counts as in flight at an upstream until it is settled.
+struct Placement<D>
+where
+    D: Dialect,
+{
+    gateway: Arc<Gateway<D>>,
+    job: Arc<Job>,
+    choice: Choice,
+    settled: bool,
+}
+
+impl<D> Placement<D>
+where
+    D: Dialect,
+{
+    fn settle(mut self, outcome: Outcome) {
+        self.settled = true;
+        self.tell(outcome);
+    }
+
+    fn tell(&self, outcome: Outcome) {
+        self.gateway.settle(&self.job.deployment, &self.job.service, &self.choice.id, outcome);
+    }
+}
+
+impl<D> Drop for Placement<D>
+where
+    D: Dialect,
+{
+    fn drop(&mut self) {
+        if !self.settled {
+            self.tell(Outcome::Left);
+        }
+    }
+}
+
+/// An upstream's answer whose head has come and is believed.
+struct Opened<D>
+where
+    D: Dialect,
+{
+    placement: Placement<D>,
+    link: Link,
+    head: Parts,
+    body: Incoming,
+    started: Moment,
+}
+
+/// What follows an attempt without an answer for the caller.
+enum Next {
+    /// Another attempt, if one is allowed.
+    Again,
+    /// None.
+    Over(Error),
+}
+
+/// One request on its way.
+pub struct Passage<D>
+where
+    D: Dialect,
+{
+    gateway: Arc<Gateway<D>>,
+    job: Arc<Job>,
+    session: Option<u64>,
+    tried: SmallVec<[Upstream; 4]>,
+    /// Times it reached an upstream.
+    arrivals: u32,
+    /// Attempts that may have run.
+    runs: u32,
+    refusals: u32,
+    unreachable: u32,
+    /// The upstream's own failure, told when nothing better follows.
+    failure: Option<Response<Body>>,
+}
+
+impl<D> Passage<D>
+where
+    D: Dialect,
+{
+    /// Starts the way of a request.
+    pub fn new(gateway: Arc<Gateway<D>>, job: Job) -> Self {
+        let session = job.session();
+        Passage {
+            gateway,
+            job: Arc::new(job),
+            session,
+            tried: SmallVec::new(),
+            arrivals: 0,
+            runs: 0,
+            refusals: 0,
+            unreachable: 0,
+            failure: None,
+        }
+    }
+
+    /// Sends the request until an answer comes that the caller is to get.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the caller is told where there is none.
+    pub async fn run(mut self) -> Result<Response<Body>, Error> {
+        self.gateway.count_request(&self.job.service);
+        loop {
+            let opened = match self.open(None).await {
+                Ok(opened) => opened,
+                Err(err) => return self.failure.take().ok_or(err),
+            };
+            let streamed = matches!(self.job.route.repeat, Repeat::Stream { .. });
+            if streamed && opened.head.status == StatusCode::OK {
+                return Ok(self.stream(opened));
+            }
+            match self.whole(opened).await {
+                Ok(Some(response)) => return Ok(response),
+                Ok(None) => {}
+                Err(err) => return self.failure.take().ok_or(err),
+            }
+        }
+    }
+
+    /// Sends the request until the head of an answer comes that is believed.
+    async fn open(&mut self, last_event: Option<u64>) -> Result<Opened<D>, Error> {
+        loop {
+            if self.job.left().is_zero() {
+                return Err(self.late());
+            }
+            if self.gateway.is_quarantined(self.job.fingerprint()) {
+                return Err(self.refused(Kind::Quarantined, Duration::from_secs(60)));
+            }
+            let query = self.job.query(&self.tried, self.session);
+            let choice = self.gateway.choose(&self.job.deployment, &query);
+            let choice = choice.map_err(|denial| self.denied(denial))?;
+            let placement = Placement {
+                gateway: self.gateway.clone(),
+                job: self.job.clone(),
+                choice,
+                settled: false,
+            };
+            match self.attempt(placement, last_event).await {
+                Ok(opened) => return Ok(opened),
+                Err(Next::Again) => {}
+                Err(Next::Over(err)) => return Err(err),
+            }
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        placement: Placement<D>,
+        last_event: Option<u64>,
+    ) -> Result<Opened<D>, Next> {
+        let choice = placement.choice.clone();
+        let (mut link, kept) = match self.connect(&choice).await {
+            Some(link) => link,
+            None => {
+                self.note(&choice, "unreachable");
+                placement.settle(Outcome::Unreachable);
+                self.tried.push(choice.id);
+                self.unreachable += 1;
+                return Err(self.after(self.unreachable < UNREACHABLE, Kind::NoUpstream));
+            }
+        };
+        if self.arrivals > 0 && !self.gateway.may_resend(&self.job.service) {
+            self.note(&choice, "resend_quota_used_up");
+            return Err(Next::Over(self.exhausted(Kind::Overloaded)));
+        }
+        let started = Moment::now();
+        let request = self.request(&choice, last_event).map_err(Next::Over)?;
+        let wait = self.attempt_time();
+        let sent = timeout(wait, link.send(request)).await;
+        let Ok(sent) = sent else {
+            self.arrivals += 1;
+            self.runs += 1;
+            self.note(&choice, "silent");
+            placement.settle(Outcome::Failed);
+            self.tried.push(choice.id);
+            let again = self.may_run_again() && !self.job.left().is_zero();
+            return Err(if again { Next::Again } else { Next::Over(self.late()) });
+        };
+        match sent {
+            Ok(response) => self.judge(placement, link, response, started),
+            Err(err) if err.0.reach == Reach::NotSent => {
+                // The kept connection had been closed; nothing was written.
+                self.unreachable += 1;
+                Err(self.after(self.unreachable < UNREACHABLE, Kind::NoUpstream))
+            }
+            Err(_) => Err(self.broken(placement, kept)),
+        }
+    }
+
+    /// Decides whether the head of an answer is believed.
+    fn judge(
+        &mut self,
+        placement: Placement<D>,
+        link: Link,
+        response: Response<Incoming>,
+        started: Moment,
+    ) -> Result<Opened<D>, Next> {
+        self.arrivals += 1;
+        let (head, body) = response.into_parts();
+        let reply = self.gateway.dialect.reply(head.status, &head.headers);
+        let choice = placement.choice.clone();
+        self.learn(&choice, &reply);
+        // The upstream that was meant turns away a request for weights that it does not have.
+        let present = reply.upstream.as_deref() == Some(choice.id.as_str());
+        if reply.moved || (reply.not_run && head.status != StatusCode::BAD_REQUEST) {
+            let moved = reply.moved && !present;
+            self.note(&choice, if moved { "moved" } else { "refused" });
+            placement.settle(if moved { Outcome::Moved } else { Outcome::Refused });
+            self.tried.push(choice.id);
+            self.refusals += 1;
+            return Err(self.after(self.refusals < REFUSALS, Kind::Overloaded));
+        }
+        let strange = reply.id.as_ref().is_some_and(|it| *it != self.job.ask.id);
+        if strange || (head.status.is_success() && !reply.signed) {
+            log::warn!(request = self.job.ask.id.as_str(), upstream = choice.id.as_str(),
+                strange = strange, signed = reply.signed; "answer is not believed");
+            self.arrivals -= 1;
+            return Err(self.broken(placement, false));
+        }
+        self.runs += 1;
+        Ok(Opened { placement, link, head, body, started })
+    }
+
+    /// Takes that a connection broke after the request may have been read.
+    fn broken(&mut self, placement: Placement<D>, kept: bool) -> Next {
+        self.arrivals += 1;
+        self.runs += 1;
+        let id = placement.choice.id.clone();
+        self.note(&placement.choice, "broken");
+        self.gateway.crashed(self.job.fingerprint(), &id);
+        if kept {
+            // It may only be the connection that was dropped, so the upstream is not blamed;
+            // a new connection will show.
+            self.gateway.pool().forget(&id);
+            placement.settle(Outcome::Left);
+        } else {
+            placement.settle(Outcome::Broken);
+            self.tried.push(id);
+        }
+        if self.may_run_again() {
+            return Next::Again;
+        }
+        let kind = match self.job.route.repeat {
+            Repeat::Once => Kind::OutcomeUnknown,
+            _ => Kind::UpstreamFailed,
+        };
+        Next::Over(Error::new(kind, "the upstream broke off"))
+    }
+
+    /// Reads an answer to its end; none where another attempt is to follow.
+    async fn whole(&mut self, opened: Opened<D>) -> Result<Option<Response<Body>>, Error> {
+        let Opened { placement, link, head, body, started } = opened;
+        let read = Limited::new(body, ANSWER_BYTES).collect();
+        let read = match timeout_at(self.job.deadline, read).await {
+            Err(_) => {
+                placement.settle(Outcome::Failed);
+                return Err(self.late());
+            }
+            Ok(read) => read,
+        };
+        let Ok(read) = read else {
+            self.arrivals -= 1;
+            self.runs -= 1;
+            return match self.broken(placement, false) {
+                Next::Again => Ok(None),
+                Next::Over(err) => Err(err),
+            };
+        };
+        let choice = placement.choice.clone();
+        self.gateway.cleared(self.job.fingerprint());
+        self.gateway.pool().put(&choice.id, choice.address, link, &head.headers);
+        let response = self.answer(&head, Body::Whole(Full::new(read.to_bytes())));
+        if !head.status.is_server_error() {
+            placement.settle(Outcome::Served(started.elapsed()));
+            return Ok(Some(response));
+        }
+        self.note(&choice, "failed");
+        placement.settle(Outcome::Failed);
+        self.tried.push(choice.id);
+        if self.job.route.repeat == Repeat::Idempotent && self.may_run_again() {
+            self.failure = Some(response);
+            return Ok(None);
+        }
+        Ok(Some(response))
+    }
+
+    /// Passes a stream on, in a task of its own.
+    fn stream(self, opened: Opened<D>) -> Response<Body> {
+        let (sender, receiver) = mpsc::channel(WAITING);
+        let response = self.answer(&opened.head, Body::Stream(receiver));
+        tokio::spawn(self.pump(opened, sender));
+        response
+    }
+
+    async fn pump(mut self, mut opened: Opened<D>, pieces: mpsc::Sender<Result<Bytes, Cut>>) {
+        let _active = self.gateway.enter();
+        let mut last_event = None;
+        loop {
+            let end = self.follow(opened, &pieces, &mut last_event).await;
+            let again = match end {
+                End::Done | End::Left => return,
+                End::Late => false,
+                End::Broken => self.may_run_again(),
+            };
+            if !again {
+                break;
+            }
+            let resumed = tokio::select! {
+                () = pieces.closed() => return,
+                resumed = self.open(last_event) => resumed,
+            };
+            match resumed {
+                Ok(next) if next.head.status == StatusCode::OK => opened = next,
+                _ => break,
+            }
+        }
+        log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
+            last_event = last_event.unwrap_or_default(), runs = self.runs; "stream is cut");
+        self.gateway.metrics.outcome("stream_cut");
+        // A caller that has left needs no mark.
+        let _ = pieces.send(Err(Cut)).await;
+    }
+
+    /// Passes on the events of one run.
+    async fn follow(
+        &mut self,
+        opened: Opened<D>,
+        pieces: &mpsc::Sender<Result<Bytes, Cut>>,
+        last_event: &mut Option<u64>,
+    ) -> End {
+        let Opened { placement, link, head, mut body, started } = opened;
+        let mut splitter = Splitter::default();
+        let mut first = None;
+        loop {
+            let frame = tokio::select! {
+                () = pieces.closed() => return End::Left,
+                frame = timeout_at(self.job.deadline, body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) => return End::Late,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) if splitter.rest().is_empty() => break,
+                Ok(None | Some(Err(_))) => return self.stream_broken(placement),
+            };
+            if !splitter.push(&data) {
+                return self.stream_broken(placement);
+            }
+            let events = self.events(&mut splitter, last_event);
+            if events.is_empty() {
+                continue;
+            }
+            first.get_or_insert_with(|| started.elapsed());
+            if pieces.send(Ok(events)).await.is_err() {
+                return End::Left;
+            }
+        }
+        let choice = placement.choice.clone();
+        self.gateway.cleared(self.job.fingerprint());
+        self.gateway.pool().put(&choice.id, choice.address, link, &head.headers);
+        let first = first.unwrap_or_else(|| started.elapsed());
+        let class = self.job.route.name.as_str();
+        let wait = self.job.received.elapsed();
+        self.gateway.metrics.first_token.with_label_values(&[class]).observe(first.as_secs_f64());
+        placement.settle(Outcome::Served(first));
+        log::debug!(request = self.job.ask.id.as_str(), upstream = choice.id.as_str(),
+            first_ms = first.as_millis() as u64, total_ms = wait.as_millis() as u64;
+            "stream ended");
+        End::Done
+    }
+
+    /// Joins the whole events that have come, without those that the caller has.
+    fn events(&self, splitter: &mut Splitter, last_event: &mut Option<u64>) -> Bytes {
+        let mut joined: SmallVec<[Bytes; 4]> = SmallVec::new();
+        while let Some(event) = splitter.next_event() {
+            let repeated = matches!((event.id, *last_event), (Some(id), Some(last)) if id <= last);
+            if repeated {
+                continue;
+            }
+            *last_event = event.id.or(*last_event);
+            joined.push(event.bytes);
+        }
+        match joined.len() {
+            1 => joined.remove(0),
+            _ => joined.concat().into(),
+        }
+    }
+
+    fn stream_broken(&mut self, placement: Placement<D>) -> End {
+        self.note(&placement.choice, "stream_broken");
+        self.gateway.crashed(self.job.fingerprint(), &placement.choice.id);
+        self.tried.push(placement.choice.id.clone());
+        placement.settle(Outcome::Broken);
+        End::Broken
+    }
+
+    /// Finds a kept connection or makes a new one; tells whether it was kept.
+    async fn connect(&self, choice: &Choice) -> Option<(Link, bool)> {
+        let most = match self.job.route.repeat.allowed() {
+            true => Duration::MAX,
+            false => ONCE_IDLE,
+        };
+        loop {
+            let kept = self.gateway.pool().take(&choice.id, choice.address, most);
+            let Some(mut kept) = kept else { break };
+            if link::is_ready(&mut kept).await {
+                return Some((kept, true));
+            }
+        }
+        let dialled = timeout(self.job.left(), Link::dial(choice.address)).await;
+        Some((dialled.ok()?.ok()?, false))
+    }
+
+    fn request(
+        &self,
+        choice: &Choice,
+        last_event: Option<u64>,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let salt = self.job.salt(choice.weights);
+        let dressing = Dressing {
+            deadline: self.job.left(),
+            upstream: choice.id.as_str(),
+            workspace: self.job.tenancy.as_ref().map(|it| it.workspace.as_str()),
+            urgency: self.job.urgency(),
+            salt: salt.as_deref(),
+            weights: choice.weights,
+            last_event,
+        };
+        let mut request = Request::new(Full::new(self.job.body.clone()));
+        *request.method_mut() = self.job.method.clone();
+        *request.uri_mut() = self.job.uri.clone();
+        *request.headers_mut() = self.gateway.dialect.dress(&self.job.headers, &dressing);
+        Ok(request)
+    }
+
+    fn learn(&self, choice: &Choice, reply: &Reply) {
+        if let (Some(model), Some(weights)) = (&self.job.ask.model, reply.weights) {
+            self.gateway.fleet().weights_seen(&choice.id, model, weights);
+        }
+    }
+
+    fn answer(&self, head: &Parts, body: Body) -> Response<Body> {
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = hop::strip(&head.headers);
+        if self.job.method == Method::HEAD
+            && let Some(length) = head.headers.get(header::CONTENT_LENGTH)
+        {
+            response.headers_mut().insert(header::CONTENT_LENGTH, length.clone());
+        }
+        response
+    }
+
+    /// Returns how long an attempt may be silent.
+    fn attempt_time(&self) -> Duration {
+        let left = self.job.left();
+        let last = self.runs + 1 >= self.job.route.max_attempts || !self.job.route.repeat.allowed();
+        if last {
+            return left;
+        }
+        (self.job.route.target * PATIENCE).min(left / 2).max(ATTEMPT_MIN).min(left)
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.job.route.repeat.allowed() && self.runs < self.job.route.max_attempts
+    }
+
+    fn after(&self, allowed: bool, kind: Kind) -> Next {
+        if allowed { Next::Again } else { Next::Over(self.exhausted(kind)) }
+    }
+
+    fn denied(&self, denial: Denial) -> Error {
+        match denial {
+            Denial::Nothing(wait) => self.refused(Kind::NoUpstream, wait),
+            Denial::Full(wait) => self.refused(Kind::Overloaded, wait),
+        }
+    }
+
+    fn exhausted(&self, kind: Kind) -> Error {
+        self.refused(kind, Duration::from_millis(300))
+    }
+
+    /// Refuses the request; only one that cannot have run is told so.
+    fn refused(&self, kind: Kind, wait: Duration) -> Error {
+        let message = match self.runs {
+            0 => "no upstream takes the request now",
+            _ => "an attempt failed, and no upstream takes another one now",
+        };
+        let kind = if self.runs == 0 { kind } else { Kind::UpstreamFailed };
+        Error::new(kind, message).retry_after(wait)
+    }
+
+    fn late(&self) -> Error {
+        let kind = if self.runs == 0 { Kind::NotRun } else { Kind::TimedOut };
+        Error::new(kind, "the request's time is over").retry_after(Duration::from_millis(100))
+    }
+
+    fn note(&self, choice: &Choice, what: &str) {
+        log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
+            upstream = choice.id.as_str(), chosen = choice.reason, outcome = what,
+            arrivals = self.arrivals, runs = self.runs,
+            left_ms = self.job.left().as_millis() as u64; "attempt ended");
+    }
+}
+
+/// How one run of a stream ended.
+enum End {
+    Done,
+    Left,
+    Late,
+    Broken,
+}
--- a/lib/src/rank.rs
+++ b/lib/src/rank.rs
@@ -26,3 +26,12 @@
     word.copy_from_slice(&digest[..8]);
     u64::from_le_bytes(word)
 }
+
+/// Spreads the bits of a number, so that numbers that are close give ones that are not.
+/// Far cheaper than [`weight`], for ranks that are worked out for each request.
+pub fn mix(value: u64) -> u64 {
+    // The finalizer of SplitMix64.
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/lib/src/serve.rs
@@ -0,0 +1,297 @@
+//! Callers' connections: reads requests, finds out what is asked by whom, writes answers.
+
+use std::{
+    convert::Infallible,
+    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+};
+
+use http::{HeaderValue, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{Instant as Moment, sleep, sleep_until, timeout_at},
+};
+
+use crate::{
+    deployment::Deployment,
+    dialect::{Ask, Dialect},
+    gateway::Gateway,
+    passage::{Body, Job, Passage},
+    prelude::*,
+};
+
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Kept for the head of a request where no configuration names a limit.
+const HEADER_BYTES: usize = 16 << 10;
+/// The least that the HTTP library takes.
+const HEADER_BYTES_MIN: usize = 8 << 10;
+/// Bytes that wait in the kernel for one caller.
+const SEND_BUFFER: usize = 64 << 10;
+/// How long a connection may be idle where no configuration says.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longer than callers keep a connection that they use again.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Time that a request may take where neither caller nor route says.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What one connection is doing.
+#[derive(Debug, Default)]
+struct Activity {
+    requests: AtomicU32,
+    /// Milliseconds from the connection's start to the end of its last request.
+    ended_ms: AtomicU64,
+}
+
+/// Accepts callers until the gateway is released, and each of their connections' requests
+/// until the connection ends.
+pub async fn accept<D>(gateway: Arc<Gateway<D>>, listener: TcpListener)
+where
+    D: Dialect,
+{
+    loop {
+        let accepted = listener.accept().await;
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(converse(gateway.clone(), stream));
+            }
+            Err(err) => {
+                log::warn!(error = err.to_string().as_str(); "accept failed");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection.
+async fn converse<D>(gateway: Arc<Gateway<D>>, stream: TcpStream)
+where
+    D: Dialect,
+{
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER));
+    if let Err(err) = set {
+        log::debug!(error = err.to_string().as_str(); "socket option is refused");
+    }
+    let limits = gateway.deployment().map(|it| it.limits);
+    let header_bytes = limits.map_or(HEADER_BYTES, |it| it.header_bytes).max(HEADER_BYTES_MIN);
+    let idle = limits.map_or(IDLE_TIMEOUT, |it| it.idle_timeout) + IDLE_MARGIN;
+    let start = Moment::now();
+    let activity = Arc::new(Activity::default());
+    let service = {
+        let (gateway, activity) = (gateway.clone(), activity.clone());
+        service_fn(move |request| {
+            let (gateway, activity) = (gateway.clone(), activity.clone());
+            async move {
+                let _busy = Busy::new(activity, start);
+                Ok::<_, Infallible>(handle(gateway, request).await)
+            }
+        })
+    };
+    let connection = http1::Builder::new()
+        .max_buf_size(header_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut leaving = false;
+    loop {
+        let ended = Duration::from_millis(activity.ended_ms.load(Ordering::Acquire));
+        let expiry = start + ended + idle;
+        tokio::select! {
+            end = connection.as_mut() => {
+                if let Err(err) = end {
+                    log::debug!(error = err.to_string().as_str(); "caller's connection ended");
+                }
+                return;
+            }
+            () = sleep_until(expiry), if activity.requests.load(Ordering::Acquire) == 0 => {
+                let ended = Duration::from_millis(activity.ended_ms.load(Ordering::Acquire));
+                if Moment::now() >= start + ended + idle {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+            () = sleep(idle), if activity.requests.load(Ordering::Acquire) > 0 => {}
+            () = gateway.released.cancelled(), if !leaving => {
+                leaving = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// Marks a connection as busy until it is dropped.
+struct Busy {
+    activity: Arc<Activity>,
+    start: Moment,
+}
+
+impl Busy {
+    fn new(activity: Arc<Activity>, start: Moment) -> Self {
+        activity.requests.fetch_add(1, Ordering::AcqRel);
+        Busy { activity, start }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let elapsed = self.start.elapsed().as_millis() as u64;
+        self.activity.ended_ms.store(elapsed, Ordering::Release);
+        self.activity.requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Answers one request.
+async fn handle<D>(gateway: Arc<Gateway<D>>, request: Request<Incoming>) -> Response<Body>
+where
+    D: Dialect,
+{
+    let received = Moment::now();
+    let _active = gateway.enter();
+    let ask = gateway.dialect.ask(request.headers());
+    let id = ask.id.clone();
+    let path = FastStr::new(request.uri().path());
+    let mut response = match job(&gateway, request, ask, received).await {
+        Ok(job) => match Box::pin(Passage::new(gateway.clone(), job).run()).await {
+            Ok(response) => response,
+            Err(err) => refusal(&gateway, &err, &id, &path, received),
+        },
+        Err(err) => refusal(&gateway, &err, &id, &path, received),
+    };
+    gateway.metrics.outcome(response.status().as_str());
+    if gateway.draining.is_cancelled() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Finds the route and the holder of the key, and reads the body.
+async fn job<D>(
+    gateway: &Gateway<D>,
+    request: Request<Incoming>,
+    ask: Ask,
+    received: Moment,
+) -> Result<Job, Error>
+where
+    D: Dialect,
+{
+    let Some(deployment) = gateway.deployment() else {
+        let err = Error::new(Kind::NotConfigured, "this host does not know the configuration yet");
+        return Err(err.retry_after(Duration::from_millis(500)));
+    };
+    let (head, body) = request.into_parts();
+    let host = head.headers.get(header::HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let route = deployment.route(host, head.uri.path()).cloned();
+    let route = route.ok_or_else(|| Error::new(Kind::RouteUnknown, "no route has this path"))?;
+    let mut tenancy = None;
+    if deployment.keyed && !route.public {
+        let key = ask.key.as_deref();
+        let key = key.ok_or_else(|| Error::new(Kind::KeyMissing, "the request has no key"))?;
+        let holder = deployment.tenancy(key).cloned();
+        tenancy = Some(holder.ok_or_else(|| Error::new(Kind::KeyUnknown, "the key is unknown"))?);
+    }
+    let limit = ask.deadline.unwrap_or(REQUEST_TIMEOUT).min(route.timeout);
+    let deadline = received + limit;
+    let body = read(body, &deployment, deadline).await?;
+    let path = head.uri.path_and_query().cloned();
+    let mut job = Job {
+        service: Service::new(FastStr::default()),
+        ask,
+        route,
+        deployment,
+        tenancy,
+        method: head.method,
+        uri: Uri::from(path.unwrap_or_else(|| PathAndQuery::from_static("/"))),
+        headers: head.headers,
+        body,
+        received,
+        deadline,
+    };
+    let key = job.session().unwrap_or_else(|| crate::rank::key(&["request", &job.ask.id]));
+    let service = job.route.service(key).cloned();
+    job.service =
+        service.ok_or_else(|| Error::new(Kind::RouteUnknown, "the route has no service"))?;
+    Ok(job)
+}
+
+async fn read(body: Incoming, deployment: &Deployment, end: Moment) -> Result<Bytes, Error> {
+    let read = Limited::new(body, deployment.limits.body_bytes).collect();
+    match timeout_at(end, read).await {
+        Err(_) => Err(Error::new(Kind::BodyStalled, "the body stopped arriving")),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => {
+            Err(Error::new(Kind::BodyTooLarge, "the body is larger than the limit"))
+        }
+        Ok(Err(_)) => Err(Error::new(Kind::BodyBroken, "the body broke off")),
+    }
+}
+
+fn refusal<D>(
+    gateway: &Gateway<D>,
+    err: &Error,
+    id: &str,
+    path: &str,
+    received: Moment,
+) -> Response<Body>
+where
+    D: Dialect,
+{
+    let answer = err.kind.answer();
+    log::info!(request = id, path = path, outcome = answer.code, reason = err.message.as_str(),
+        held_ms = received.elapsed().as_millis() as u64; "request refused");
+    let body = serde_json::to_vec(&err.body(id)).unwrap_or_default();
+    let mut response = Response::new(Body::Whole(Full::new(body.into())));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let retry = err.retry_after.filter(|_| answer.retry);
+    *response.headers_mut() = gateway.dialect.refusal(id, retry);
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Answers the balancer's questions, and serves the metrics, at an address of its own.
+pub async fn observe<D>(gateway: Arc<Gateway<D>>, listener: TcpListener)
+where
+    D: Dialect,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let gateway = gateway.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let response = observed(&gateway, request.uri().path());
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            let connection =
+                http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            if let Err(err) = connection {
+                log::debug!(error = err.to_string().as_str(); "observer's connection ended");
+            }
+        });
+    }
+}
+
+fn observed<D>(gateway: &Gateway<D>, path: &str) -> Response<Full<Bytes>>
+where
+    D: Dialect,
+{
+    let (status, text) = match path {
+        "/metrics" => (StatusCode::OK, gateway.metrics.text()),
+        path if path == D::READINESS => match gateway.is_ready() {
+            true => (StatusCode::OK, "ready\n".into()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        },
+        _ => (StatusCode::NOT_FOUND, "no such path\n".into()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -97,6 +97,12 @@
     pub modules: BTreeMap<String, LevelFilter>,
 }
 
+impl Default for Log {
+    fn default() -> Self {
+        Log { level: LevelFilter::Info, modules: BTreeMap::new() }
+    }
+}
+
 /// What is served to whom; the part of the settings that all hosts share.
 #[derive(Clone, Debug)]
 pub struct Catalog {
--- /dev/null
+++ b/lib/src/steer.rs
@@ -0,0 +1,160 @@
+//! Control loops of a gateway: follow the store's tables, tidy up.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tokio::{sync::Notify, time::sleep};
+
+use crate::{
+    dialect::Dialect,
+    gateway::Gateway,
+    ledger::{Ledger, LedgerError, Table},
+    prelude::*,
+    replica::{Replica, Row},
+};
+
+/// Longest wait of one call for changes of a table that changes rarely.
+const LONG_POLL: Duration = Duration::from_secs(20);
+/// Part of the drain bound after which the upstreams' rows are read again. What is left
+/// is for slow answers and one failed read.
+const UPSTREAMS_PART: f64 = 0.4;
+/// Pause after a failed read; doubles.
+const RETRY: Duration = Duration::from_millis(150);
+const RETRY_MAX: Duration = Duration::from_secs(1);
+/// How often old connections and beliefs are dropped.
+const TIDY: Duration = Duration::from_millis(900);
+
+/// What is known of the store's tables, shared with what talks to other hosts.
+#[derive(Debug, Default)]
+pub struct Board {
+    tables: [Mutex<Replica>; 3],
+    /// Told when a table of the store cannot be read.
+    pub lost: Notify,
+}
+
+/// The tables that a board has.
+pub const TABLES: [Table; 3] = [Table::Operators, Table::Upstreams, Table::Hosts];
+
+impl Board {
+    /// Returns what is known of a table.
+    ///
+    /// # Panics
+    ///
+    /// Panics for a table that is not one of [`TABLES`].
+    pub fn table(&self, table: Table) -> MutexGuard<'_, Replica> {
+        let at = TABLES.iter().position(|it| *it == table).expect("a table of the board");
+        self.tables[at].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Drives a gateway from the store.
+#[derive(Debug)]
+pub struct Steering<D, L> {
+    /// The gateway.
+    pub gateway: Arc<Gateway<D>>,
+    /// The store.
+    pub ledger: L,
+    /// What is known of the store's tables.
+    pub board: Arc<Board>,
+}
+
+impl<D, L> Clone for Steering<D, L>
+where
+    L: Clone,
+{
+    fn clone(&self) -> Self {
+        Steering {
+            gateway: self.gateway.clone(),
+            ledger: self.ledger.clone(),
+            board: self.board.clone(),
+        }
+    }
+}
+
+impl<D, L> Steering<D, L>
+where
+    D: Dialect,
+    L: Ledger,
+{
+    /// Follows all tables until the process ends.
+    pub async fn run(self) {
+        let upstreams = self.gateway.site.bounds.drain.mul_f64(UPSTREAMS_PART);
+        tokio::join!(
+            self.follow(Table::Operators, LONG_POLL, Duration::ZERO),
+            self.follow(Table::Hosts, LONG_POLL, Duration::ZERO),
+            self.follow(Table::Upstreams, Duration::ZERO, upstreams),
+            self.tidy(),
+        );
+    }
+
+    /// Follows one table: by calls that wait for a change, or by calls at a pace.
+    async fn follow(&self, table: Table, wait: Duration, pace: Duration) {
+        let mut whole = true;
+        let mut failures = 0_u32;
+        loop {
+            let known = self.board.table(table).version();
+            let read = match whole {
+                true => self.ledger.all(table).await,
+                false => self.ledger.changes(table, known, wait).await,
+            };
+            match read {
+                Ok(page) => {
+                    let (asked_whole, stale) = (whole, page.version < known);
+                    if failures > 0 {
+                        log::info!(table = table.name(), version = page.version,
+                            failures = failures; "store is read again");
+                    }
+                    failures = 0;
+                    // An answer that is older than what is known is asked for again.
+                    whole = asked_whole && stale;
+                    self.take(table, page.rows, page.version, asked_whole);
+                    sleep(if whole { RETRY } else { pace }).await;
+                }
+                Err(LedgerError::Gap) => {
+                    log::info!(table = table.name(), version = known; "changes are no longer kept");
+                    whole = true;
+                }
+                Err(err) => {
+                    if failures == 0 {
+                        log::warn!(table = table.name(), version = known,
+                            error = err.to_string().as_str(); "store cannot be read");
+                    }
+                    self.board.lost.notify_one();
+                    sleep((RETRY * 2_u32.pow(failures.min(4))).min(RETRY_MAX)).await;
+                    failures += 1;
+                }
+            }
+        }
+    }
+
+    /// Takes rows that the store, or another host, has told.
+    fn take(&self, table: Table, rows: Vec<Row>, version: u64, whole: bool) {
+        let news = {
+            let mut replica = self.board.table(table);
+            if whole { replica.reset(rows, version) } else { replica.apply(rows, version) }
+        };
+        self.announce(table, &news);
+    }
+
+    /// Acts on rows that are new.
+    pub fn announce(&self, table: Table, news: &[Row]) {
+        match table {
+            Table::Operators => self.gateway.take_notices(news),
+            Table::Upstreams => self.gateway.take_upstreams(news),
+            Table::Hosts if !news.is_empty() => {
+                let replica = self.board.table(Table::Hosts);
+                let hosts: Vec<_> = replica.rows().map(|it| Host::new(it.key.clone())).collect();
+                drop(replica);
+                log::info!(hosts = hosts.len(); "hosts changed");
+                self.gateway.fleet().set_hosts(hosts);
+            }
+            Table::Hosts | Table::Leases => {}
+        }
+    }
+
+    async fn tidy(&self) {
+        loop {
+            sleep(TIDY).await;
+            self.gateway.purge();
+        }
+    }
+}
