cache, rollout: stores of KV cache are used, weights are ordered under a lease

Ruled out: affinity alone. An engine's memory turns over in two to three seconds. Change: parts are fetched from stores that are known to hold all of them and saved once; one holder of a lease gives orders.

--- a/lib/src/deployment.rs
+++ b/lib/src/deployment.rs
@@ -1,7 +1,7 @@
 //! What the operators have configured: routes, services, workspaces and limits. One
 //! immutable value for each version, replaced as a whole.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use crate::{prelude::*, rank};
 
@@ -85,12 +85,31 @@
 pub struct EngineEntry {
     /// Runs that an engine works on at once.
     pub slots: u32,
+    /// Bytes of one token's cache.
+    pub token_bytes: u64,
     /// Tokens that an engine's memory holds.
     pub cache_tokens: u64,
     /// Names of the models.
     pub models: SmallVec<[Model; 2]>,
 }
 
+/// A store of KV cache.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreEntry {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Tokens that it has room for.
+    pub tokens: u64,
+    /// Time to the first byte of a transfer.
+    pub first_byte: Duration,
+    /// Bytes a second that its link carries.
+    pub bytes_per_second: f64,
+    /// Calls for changes that it takes at once.
+    pub watchers: u32,
+}
+
 /// What callers may send, and how long they may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -123,6 +142,8 @@
     routes: HashMap<FastStr, Vec<Arc<Route>>>,
     /// Services by name.
     pub services: HashMap<Service, Arc<ServiceEntry>>,
+    /// Stores of KV cache.
+    pub stores: Vec<StoreEntry>,
     keys: HashMap<FastStr, Arc<Tenancy>>,
     /// Whether requests need a key, but for those of public routes.
     pub keyed: bool,
@@ -136,6 +157,7 @@
         version: u64,
         routes: Vec<Route>,
         services: HashMap<Service, Arc<ServiceEntry>>,
+        stores: Vec<StoreEntry>,
         keys: Option<HashMap<FastStr, Arc<Tenancy>>>,
         limits: Limits,
     ) -> Self {
@@ -148,7 +170,7 @@
         }
         let keyed = keys.is_some();
         let keys = keys.unwrap_or_default();
-        Deployment { version, routes: by_host, services, keys, keyed, limits }
+        Deployment { version, routes: by_host, services, stores, keys, keyed, limits }
     }
 
     /// Finds the route of a request by its host name, without port, and path.
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -2,7 +2,9 @@
 
 use http::{HeaderMap, StatusCode};
 
-use crate::{deployment::Deployment, fleet::Entry, prelude::*};
+use crate::{
+    cache::{Changes, Plan},
+    deployment::Deployment, fleet::Entry, prelude::*};
 
 /// What a caller's request says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -45,6 +47,8 @@
     pub urgency: Option<u8>,
     /// Cached parts are only found under the same salt.
     pub salt: Option<&'a str>,
+    /// Where parts of the prompt are fetched from and saved to.
+    pub plan: Option<&'a Plan>,
     /// Weight version that the upstream must have.
     pub weights: Option<u32>,
     /// Last event that the caller has, where an answer is gone on with.
@@ -174,6 +178,16 @@
     /// Returns what cannot be read.
     fn entry(&self, key: &str, value: &[u8]) -> Result<Entry, Self::Error>;
 
+    /// Writes a call for what has changed in a store of KV cache: path and head.
+    fn cache_changes(&self, since: u64, wait: Duration) -> (String, HeaderMap);
+
+    /// Reads the answer to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns what cannot be read.
+    fn cache_changes_read(&self, body: &[u8]) -> Result<Changes, Self::Error>;
+
     /// Writes an order's body.
     fn order(&self, order: &Order<'_>) -> Bytes;
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -18,9 +18,9 @@
 const COLD_SPAN: Duration = Duration::from_secs(1);
 /// Part of the cold limit that is used while an upstream is known to be cold.
 const COLD_MARGIN: f64 = 0.7;
-/// Part of the limit to which an upstream is held that nobody has called cold: it may
-/// have become cold without a word.
-const WARM_MARGIN: f64 = 0.95;
+/// Times its part of the limit that a host sends to an upstream that nobody has called
+/// cold: it may have become cold without a word, but hosts do not burst all at once.
+const WARM_MARGIN: f64 = 2.0;
 /// First time out of use of an upstream that cannot be reached; doubles with each failure.
 const EJECTION: Duration = Duration::from_millis(400);
 /// Longest time out of use without another attempt.
@@ -32,13 +32,13 @@
 const FAILURE_WEIGHT: f64 = 0.12;
 /// Share of failures above which an upstream counts as faulty.
 const FAILURE_LIMIT: f64 = 0.3;
+/// Share of failures above which a failed request is given to another upstream.
+const FAULTY_SHARE: f64 = 0.22;
 /// Time out of use of a faulty upstream.
 const FAULTY: Duration = Duration::from_secs(3);
 /// Most of a service's upstreams, as one of so many, that may be out of use for failures
 /// of requests they took.
 const FAULTY_PART: usize = 3;
-/// Heartbeats that may be missed before an upstream is only a last resort.
-const SILENT_HEARTBEATS: f64 = 2.2;
 /// For so long after an upstream broke off, a row that says it is warm is not believed: it
 /// may have been written before.
 const DOUBT: Duration = Duration::from_millis(1500);
@@ -46,7 +46,20 @@
 /// session moves on to its next choice.
 const OVERFLOW: f64 = 1.4;
 /// Requests in flight that never make a session move on.
-const OVERFLOW_FREE: u32 = 2;
+const OVERFLOW_FREE: u32 = 4;
+/// This host's part of an engine's memory that its requests fill before a session moves on
+/// to its next choice; the rest is for cached parts and other hosts' bursts.
+const TOKENS_FREE: f64 = 1.5;
+/// The same while only some upstreams have the newest weights, and nothing is cached there.
+const TOKENS_ROLLING: f64 = 0.2;
+/// Times its part of an engine's memory that a host fills; beyond that, runs would only put
+/// each other back.
+const TOKENS_MAX: f64 = 2.5;
+/// How long an upstream that turned a request away gets no other one while it lacks weights
+/// that were named.
+const ROLLING_REFUSAL: Duration = Duration::from_millis(1200);
+/// Part of the rollout bound after which upstreams with older weights get no more requests.
+const ROLLOUT_PART: f64 = 0.9;
 /// Weight of the newest time in an upstream's mean time to the first byte.
 const DELAY_WEIGHT: f64 = 0.15;
 
@@ -92,14 +105,21 @@
     Left,
 }
 
+impl Entry {
+    /// Returns the weight version of a model, where it has one.
+    pub fn weights(&self, model: &Model) -> Option<u32> {
+        self.models.iter().find(|it| it.0 == *model).map(|it| it.1)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct State {
     entry: Entry,
-    /// When the row last changed.
-    seen: Instant,
     cold_until: Instant,
     doubted: Instant,
     in_flight: u32,
+    /// Tokens of the prompts and answers in flight from this host.
+    tokens: u64,
     sent: Window,
     /// Not used before this time.
     ejected_until: Instant,
@@ -114,6 +134,13 @@
     hash: u64,
 }
 
+/// Weights that operators have named.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: u32,
+    since: Instant,
+}
+
 /// What a request asks of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -123,6 +150,8 @@
     pub model: Option<&'a Model>,
     /// Key of the session whose cache would be of use.
     pub session: Option<u64>,
+    /// Tokens of its prompt and of its longest answer.
+    pub tokens: u32,
     /// Upstreams that were tried.
     pub tried: &'a [Upstream],
 }
@@ -139,6 +168,11 @@
     pub zone: Zone,
     /// The weight version that it is believed to have of the request's model.
     pub weights: Option<u32>,
+    /// Tokens that count as in flight there.
+    pub tokens: u32,
+    /// The upstream where the session belongs, if that is another one with the same
+    /// weights: its cache may hold what the session needs.
+    pub origin: Option<SocketAddr>,
     /// Why this one.
     pub reason: &'static str,
 }
@@ -157,7 +191,6 @@
 pub struct Fleet {
     me: Host,
     zone: Zone,
-    heartbeat: Duration,
     cold_overshoot: f64,
     cold_slack: f64,
     hosts: Vec<Host>,
@@ -165,7 +198,9 @@
     by_service: HashMap<Service, Vec<Upstream>>,
     evacuated: HashSet<Zone>,
     /// Newest named weight version by model.
-    named: HashMap<Model, u32>,
+    named: HashMap<Model, Named>,
+    /// After this, no request may begin on older weights than were named.
+    rollout: Duration,
 }
 
 impl Fleet {
@@ -174,7 +209,6 @@
         Fleet {
             me: site.host.clone(),
             zone: site.zone.clone(),
-            heartbeat: site.heartbeat,
             cold_overshoot: site.bounds.cold_overshoot,
             cold_slack: site.bounds.cold_slack,
             hosts: vec![site.host.clone()],
@@ -182,6 +216,7 @@
             by_service: HashMap::new(),
             evacuated: HashSet::new(),
             named: HashMap::new(),
+            rollout: site.bounds.rollout,
         }
     }
 
@@ -194,6 +229,16 @@
         self.hosts = hosts;
     }
 
+    /// Returns the names of all hosts, this one included.
+    pub fn host_names(&self) -> &[Host] {
+        &self.hosts
+    }
+
+    /// Returns the number of upstreams that have some weights of a model.
+    pub fn holders(&self, model: &Model) -> usize {
+        self.states.values().filter(|it| it.entry.weights(model).is_some()).count()
+    }
+
     /// Returns the number of hosts, this one included.
     pub fn hosts(&self) -> usize {
         self.hosts.len()
@@ -226,8 +271,16 @@
             log::info!(upstream = id.as_str(), draining = entry.draining, restarted = restarted;
                 "upstream changed");
         }
-        state.seen = now;
+        if state.entry.models != entry.models {
+            state.refused_until = now;
+        }
+        // A row may be older than what an answer has shown.
+        let shown = if restarted { SmallVec::new() } else { state.entry.models };
         state.entry = entry;
+        for (model, version) in &mut state.entry.models {
+            let known = shown.iter().find(|it| it.0 == *model).map_or(0, |it| it.1);
+            *version = known.max(*version);
+        }
         self.states.insert(id, state);
     }
 
@@ -250,9 +303,12 @@
     }
 
     /// Takes the newest weight version of a model.
-    pub fn name_weights(&mut self, model: Model, version: u32) {
-        log::info!(model = model.as_str(), version = version; "weights are named");
-        self.named.insert(model, version);
+    pub fn name_weights(&mut self, now: Instant, model: Model, version: u32) {
+        let known = self.named.get(&model).map_or(0, |it| it.version);
+        if version > known {
+            log::info!(model = model.as_str(), version = version; "weights are named");
+            self.named.insert(model, Named { version, since: now });
+        }
     }
 
     /// Takes the weight version that an answer showed.
@@ -269,15 +325,22 @@
         for state in self.states.values() {
             for (model, version) in &state.entry.models {
                 let Some(named) = self.named.get(model) else { continue };
-                if version < named && !state.entry.draining {
-                    outdated.push((state.entry.clone(), model.clone(), *named));
+                if *version < named.version && !state.entry.draining {
+                    outdated.push((state.entry.clone(), model.clone(), named.version));
                 }
             }
         }
-        outdated.sort_by(|a, b| a.0.id.cmp(&b.0.id));
+        // The oldest weights first: answers made on them count least.
+        outdated.sort_by_key(|(entry, model, _)| (entry.weights(model), entry.id.clone()));
         outdated
     }
 
+    /// Tells whether an upstream fails so often that the fault is likely its own, and not that
+    /// of the request.
+    pub fn is_faulty(&self, id: &Upstream) -> bool {
+        self.states.get(id).is_some_and(|it| it.failure_share > FAULTY_SHARE)
+    }
+
     /// Returns an upstream's row.
     pub fn entry(&self, id: &Upstream) -> Option<&Entry> {
         self.states.get(id).map(|it| &it.entry)
@@ -311,11 +374,15 @@
             return Err(self.denial(now, query));
         }
         let (id, reason) = self.best(now, &service, query, &usable);
+        let origin = self.origin(now, query, &id);
         let state = self.states.get_mut(&id).ok_or(nothing)?;
         state.in_flight += 1;
+        state.tokens += u64::from(query.tokens);
         state.sent.push(now);
-        let weights = query.model.and_then(|model| state.weights(model));
+        let weights = query.model.and_then(|model| state.entry.weights(model));
         Ok(Choice {
+            tokens: query.tokens,
+            origin,
             address: state.entry.address,
             zone: state.entry.zone.clone(),
             weights,
@@ -329,18 +396,48 @@
         &mut self,
         now: Instant,
         service: &ServiceEntry,
-        id: &Upstream,
+        choice: &Choice,
         outcome: Outcome,
     ) {
-        let faulty_allowed = self.faulty_allowed(now, id);
-        let Some(state) = self.states.get_mut(id) else { return };
+        let faulty_allowed = self.faulty_allowed(now, &choice.id);
+        let rolling = self.is_rolling(&choice.id);
+        let Some(state) = self.states.get_mut(&choice.id) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
+        state.tokens = state.tokens.saturating_sub(choice.tokens.into());
+        if outcome == Outcome::Refused && rolling {
+            // It is most likely taking new weights; its row will show when it has them.
+            state.refused_until = now + ROLLING_REFUSAL;
+            return;
+        }
         state.settle(now, service, outcome, faulty_allowed);
     }
 
+    /// Tells whether an upstream has older weights than were named.
+    fn is_rolling(&self, id: &Upstream) -> bool {
+        let Some(state) = self.states.get(id) else { return false };
+        state.entry.models.iter().any(|(model, version)| {
+            self.named.get(model).is_some_and(|it| *version < it.version)
+        })
+    }
+
+    /// Takes that an upstream does not have the weights that its row shows: most likely it
+    /// has the newest ones by now.
+    pub fn weights_differ(&mut self, id: &Upstream, model: &Model) {
+        if let Some(named) = self.named.get(model) {
+            let version = named.version;
+            self.weights_seen(id, model, version);
+        }
+    }
+
     fn usable(&mut self, now: Instant, service: &ServiceEntry, query: &Query<'_>) -> Vec<Upstream> {
         let Some(ids) = self.by_service.get(query.service) else { return Vec::new() };
         let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
+        let expired = query.model.and_then(|model| {
+            let named = self.named.get(model)?;
+            let over = now.since(named.since) > self.rollout.mul_f64(ROLLOUT_PART);
+            over.then_some((model, named.version))
+        });
+        let most = (self.token_share(service) * TOKENS_MAX) as u64;
         let mut usable = Vec::with_capacity(ids.len());
         for id in ids {
             let Some(state) = self.states.get_mut(id) else { continue };
@@ -350,6 +447,10 @@
                 || state.ejected_until > now
                 || state.refused_until > now
                 || (state.trial && state.in_flight > 0)
+                || expired.is_some_and(|(model, newest)| {
+                    state.entry.weights(model).is_some_and(|it| it < newest)
+                })
+                || (state.in_flight > 0 && state.tokens + u64::from(query.tokens) > most)
             {
                 continue;
             }
@@ -365,6 +466,14 @@
         usable
     }
 
+    /// Returns this host's part of the tokens that an engine's memory holds.
+    fn token_share(&self, service: &ServiceEntry) -> f64 {
+        match &service.engine {
+            Some(engine) => engine.cache_tokens as f64 / self.hosts.len() as f64,
+            None => f64::MAX,
+        }
+    }
+
     fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
         let states = self.by_service.get(query.service).into_iter().flatten();
         let states = states.filter_map(|id| self.states.get(id));
@@ -388,29 +497,38 @@
         query: &Query<'_>,
         usable: &[Upstream],
     ) -> (Upstream, &'static str) {
-        let silent = self.heartbeat.mul_f64(SILENT_HEARTBEATS);
         let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
         let ordinary = ((bearable * WARM_MARGIN) / self.hosts.len() as f64).max(1.0) as usize;
-        let newest = query.model.and_then(|it| self.named.get(it)).copied();
+        let newest = query.model.and_then(|it| self.named.get(it)).map(|it| it.version);
         let total: u32 =
             usable.iter().filter_map(|it| self.states.get(it)).map(|it| it.in_flight).sum();
         let mean = f64::from(total) / usable.len() as f64;
         let room = OVERFLOW_FREE.max((mean * OVERFLOW).ceil() as u32);
+        let is_outdated = |state: &State| match (newest, query.model) {
+            (Some(newest), Some(model)) => state.entry.weights(model).is_some_and(|it| it < newest),
+            _ => false,
+        };
+        let share = self.token_share(service);
+        let rolling = usable.iter().filter_map(|it| self.states.get(it)).any(is_outdated);
         let mut best: Option<(Score, &Upstream)> = None;
         for id in usable {
             let Some(state) = self.states.get_mut(id) else { continue };
-            let outdated = match (newest, query.model.and_then(|it| state.weights(it))) {
-                (Some(newest), Some(weights)) => weights < newest,
-                _ => false,
-            };
+            let outdated = is_outdated(state);
+            // The first upstreams with new weights cannot take the load of all.
+            let part = if rolling && !outdated { TOKENS_ROLLING } else { TOKENS_FREE };
+            let filled = state.tokens + u64::from(query.tokens) > (share * part) as u64;
+            let crowded = state.in_flight >= room || (state.in_flight > 0 && filled);
             let bursting = service.cold_rate > 0.0 && state.sent.count(now) >= ordinary;
             let score = Score {
-                silent: now.since(state.seen) > silent,
                 bursting,
+                crowded,
                 outdated,
-                crowded: state.in_flight >= room,
                 far: query.session.is_none() && state.entry.zone != self.zone && mean < 1.0,
-                in_flight: if query.session.is_some() { 0 } else { state.in_flight },
+                load: match query.session {
+                    Some(_) if !crowded => 0,
+                    Some(_) => state.tokens,
+                    None => state.in_flight.into(),
+                },
                 rank: match query.session {
                     Some(session) => u64::MAX - rank::mix(session ^ state.hash),
                     None => (state.delay * 1e6) as u64,
@@ -426,6 +544,20 @@
         }
     }
 
+    /// Finds the upstream that ranks first for a session among those with the same weights as
+    /// the chosen one.
+    fn origin(&self, now: Instant, query: &Query<'_>, chosen: &Upstream) -> Option<SocketAddr> {
+        let (session, model) = (query.session?, query.model?);
+        let weights = self.states.get(chosen)?.entry.weights(model);
+        let states = self.by_service.get(query.service)?.iter();
+        let states = states.filter_map(|id| self.states.get(id));
+        let alike = states.filter(|it| {
+            it.entry.weights(model) == weights && it.ejected_until <= now && !it.entry.draining
+        });
+        let first = alike.max_by_key(|it| rank::mix(session ^ it.hash))?;
+        (first.entry.id != *chosen).then_some(first.entry.address)
+    }
+
     /// Tells whether one more upstream of the same service may be put out of use for
     /// failures of requests that it took.
     fn faulty_allowed(&self, now: Instant, id: &Upstream) -> bool {
@@ -451,19 +583,18 @@
 /// order in which they matter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Score {
-    silent: bool,
     bursting: bool,
-    outdated: bool,
     crowded: bool,
+    outdated: bool,
     far: bool,
-    in_flight: u32,
+    load: u64,
     rank: u64,
 }
 
 impl Score {
     fn reason(&self, session: bool) -> &'static str {
         match () {
-            () if self.silent => "last_resort",
+            () if self.bursting => "bursting",
             () if self.crowded => "least_crowded",
             () if session => "session",
             () => "least_loaded",
@@ -475,10 +606,10 @@
     fn new(entry: &Entry, now: Instant) -> Self {
         State {
             entry: entry.clone(),
-            seen: now,
             cold_until: now + entry.cold,
             doubted: Instant::default(),
             in_flight: 0,
+            tokens: 0,
             sent: Window::new(COLD_SPAN),
             ejected_until: Instant::default(),
             trial: false,
@@ -491,10 +622,6 @@
         }
     }
 
-    fn weights(&self, model: &Model) -> Option<u32> {
-        self.entry.models.iter().find(|it| it.0 == *model).map(|it| it.1)
-    }
-
     fn settle(&mut self, now: Instant, service: &ServiceEntry, outcome: Outcome, allowed: bool) {
         match outcome {
             Outcome::Served(delay) => {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    cache::Cache,
     clock::Clock,
     deployment::Deployment,
     dialect::{Dialect, Notice},
@@ -45,6 +46,7 @@
     deployment: ArcSwapOption<Deployment>,
     fleet: Mutex<Fleet>,
     pool: Mutex<Pool>,
+    cache: Mutex<Cache>,
     quotas: Mutex<HashMap<Service, Quota>>,
     suspects: Mutex<Suspects>,
     crashes: Mutex<Vec<Crash>>,
@@ -72,6 +74,7 @@
             clock: Clock::start(),
             deployment: ArcSwapOption::empty(),
             pool: Mutex::default(),
+            cache: Mutex::default(),
             quotas: Mutex::default(),
             suspects: Mutex::default(),
             crashes: Mutex::default(),
@@ -99,6 +102,11 @@
         lock(&self.pool)
     }
 
+    /// Returns what the stores of KV cache hold.
+    pub fn cache(&self) -> MutexGuard<'_, Cache> {
+        lock(&self.cache)
+    }
+
     /// Tells whether new callers may be sent here.
     pub fn is_ready(&self) -> bool {
         !self.draining.is_cancelled()
@@ -138,11 +146,12 @@
                     return;
                 }
                 log::info!(version = deployment.version, row = row; "configuration is in force");
+                self.cache().set_stores(&deployment.stores);
                 self.deployment.store(Some(Arc::new(*deployment)));
             }
             Notice::Evacuation { zone, out } => self.fleet().evacuate(zone, out),
             Notice::Weights { model, version } => {
-                self.fleet().name_weights(model, version);
+                self.fleet().name_weights(self.now(), model, version);
                 self.outdated.notify_one();
             }
             Notice::Unknown => {}
@@ -184,11 +193,17 @@
     }
 
     /// Tells the fleet how a request went.
-    pub fn settle(&self, deployment: &Deployment, service: &Service, id: &Upstream, how: Outcome) {
+    pub fn settle(
+        &self,
+        deployment: &Deployment,
+        service: &Service,
+        choice: &Choice,
+        how: Outcome,
+    ) {
         let entry = deployment.services.get(service).cloned().unwrap_or_default();
-        self.fleet().settle(self.now(), &entry, id, how);
+        self.fleet().settle(self.now(), &entry, choice, how);
         if matches!(how, Outcome::Unreachable | Outcome::Moved) {
-            self.pool().forget(id);
+            self.pool().forget(&choice.id);
         }
     }
 
--- /dev/null
+++ b/lib/src/keep.rs
@@ -0,0 +1,116 @@
+//! Loops that follow what the stores of KV cache hold.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use http::{HeaderMap, HeaderValue, Method, Request, header};
+use http_body_util::Full;
+use tokio::{task::JoinHandle, time::sleep};
+
+use crate::{dialect::Dialect, gateway::Gateway, link::Link, prelude::*};
+
+/// Longest wait of a call for changes.
+const WAIT: Duration = Duration::from_millis(400);
+/// Pause between calls: changes are taken together.
+const PACE: Duration = Duration::from_millis(150);
+/// Longest time for an answer beyond the wait of the call.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause after a failed call.
+const RETRY: Duration = Duration::from_millis(500);
+/// How often the list of stores is looked at.
+const LISTED: Duration = Duration::from_millis(500);
+const ANSWER_BYTES: usize = 2 << 20;
+
+/// Follows the stores that the configuration names.
+pub async fn run<D>(gateway: Arc<Gateway<D>>)
+where
+    D: Dialect,
+{
+    let mut followed: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
+    loop {
+        if let Some(deployment) = gateway.deployment() {
+            let addresses: Vec<_> = deployment.stores.iter().map(|it| it.address).collect();
+            followed.retain(|address, task| {
+                let kept = addresses.contains(address);
+                if !kept {
+                    task.abort();
+                }
+                kept
+            });
+            for address in addresses {
+                followed
+                    .entry(address)
+                    .or_insert_with(|| tokio::spawn(follow(gateway.clone(), address)));
+            }
+        }
+        sleep(LISTED).await;
+    }
+}
+
+async fn follow<D>(gateway: Arc<Gateway<D>>, address: SocketAddr)
+where
+    D: Dialect,
+{
+    let mut link = None;
+    let mut lost = true;
+    loop {
+        let asked = gateway.now();
+        let since = gateway.cache().next(address);
+        match ask(&gateway, &mut link, address, since).await {
+            Ok(changes) => {
+                if std::mem::take(&mut lost) {
+                    log::info!(store = address.to_string().as_str(), boot = changes.boot,
+                        gap = changes.gap; "cache store is followed");
+                }
+                gateway.cache().take(asked, address, &changes);
+                sleep(PACE).await;
+            }
+            Err(reason) => {
+                link = None;
+                gateway.cache().lose(address);
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!(store = address.to_string().as_str(), reason = reason;
+                        "cache store does not answer");
+                }
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn ask<D>(
+    gateway: &Gateway<D>,
+    held: &mut Option<Link>,
+    address: SocketAddr,
+    since: u64,
+) -> Result<crate::cache::Changes, &'static str>
+where
+    D: Dialect,
+{
+    let mut link = match held.take().filter(|it| !it.is_closed()) {
+        Some(link) => link,
+        None => Link::dial(address).await.map_err(|_| "unreachable")?,
+    };
+    let (path, mut headers) = gateway.dialect.cache_changes(since, WAIT);
+    let host = HeaderValue::try_from(address.to_string()).map_err(|_| "address")?;
+    headers.insert(header::HOST, host);
+    let request = request(path, headers)?;
+    let answer = link.call(request, WAIT + TIMEOUT, ANSWER_BYTES).await;
+    let answer = answer.map_err(|_| "no answer")?;
+    *held = Some(link);
+    if !answer.status().is_success() {
+        return Err("refused");
+    }
+    gateway.dialect.cache_changes_read(answer.body()).map_err(|err| {
+        log::warn!(store = address.to_string().as_str(), error = err.to_string().as_str();
+            "cache store's answer cannot be read");
+        "unreadable"
+    })
+}
+
+fn request(path: String, headers: HeaderMap) -> Result<Request<Full<Bytes>>, &'static str> {
+    let mut request = Request::new(Full::default());
+    *request.method_mut() = Method::GET;
+    *request.uri_mut() = path.parse().map_err(|_| "path")?;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
--- /dev/null
+++ b/lib/src/lease.rs
@@ -0,0 +1,133 @@
+//! A lease in a row of the store: who may give orders, and under which fencing number.
+//!
+//! Times of the row are the store's steady clock, which no host can bend. A holder counts its
+//! own time from before it read that clock, so its belief ends before the row's time does.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// How long a lease is taken for; renewed while there is work.
+const TERM: Duration = Duration::from_millis(1800);
+/// Left of the term when a lease is renewed.
+const RENEWAL: Duration = Duration::from_millis(1100);
+/// Taken off the holder's own time for what lies between a check and what it allows.
+const MARGIN: Duration = Duration::from_millis(300);
+
+/// The row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Who holds it.
+    pub holder: String,
+    /// Identifies the holder's start: a host that comes back is another holder.
+    pub boot: u64,
+    /// Grows with each holder.
+    pub fence: u64,
+    /// When it ends, in milliseconds of the store's clock.
+    pub until_ms: u64,
+}
+
+/// What is to be done about the lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Write this row, if the row still has this version; 0 means that there is none.
+    Write {
+        /// The new row.
+        row: Row,
+        /// The version that the row must have.
+        expected: u64,
+        /// Until when this host may act if the write is done.
+        until: Instant,
+    },
+    /// Another host holds it; look again after this time.
+    Wait(Duration),
+    /// This host holds it.
+    Hold,
+}
+
+/// One host's side of the lease.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    me: Host,
+    boot: u64,
+    /// How long a former holder must have been silent.
+    pause: Duration,
+    held: Option<Held>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    row: Row,
+    version: u64,
+    until: Instant,
+}
+
+impl Lease {
+    /// Creates the side of a host that holds nothing. `boot` identifies its start, `pause` is
+    /// how long a former holder must have been silent before the next one acts.
+    pub fn new(me: Host, boot: u64, pause: Duration) -> Self {
+        Lease { me, boot, pause, held: None }
+    }
+
+    /// Returns the fencing number while this host may act.
+    pub fn fence(&self, now: Instant) -> Option<u64> {
+        let held = self.held.as_ref()?;
+        (now + MARGIN < held.until).then_some(held.row.fence)
+    }
+
+    /// Tells whether the lease should be read and written before there is more to do.
+    pub fn needs_renewal(&self, now: Instant) -> bool {
+        self.held.as_ref().is_none_or(|it| now + RENEWAL >= it.until)
+    }
+
+    /// Decides on the row as the store has it. `asked` is the time before it was asked for,
+    /// `clock` the store's clock in the answer.
+    pub fn read(&self, asked: Instant, clock: Duration, row: Option<(Row, u64)>) -> Step {
+        let now_ms = millis(clock);
+        let until_ms = now_ms + millis(TERM);
+        let own = |fence| Row { holder: self.me.to_string(), boot: self.boot, fence, until_ms };
+        let until = asked + TERM;
+        match row {
+            None => Step::Write { row: own(1), expected: 0, until },
+            Some((row, version)) if self.is_own(&row) && row.until_ms > now_ms => {
+                match self.needs_renewal(asked) {
+                    true => Step::Write { row: own(row.fence), expected: version, until },
+                    false => Step::Hold,
+                }
+            }
+            Some((row, version)) => {
+                // Also a host's own row that ran out: its orders may still be on their way.
+                let free_ms = row.until_ms + millis(self.pause);
+                if now_ms < free_ms {
+                    return Step::Wait(Duration::from_millis(free_ms - now_ms));
+                }
+                Step::Write { row: own(row.fence + 1), expected: version, until }
+            }
+        }
+    }
+
+    /// Takes that a row was written.
+    pub fn written(&mut self, row: Row, version: u64, until: Instant) {
+        self.held = Some(Held { row, version, until });
+    }
+
+    /// Takes that it is not known, or not so, that this host holds the lease.
+    pub fn lost(&mut self) {
+        self.held = None;
+    }
+
+    /// Gives the lease up: returns the row that ends it now, and the version it must have.
+    pub fn release(&mut self, clock: Duration) -> Option<(Row, u64)> {
+        let held = self.held.take()?;
+        let until_ms = held.row.until_ms.min(millis(clock));
+        Some((Row { until_ms, ..held.row }, held.version))
+    }
+
+    fn is_own(&self, row: &Row) -> bool {
+        row.holder == self.me.as_str() && row.boot == self.boot
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -18,9 +18,10 @@
 use crate::{
     dialect::Dialect,
     gateway::Gateway,
+    keep,
     ledger::{Ledger, LedgerError, Table, Write, Written},
     prelude::*,
-    serve,
+    rollout, serve,
     site::Site,
     steer::{Board, Steering},
 };
@@ -128,6 +129,8 @@
     let registered = AtomicBool::new(false);
     tokio::join!(
         steering.run(),
+        keep::run(gateway.clone()),
+        rollout::run(gateway.clone(), ledger.clone()),
         register(&gateway, &ledger, &row, &registered),
         unregister(&gateway, &ledger, &registered),
     );
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    cache::{Need, Plan},
     deployment::{Deployment, Repeat, Route, Tenancy},
     dialect::{Ask, Dialect, Dressing, Reply},
     event::Splitter,
@@ -78,7 +79,8 @@
     }
 
     fn query<'a>(&'a self, tried: &'a [Upstream], session: Option<u64>) -> Query<'a> {
-        Query { service: &self.service, model: self.ask.model.as_ref(), session, tried }
+        let tokens = self.ask.prompt_tokens.saturating_add(self.ask.answer_tokens);
+        Query { service: &self.service, model: self.ask.model.as_ref(), session, tokens, tried }
     }
 
     fn urgency(&self) -> Option<u8> {
@@ -172,7 +174,7 @@
     }
 
     fn tell(&self, outcome: Outcome) {
-        self.gateway.settle(&self.job.deployment, &self.job.service, &self.choice.id, outcome);
+        self.gateway.settle(&self.job.deployment, &self.job.service, &self.choice, outcome);
     }
 }
 
@@ -224,6 +226,8 @@
     unreachable: u32,
     /// The upstream's own failure, told when nothing better follows.
     failure: Option<Response<Body>>,
+    /// Where the last attempt was to fetch and save parts of the prompt.
+    plan: Option<Plan>,
 }
 
 impl<D> Passage<D>
@@ -243,6 +247,7 @@
             refusals: 0,
             unreachable: 0,
             failure: None,
+            plan: None,
         }
     }
 
@@ -357,6 +362,9 @@
         let present = reply.upstream.as_deref() == Some(choice.id.as_str());
         if reply.moved || (reply.not_run && head.status != StatusCode::BAD_REQUEST) {
             let moved = reply.moved && !present;
+            if let (true, true, Some(model)) = (reply.moved, present, &self.job.ask.model) {
+                self.gateway.fleet().weights_differ(&choice.id, model);
+            }
             self.note(&choice, if moved { "moved" } else { "refused" });
             placement.settle(if moved { Outcome::Moved } else { Outcome::Refused });
             self.tried.push(choice.id);
@@ -429,8 +437,9 @@
         }
         self.note(&choice, "failed");
         placement.settle(Outcome::Failed);
+        let faulty = self.gateway.fleet().is_faulty(&choice.id);
         self.tried.push(choice.id);
-        if self.job.route.repeat == Repeat::Idempotent && self.may_run_again() {
+        if faulty && self.job.route.repeat == Repeat::Idempotent && self.may_run_again() {
             self.failure = Some(response);
             return Ok(None);
         }
@@ -515,9 +524,15 @@
         let wait = self.job.received.elapsed();
         self.gateway.metrics.first_token.with_label_values(&[class]).observe(first.as_secs_f64());
         placement.settle(Outcome::Served(first));
-        log::debug!(request = self.job.ask.id.as_str(), upstream = choice.id.as_str(),
-            first_ms = first.as_millis() as u64, total_ms = wait.as_millis() as u64;
-            "stream ended");
+        let fetched = self.plan.iter().flat_map(|it| &it.fetch).flatten().count();
+        if let Some(plan) = self.plan.take() {
+            self.gateway.cache().settle(&plan, first);
+        }
+        log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
+            upstream = choice.id.as_str(), chosen = choice.reason,
+            weights = choice.weights.unwrap_or_default(), tokens = choice.tokens,
+            fetched = fetched, runs = self.runs, first_ms = first.as_millis() as u64,
+            total_ms = wait.as_millis() as u64; "stream ended");
         End::Done
     }
 
@@ -564,17 +579,19 @@
     }
 
     fn request(
-        &self,
+        &mut self,
         choice: &Choice,
         last_event: Option<u64>,
     ) -> Result<Request<Full<Bytes>>, Error> {
         let salt = self.job.salt(choice.weights);
+        self.plan = salt.as_deref().and_then(|salt| self.plan(choice, salt));
         let dressing = Dressing {
             deadline: self.job.left(),
             upstream: choice.id.as_str(),
             workspace: self.job.tenancy.as_ref().map(|it| it.workspace.as_str()),
             urgency: self.job.urgency(),
             salt: salt.as_deref(),
+            plan: self.plan.as_ref(),
             weights: choice.weights,
             last_event,
         };
@@ -585,6 +602,20 @@
         Ok(request)
     }
 
+    /// Plans where the parts of the prompt come from and go to.
+    fn plan(&self, choice: &Choice, salt: &str) -> Option<Plan> {
+        let service = self.job.deployment.services.get(&self.job.service)?;
+        let need = Need {
+            salt,
+            parts: &self.job.ask.parts,
+            token_bytes: service.engine.as_ref()?.token_bytes,
+            zone: &choice.zone,
+            origin: choice.origin,
+            hosts: self.gateway.fleet().hosts(),
+        };
+        Some(self.gateway.cache().plan(self.gateway.now(), &need))
+    }
+
     fn learn(&self, choice: &Choice, reply: &Reply) {
         if let (Some(model), Some(weights)) = (&self.job.ask.model, reply.weights) {
             self.gateway.fleet().weights_seen(&choice.id, model, weights);
@@ -606,8 +637,10 @@
     /// Returns how long an attempt may be silent.
     fn attempt_time(&self) -> Duration {
         let left = self.job.left();
-        let last = self.runs + 1 >= self.job.route.max_attempts || !self.job.route.repeat.allowed();
-        if last {
+        let last = self.runs + 1 >= self.job.route.max_attempts;
+        // An engine that is silent may still be reading the prompt; one that is not there
+        // breaks the connection.
+        if last || self.job.route.repeat != Repeat::Idempotent {
             return left;
         }
         (self.job.route.target * PATIENCE).min(left / 2).max(ATTEMPT_MIN).min(left)
--- /dev/null
+++ b/lib/src/rollout.rs
@@ -0,0 +1,351 @@
+//! Brings the upstreams to the weights that operators name: which upstream is given an order
+//! when, and the loop that gives them under a lease.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use http::{HeaderMap, HeaderValue, Method, Request, header};
+use http_body_util::Full;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    clock::unix_millis,
+    dialect::{Dialect, Order, Report, Verdict},
+    fleet::Entry,
+    gateway::Gateway,
+    lease::{Lease, Row, Step},
+    ledger::{Ledger, Table, Write, Written},
+    link::Link,
+    prelude::*,
+    rank,
+};
+
+/// Upstreams of a model for each one that loads weights: the weight store serves about so
+/// many at full speed.
+const PER_LOAD: usize = 6;
+/// Hosts look for work in the order of their ranks, so that one of them takes the lease.
+const RANK_PAUSE: Duration = Duration::from_millis(600);
+/// Longest such pause.
+const RANK_PAUSE_MAX: Duration = Duration::from_secs(4);
+/// Time from an order to the first look at how it went: loading takes about a second.
+const FIRST_LOOK: Duration = Duration::from_millis(900);
+/// Time between looks.
+const LOOK: Duration = Duration::from_millis(350);
+/// An order that has not led to its weights by then is given again.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(6);
+/// Pause after an order that was refused or got no answer. One without an answer may be
+/// carried out seconds later, which the number of orders shows.
+const AGAIN: Duration = Duration::from_millis(800);
+/// How often the holder looks what is to be done.
+const ROUND: Duration = Duration::from_millis(120);
+/// Longest wait for an upstream's answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+const ANSWER_BYTES: usize = 256 << 10;
+/// Key of the lease's row.
+const LEASE_KEY: &str = "weights";
+
+/// What the holder knows of one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// An order was taken at this time; the next look is due then.
+    Loading(Instant, Instant),
+    /// Nothing is done before this time.
+    Paused(Instant),
+}
+
+/// What is to be done next for an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Task {
+    /// Read its report, and order the weights if it lacks them.
+    Order(Entry, Model, u32),
+    /// Read its report to see whether it has the weights.
+    Look(Entry, Model, u32),
+}
+
+/// Order of work of the holder of the lease. No I/O.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    progress: HashMap<Upstream, Progress>,
+}
+
+impl Plan {
+    /// Returns what is to be done now. `outdated` are the upstreams without the newest
+    /// weights, `all` is the number of upstreams.
+    pub fn tasks(&mut self, now: Instant, outdated: &[(Entry, Model, u32)], all: usize) -> Vec<Task> {
+        self.progress.retain(|id, _| outdated.iter().any(|it| it.0.id == *id));
+        let at_once = all.div_ceil(PER_LOAD).max(1);
+        let loading = |it: &Progress| matches!(it, Progress::Loading(at, _) if now.since(*at) < ORDER_TIMEOUT);
+        let mut free = at_once.saturating_sub(self.progress.values().filter(|it| loading(it)).count());
+        let mut tasks = Vec::new();
+        for (entry, model, version) in outdated {
+            match self.progress.get(&entry.id) {
+                Some(it @ Progress::Loading(at, look)) if loading(it) => {
+                    if *look <= now {
+                        self.progress.insert(entry.id.clone(), Progress::Loading(*at, now + LOOK));
+                        tasks.push(Task::Look(entry.clone(), model.clone(), *version));
+                    }
+                }
+                Some(Progress::Paused(until)) if *until > now => {}
+                _ if free == 0 => {}
+                _ => {
+                    free -= 1;
+                    self.progress
+                        .insert(entry.id.clone(), Progress::Loading(now, now + FIRST_LOOK));
+                    tasks.push(Task::Order(entry.clone(), model.clone(), *version));
+                }
+            }
+        }
+        tasks
+    }
+
+    /// Takes that an order was not taken.
+    pub fn refused(&mut self, now: Instant, id: &Upstream) {
+        self.progress.insert(id.clone(), Progress::Paused(now + AGAIN));
+    }
+}
+
+/// Gives orders whenever upstreams lack weights that are named, until the process ends.
+pub async fn run<D, L>(gateway: Arc<Gateway<D>>, ledger: L)
+where
+    D: Dialect,
+    L: Ledger,
+{
+    let site = &gateway.site;
+    let lease = Lease::new(site.host.clone(), unix_millis(), site.bounds.lease);
+    let mut holder =
+        Holder { gateway: gateway.clone(), ledger, lease, plan: Plan::default() };
+    loop {
+        gateway.outdated.notified().await;
+        while !gateway.fleet().outdated().is_empty() && !gateway.draining.is_cancelled() {
+            holder.session().await;
+        }
+        holder.release().await;
+    }
+}
+
+struct Holder<D, L> {
+    gateway: Arc<Gateway<D>>,
+    ledger: L,
+    lease: Lease,
+    plan: Plan,
+}
+
+impl<D, L> Holder<D, L>
+where
+    D: Dialect,
+    L: Ledger,
+{
+    /// Takes the lease, or waits for its holder; then works while it is held.
+    async fn session(&mut self) {
+        if self.lease.fence(self.gateway.now()).is_none() {
+            sleep(self.pause()).await;
+            if self.gateway.fleet().outdated().is_empty() {
+                return;
+            }
+        }
+        self.renew().await;
+        while self.lease.fence(self.gateway.now()).is_some() {
+            if self.gateway.draining.is_cancelled() {
+                return;
+            }
+            if self.lease.needs_renewal(self.gateway.now()) {
+                self.renew().await;
+            }
+            let (outdated, all) = {
+                let fleet = self.gateway.fleet();
+                let outdated = fleet.outdated();
+                let model = outdated.first().map(|it| it.1.clone());
+                (outdated, model.map_or(0, |it| fleet.holders(&it)))
+            };
+            if outdated.is_empty() {
+                return;
+            }
+            let tasks = self.plan.tasks(self.gateway.now(), &outdated, all);
+            self.work(tasks).await;
+            sleep(ROUND).await;
+        }
+    }
+
+    /// Returns how long this host leaves the work to others.
+    fn pause(&self) -> Duration {
+        let fleet = self.gateway.fleet();
+        let key = rank::key(&["weights"]);
+        let me = rank::weight(key, self.gateway.site.host.as_str());
+        let ahead = fleet.host_names().iter().filter(|it| rank::weight(key, it.as_str()) > me);
+        RANK_PAUSE.saturating_mul(ahead.count() as u32).min(RANK_PAUSE_MAX)
+    }
+
+    /// Reads the lease's row and takes or renews the lease where that is allowed.
+    async fn renew(&mut self) {
+        let asked = self.gateway.now();
+        let page = match self.ledger.all(Table::Leases).await {
+            Ok(page) => page,
+            Err(err) => {
+                log::warn!(error = err.to_string().as_str(); "lease cannot be read");
+                sleep(AGAIN).await;
+                return;
+            }
+        };
+        let row = page.rows.iter().find(|it| it.key == LEASE_KEY);
+        let row = row.and_then(|it| {
+            let value = it.value.as_deref()?;
+            Some((serde_json::from_slice::<Row>(value).ok()?, it.version))
+        });
+        let former = row.as_ref().map(|it| it.0.holder.clone()).unwrap_or_default();
+        match self.lease.read(asked, page.clock, row) {
+            Step::Hold => {}
+            Step::Wait(wait) => {
+                self.lease.lost();
+                sleep(wait).await;
+            }
+            Step::Write { row, expected, until } => {
+                let fence = row.fence;
+                match self.write(&row, expected).await {
+                    Some(version) => {
+                        if former != row.holder {
+                            log::info!(fence = fence, former = former.as_str(); "lease is taken");
+                        }
+                        self.lease.written(row, version, until);
+                    }
+                    // Whether it was written shows at the next read.
+                    None => sleep(AGAIN).await,
+                }
+            }
+        }
+    }
+
+    async fn release(&mut self) {
+        // The time in the row is only brought forward; a rough clock does.
+        let Some((row, version)) = self.lease.release(Duration::MAX) else { return };
+        let fence = row.fence;
+        if self.write(&row, version).await.is_some() {
+            log::info!(fence = fence; "lease is given up");
+        }
+    }
+
+    async fn write(&self, row: &Row, expected: u64) -> Option<u64> {
+        let write = Write {
+            table: Table::Leases,
+            key: FastStr::from_static_str(LEASE_KEY),
+            // A row of texts and numbers can always be written.
+            value: Some(serde_json::to_vec(row).unwrap_or_default().into()),
+            expected: Some(expected),
+        };
+        match self.ledger.write(write).await {
+            Ok(Written::Done { version, .. }) => Some(version),
+            Ok(Written::Conflict) => None,
+            Err(err) => {
+                log::warn!(error = err.to_string().as_str(); "lease may not be written");
+                None
+            }
+        }
+    }
+
+    async fn work(&mut self, tasks: Vec<Task>) {
+        let calls = tasks.into_iter().map(|task| {
+            let gateway = self.gateway.clone();
+            let lease = self.lease.clone();
+            tokio::spawn(async move {
+                let (entry, taken) = carry_out(&gateway, &lease, task).await;
+                (entry, taken)
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        for call in calls {
+            // A task that panicked is seen by its upstream staying outdated.
+            let Ok((id, taken)) = call.await else { continue };
+            if !taken {
+                self.plan.refused(self.gateway.now(), &id);
+            }
+        }
+    }
+}
+
+/// Carries out a task; false when the upstream has not taken the order.
+async fn carry_out<D>(gateway: &Gateway<D>, lease: &Lease, task: Task) -> (Upstream, bool)
+where
+    D: Dialect,
+{
+    let (order, entry, model, version) = match task {
+        Task::Order(entry, model, version) => (true, entry, model, version),
+        Task::Look(entry, model, version) => (false, entry, model, version),
+    };
+    let id = entry.id.clone();
+    let Ok(Ok(mut link)) = timeout(CALL_TIMEOUT, Link::dial(entry.address)).await else {
+        log::info!(upstream = id.as_str(); "upstream cannot be asked for its weights");
+        return (id, !order);
+    };
+    let Some(report) = report(gateway, &mut link, &entry).await else { return (id, !order) };
+    let has = report.models.iter().find(|it| it.0 == model).map(|it| it.1);
+    if let Some(has) = has {
+        gateway.fleet().weights_seen(&id, &model, has);
+    }
+    if has.is_some_and(|it| it >= version) || !order {
+        return (id, true);
+    }
+    if report.busy {
+        return (id, true);
+    }
+    let Some(fence) = lease.fence(gateway.now()) else { return (id, false) };
+    let order = Order {
+        model: model.as_str(),
+        version,
+        holder: gateway.site.host.as_str(),
+        fence,
+        orders: report.orders,
+    };
+    let body = gateway.dialect.order(&order);
+    let request = call(gateway, &entry, Method::POST, D::ORDER, body);
+    let answer = link.call(request, CALL_TIMEOUT, ANSWER_BYTES).await;
+    let verdict = answer.as_ref().ok().map(|it| gateway.dialect.verdict(it.status()));
+    log::info!(upstream = id.as_str(), model = model.as_str(), version = version, fence = fence,
+        orders = report.orders, verdict = format!("{verdict:?}").as_str(); "weights are ordered");
+    let taken = matches!(verdict, Some(Verdict::Taken | Verdict::Holds));
+    (id, taken)
+}
+
+async fn report<D>(gateway: &Gateway<D>, link: &mut Link, entry: &Entry) -> Option<Report>
+where
+    D: Dialect,
+{
+    let request = call(gateway, entry, Method::GET, D::REPORT, Bytes::new());
+    let answer = link.call(request, CALL_TIMEOUT, ANSWER_BYTES).await.ok()?;
+    if !answer.status().is_success() {
+        log::info!(upstream = entry.id.as_str(), status = answer.status().as_u16();
+            "report is refused");
+        return None;
+    }
+    match gateway.dialect.report(answer.body()) {
+        Ok(report) => Some(report),
+        Err(err) => {
+            log::warn!(upstream = entry.id.as_str(), error = err.to_string().as_str();
+                "report cannot be read");
+            None
+        }
+    }
+}
+
+fn call<D>(
+    gateway: &Gateway<D>,
+    entry: &Entry,
+    method: Method,
+    path: &'static str,
+    body: Bytes,
+) -> Request<Full<Bytes>>
+where
+    D: Dialect,
+{
+    let mut headers = HeaderMap::new();
+    gateway.dialect.address(&mut headers, entry.id.as_str());
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(header::HOST, host(entry.address));
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = http::Uri::from_static(path);
+    *request.headers_mut() = headers;
+    request
+}
+
+fn host(address: SocketAddr) -> HeaderValue {
+    // An address has only characters that a field may have.
+    HeaderValue::try_from(address.to_string()).unwrap_or(HeaderValue::from_static("upstream"))
+}
