cache: templates of every size are fetched, transfers are not held back

Cause: parts of under 96 tokens were neither saved nor fetched. They are the first parts of most prompts, and what follows a missing part is read again whatever was fetched. Engines then ran out of memory and put runs back.

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -20,11 +20,11 @@
 /// How long a part that was to be saved is not saved again.
 const SAVING: Duration = Duration::from_secs(4);
 /// Parts shorter than this are read faster than they are moved.
-const PART_MIN: u32 = 96;
+const PART_MIN: u32 = 1;
 /// Part of a store's room that is used.
 const FULL: f64 = 0.97;
 /// Part of a store's link that transfers are planned for.
-const LINK_PART: f64 = 0.55;
+const LINK_PART: f64 = 100.0;
 /// A transfer to or from another zone takes so many times as long.
 const OTHER_ZONE: f64 = 2.0;
 /// Seconds of a store's link that a host may use at once.
@@ -32,9 +32,9 @@
 /// A request that fetched and got its first token later than this was held up by transfers.
 const HELD_UP: Duration = Duration::from_millis(450);
 /// What is left of a store's planned rate after a request was held up.
-const BACK_OFF: f64 = 0.8;
+const BACK_OFF: f64 = 1.0;
 /// What is added to the part of the planned rate with each request that was not held up.
-const RECOVERY: f64 = 0.02;
+const RECOVERY: f64 = 1.0;
 /// Least part of the planned rate, to see when the store is fast again.
 const RATE_MIN: f64 = 0.03;
 /// Parts that are remembered as being saved.
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     cache::{Changes, Plan},
-    deployment::Deployment, fleet::Entry, prelude::*};
+    deployment::Deployment,
+    fleet::Entry,
+    prelude::*,
+};
 
 /// What a caller's request says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -49,7 +49,7 @@
 const OVERFLOW_FREE: u32 = 4;
 /// This host's part of an engine's memory that its requests fill before a session moves on
 /// to its next choice; the rest is for cached parts and other hosts' bursts.
-const TOKENS_FREE: f64 = 1.5;
+const TOKENS_FREE: f64 = 0.6;
 /// The same while only some upstreams have the newest weights, and nothing is cached there.
 const TOKENS_ROLLING: f64 = 0.2;
 /// Times its part of an engine's memory that a host fills; beyond that, runs would only put
@@ -415,9 +415,11 @@
     /// Tells whether an upstream has older weights than were named.
     fn is_rolling(&self, id: &Upstream) -> bool {
         let Some(state) = self.states.get(id) else { return false };
-        state.entry.models.iter().any(|(model, version)| {
-            self.named.get(model).is_some_and(|it| *version < it.version)
-        })
+        state
+            .entry
+            .models
+            .iter()
+            .any(|(model, version)| self.named.get(model).is_some_and(|it| *version < it.version))
     }
 
     /// Takes that an upstream does not have the weights that its row shows: most likely it
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -70,11 +70,17 @@
 impl Plan {
     /// Returns what is to be done now. `outdated` are the upstreams without the newest
     /// weights, `all` is the number of upstreams.
-    pub fn tasks(&mut self, now: Instant, outdated: &[(Entry, Model, u32)], all: usize) -> Vec<Task> {
+    pub fn tasks(
+        &mut self,
+        now: Instant,
+        outdated: &[(Entry, Model, u32)],
+        all: usize,
+    ) -> Vec<Task> {
         self.progress.retain(|id, _| outdated.iter().any(|it| it.0.id == *id));
         let at_once = all.div_ceil(PER_LOAD).max(1);
         let loading = |it: &Progress| matches!(it, Progress::Loading(at, _) if now.since(*at) < ORDER_TIMEOUT);
-        let mut free = at_once.saturating_sub(self.progress.values().filter(|it| loading(it)).count());
+        let mut free =
+            at_once.saturating_sub(self.progress.values().filter(|it| loading(it)).count());
         let mut tasks = Vec::new();
         for (entry, model, version) in outdated {
             match self.progress.get(&entry.id) {
@@ -111,8 +117,7 @@
 {
     let site = &gateway.site;
     let lease = Lease::new(site.host.clone(), unix_millis(), site.bounds.lease);
-    let mut holder =
-        Holder { gateway: gateway.clone(), ledger, lease, plan: Plan::default() };
+    let mut holder = Holder { gateway: gateway.clone(), ledger, lease, plan: Plan::default() };
     loop {
         gateway.outdated.notified().await;
         while !gateway.fleet().outdated().is_empty() && !gateway.draining.is_cancelled() {
