cache: stores that hold requests up are passed over, sessions run near their store

Change: a store that adds more than 0.25 s to the engine's usual time is only probed; engines in the zone of the session's store rank first more often. Conclusion: engines collapse when they read everything; they need an even load, which hosts can only give when they know of each other's requests.

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -23,20 +23,16 @@
 const PART_MIN: u32 = 1;
 /// Part of a store's room that is used.
 const FULL: f64 = 0.97;
-/// Part of a store's link that transfers are planned for.
-const LINK_PART: f64 = 100.0;
-/// A transfer to or from another zone takes so many times as long.
-const OTHER_ZONE: f64 = 2.0;
-/// Seconds of a store's link that a host may use at once.
-const LINK_BURST: f64 = 0.25;
-/// A request that fetched and got its first token later than this was held up by transfers.
-const HELD_UP: Duration = Duration::from_millis(450);
-/// What is left of a store's planned rate after a request was held up.
-const BACK_OFF: f64 = 1.0;
-/// What is added to the part of the planned rate with each request that was not held up.
-const RECOVERY: f64 = 1.0;
-/// Least part of the planned rate, to see when the store is fast again.
-const RATE_MIN: f64 = 0.03;
+/// Weight of the newest time in a store's mean time to the first token.
+const DELAY_WEIGHT: f64 = 0.2;
+/// Mean time, in seconds, by which a store holds requests up from which it counts as slow.
+const SLOW: f64 = 0.25;
+/// How often a fetch is made from a slow store to see whether it is fast again.
+const PROBE: Duration = Duration::from_millis(250);
+/// Fetches shorter than this say nothing of a store's speed.
+const TELLING: u32 = 1000;
+/// How much more a store in the engine's own zone is preferred for a part than its room says.
+const NEAR_WEIGHT: f64 = 3.0;
 /// Parts that are remembered as being saved.
 const SAVES: usize = 8192;
 
@@ -72,7 +68,7 @@
 }
 
 /// Where the parts of a request are fetched from and saved to.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// For each part, the store that holds it.
     pub fetch: Places,
@@ -80,6 +76,8 @@
     pub save: Places,
     /// When a fetch is thrown away, by the stores' clock in milliseconds.
     pub until: Option<u64>,
+    /// Stores whose speed shows in the time to the first token.
+    telling: SmallVec<[SocketAddr; 4]>,
 }
 
 #[derive(Clone, Debug)]
@@ -91,11 +89,9 @@
     clock: Option<u64>,
     parts: HashMap<u64, u32>,
     tokens: u64,
-    /// Part of the planned rate that is used now.
-    rate: f64,
-    /// Bytes that may be moved now.
-    allowance: f64,
-    filled: Instant,
+    /// Mean time by which requests that fetched from it were held up, in seconds.
+    held_up: f64,
+    probed: Instant,
 }
 
 /// The request that a plan is for.
@@ -105,14 +101,10 @@
     pub salt: &'a str,
     /// Its parts; the last one is its own.
     pub parts: &'a [Part],
-    /// Bytes of one token's cache.
-    pub token_bytes: u64,
     /// The availability zone of the engine that runs it.
     pub zone: &'a Zone,
     /// An engine whose cache may hold the parts.
     pub origin: Option<SocketAddr>,
-    /// Hosts that share the stores.
-    pub hosts: usize,
 }
 
 /// What is known of all stores.
@@ -163,19 +155,17 @@
             store.forget();
             store.boot = None;
             store.next = 0;
+            store.held_up = 0.0;
         }
     }
 
-    /// Takes when the first token came of a request that fetched or saved by a plan.
-    pub fn settle(&mut self, plan: &Plan, first: Duration) {
-        for store in &mut self.stores {
-            if !plan.fetch.contains(&Some(store.entry.address)) {
-                continue;
-            }
-            store.rate = match first > HELD_UP {
-                true => (store.rate * BACK_OFF).max(RATE_MIN),
-                false => (store.rate + RECOVERY).min(1.0),
-            };
+    /// Takes when the first token of a planned request came, and how long that takes at its
+    /// engine on the whole: an engine that is slow for all says nothing of the store.
+    pub fn arrived(&mut self, plan: &Plan, first: Duration, usual: Duration) {
+        let held_up = first.saturating_sub(usual).as_secs_f64();
+        let stores = self.stores.iter_mut();
+        for store in stores.filter(|it| plan.telling.contains(&it.entry.address)) {
+            store.held_up += DELAY_WEIGHT * (held_up - store.held_up);
         }
     }
 
@@ -183,35 +173,44 @@
     pub fn plan(&mut self, now: Instant, need: &Need<'_>) -> Plan {
         let (salt, parts) = (need.salt, need.parts);
         let shared = parts.len().saturating_sub(1);
-        for store in &mut self.stores {
-            store.fill(now, need.hosts);
-        }
         let mut plan = Plan {
             fetch: SmallVec::from_elem(None, parts.len()),
             save: SmallVec::from_elem(None, parts.len()),
             until: None,
+            ..Plan::default()
         };
         for (at, part) in parts[..shared].iter().enumerate() {
             if part.tokens < PART_MIN {
                 continue;
             }
             let key = key(salt, &part.id);
-            let bytes = (u64::from(part.tokens) * need.token_bytes) as f64;
             plan.fetch[at] = need.origin;
             match self.holder(now, key) {
                 Some(store) => {
-                    if store.spend(bytes, need.zone) {
-                        plan.fetch[at] = Some(store.entry.address);
-                        let until = store.until();
-                        plan.until = Some(plan.until.map_or(until, |it: u64| it.min(until)));
+                    if store.is_slow(now) {
+                        continue;
+                    }
+                    plan.fetch[at] = Some(store.entry.address);
+                    let until = store.until();
+                    plan.until = Some(plan.until.map_or(until, |it: u64| it.min(until)));
+                    if part.tokens >= TELLING {
+                        plan.telling.push(store.entry.address);
                     }
                 }
-                None => plan.save[at] = self.home(now, key, bytes, part.tokens, need.zone),
+                None => plan.save[at] = self.home(now, key, part.tokens, need),
             }
         }
         plan
     }
 
+    /// Returns the zone of the store that holds the longest of the shared parts.
+    pub fn zone(&mut self, now: Instant, salt: &str, parts: &[Part]) -> Option<Zone> {
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        let longest = shared.iter().max_by_key(|it| it.tokens)?;
+        let store = self.holder(now, key(salt, &longest.id))?;
+        Some(store.entry.zone.clone())
+    }
+
     /// Returns the tokens that each store holds, for metrics.
     pub fn usage(&self) -> Vec<(SocketAddr, u64, usize)> {
         self.stores.iter().map(|it| (it.entry.address, it.tokens, it.parts.len())).collect()
@@ -233,25 +232,21 @@
         &mut self,
         now: Instant,
         key: u64,
-        bytes: f64,
         tokens: u32,
-        zone: &Zone,
+        need: &Need<'_>,
     ) -> Option<SocketAddr> {
         if self.saving.get(&key).is_some_and(|it| now.since(*it) < SAVING) {
             return None;
         }
-        let open = self.stores.iter_mut().filter(|it| it.vouches(now) && it.has_room(tokens));
+        let open = self.stores.iter().filter(|it| it.vouches(now) && it.has_room(tokens));
         // Weighted rendezvous hashing: the chance of being first goes with the capacity.
-        let weight = |it: &&mut Store| {
+        let weight = |it: &&Store| {
             let hash = rank::mix(key ^ it.hash()) >> 11;
             let chance = (hash as f64 + 1.0) / (1_u64 << 53) as f64;
-            -(it.entry.tokens as f64) / chance.ln()
+            let near = if it.entry.zone == *need.zone { NEAR_WEIGHT } else { 1.0 };
+            -(it.entry.tokens as f64) * near / chance.ln()
         };
-        let home = open.max_by(|a, b| weight(a).total_cmp(&weight(b)))?;
-        if !home.spend(bytes, zone) {
-            return None;
-        }
-        let home = home.entry.address;
+        let home = open.max_by(|a, b| weight(a).total_cmp(&weight(b)))?.entry.address;
         if self.saving.len() >= SAVES {
             self.saving.retain(|_, it| now.since(*it) < SAVING);
         }
@@ -270,30 +265,22 @@
             clock: None,
             parts: HashMap::new(),
             tokens: 0,
-            rate: 1.0,
-            allowance: 0.0,
-            filled: Instant::default(),
+            held_up: 0.0,
+            probed: Instant::default(),
         }
     }
 
-    /// Adds what this host may move by now.
-    fn fill(&mut self, now: Instant, hosts: usize) {
-        let rate = self.entry.bytes_per_second * LINK_PART * self.rate / hosts.max(1) as f64;
-        let elapsed = now.since(self.filled).as_secs_f64();
-        // A burst is of the whole link: a part may take more than a host's share of a second.
-        let most = self.entry.bytes_per_second * LINK_BURST * self.rate;
-        self.allowance = (self.allowance + rate * elapsed).min(most);
-        self.filled = now;
-    }
-
-    /// Takes the bytes of a transfer out of the allowance, if there is any.
-    fn spend(&mut self, bytes: f64, zone: &Zone) -> bool {
-        if self.allowance <= 0.0 {
+    /// Tells whether fetches from the store hold requests up; false now and then, to see
+    /// whether they still do.
+    fn is_slow(&mut self, now: Instant) -> bool {
+        if self.held_up < SLOW {
             return false;
         }
-        let times = if self.entry.zone == *zone { 1.0 } else { OTHER_ZONE };
-        self.allowance -= bytes * times;
-        true
+        if now.since(self.probed) < PROBE {
+            return true;
+        }
+        self.probed = now;
+        false
     }
 
     fn hash(&self) -> u64 {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -47,9 +47,11 @@
 const OVERFLOW: f64 = 1.4;
 /// Requests in flight that never make a session move on.
 const OVERFLOW_FREE: u32 = 4;
+/// How much more often an upstream in the zone of a session's store ranks first.
+const NEAR_WEIGHT: f64 = 3.0;
 /// This host's part of an engine's memory that its requests fill before a session moves on
 /// to its next choice; the rest is for cached parts and other hosts' bursts.
-const TOKENS_FREE: f64 = 0.6;
+const TOKENS_FREE: f64 = 0.7;
 /// The same while only some upstreams have the newest weights, and nothing is cached there.
 const TOKENS_ROLLING: f64 = 0.2;
 /// Times its part of an engine's memory that a host fills; beyond that, runs would only put
@@ -150,6 +152,8 @@
     pub model: Option<&'a Model>,
     /// Key of the session whose cache would be of use.
     pub session: Option<u64>,
+    /// The zone of the store that holds the session's cache.
+    pub near: Option<&'a Zone>,
     /// Tokens of its prompt and of its longest answer.
     pub tokens: u32,
     /// Upstreams that were tried.
@@ -234,6 +238,13 @@
         &self.hosts
     }
 
+    /// Returns the newest weight version of a model that was named, or else one that an
+    /// upstream has.
+    pub fn newest_weights(&self, model: &Model) -> Option<u32> {
+        let held = || self.states.values().find_map(|it| it.entry.weights(model));
+        self.named.get(model).map(|it| it.version).or_else(held)
+    }
+
     /// Returns the number of upstreams that have some weights of a model.
     pub fn holders(&self, model: &Model) -> usize {
         self.states.values().filter(|it| it.entry.weights(model).is_some()).count()
@@ -341,6 +352,12 @@
         self.states.get(id).is_some_and(|it| it.failure_share > FAULTY_SHARE)
     }
 
+    /// Returns the mean time to the first byte of an upstream's answers.
+    pub fn delay(&self, id: &Upstream) -> Duration {
+        let delay = self.states.get(id).map_or(0.0, |it| it.delay);
+        Duration::from_secs_f64(delay.max(0.0))
+    }
+
     /// Returns an upstream's row.
     pub fn entry(&self, id: &Upstream) -> Option<&Entry> {
         self.states.get(id).map(|it| &it.entry)
@@ -532,7 +549,7 @@
                     None => state.in_flight.into(),
                 },
                 rank: match query.session {
-                    Some(session) => u64::MAX - rank::mix(session ^ state.hash),
+                    Some(session) => u64::MAX - state.weight(session, query.near),
                     None => (state.delay * 1e6) as u64,
                 },
             };
@@ -556,7 +573,7 @@
         let alike = states.filter(|it| {
             it.entry.weights(model) == weights && it.ejected_until <= now && !it.entry.draining
         });
-        let first = alike.max_by_key(|it| rank::mix(session ^ it.hash))?;
+        let first = alike.max_by_key(|it| it.weight(session, query.near))?;
         (first.entry.id != *chosen).then_some(first.entry.address)
     }
 
@@ -624,6 +641,14 @@
         }
     }
 
+    /// Ranks an upstream for a session; upstreams near the session's store come first more
+    /// often.
+    fn weight(&self, session: u64, near: Option<&Zone>) -> u64 {
+        let chance = ((rank::mix(session ^ self.hash) >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
+        let times = if near == Some(&self.entry.zone) { NEAR_WEIGHT } else { 1.0 };
+        (chance.powf(1.0 / times) * (1_u64 << 53) as f64) as u64
+    }
+
     fn settle(&mut self, now: Instant, service: &ServiceEntry, outcome: Outcome, allowed: bool) {
         match outcome {
             Outcome::Served(delay) => {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -183,6 +183,12 @@
         }
     }
 
+    /// Returns the newest weight version of a model that an upstream has or operators have
+    /// named.
+    pub fn newest_weights(&self, model: Option<&Model>) -> Option<u32> {
+        self.fleet().newest_weights(model?)
+    }
+
     /// Chooses an upstream for a request; see [`Fleet::choose`].
     ///
     /// # Errors
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -78,11 +78,6 @@
         Fingerprint::new(self.uri.path(), self.ask.key.as_deref(), &self.body)
     }
 
-    fn query<'a>(&'a self, tried: &'a [Upstream], session: Option<u64>) -> Query<'a> {
-        let tokens = self.ask.prompt_tokens.saturating_add(self.ask.answer_tokens);
-        Query { service: &self.service, model: self.ask.model.as_ref(), session, tokens, tried }
-    }
-
     fn urgency(&self) -> Option<u8> {
         self.ask.model.as_ref()?;
         let own = self.tenancy.as_ref().and_then(|it| it.priority);
@@ -284,8 +279,7 @@
             if self.gateway.is_quarantined(self.job.fingerprint()) {
                 return Err(self.refused(Kind::Quarantined, Duration::from_secs(60)));
             }
-            let query = self.job.query(&self.tried, self.session);
-            let choice = self.gateway.choose(&self.job.deployment, &query);
+            let choice = self.choose();
             let choice = choice.map_err(|denial| self.denied(denial))?;
             let placement = Placement {
                 gateway: self.gateway.clone(),
@@ -301,6 +295,23 @@
         }
     }
 
+    fn choose(&self) -> Result<Choice, Denial> {
+        let job = &self.job;
+        let near = self.gateway.newest_weights(job.ask.model.as_ref()).and_then(|weights| {
+            let salt = job.salt(Some(weights))?;
+            self.gateway.cache().zone(self.gateway.now(), &salt, &job.ask.parts)
+        });
+        let query = Query {
+            service: &job.service,
+            model: job.ask.model.as_ref(),
+            session: self.session,
+            near: near.as_ref(),
+            tokens: job.ask.prompt_tokens.saturating_add(job.ask.answer_tokens),
+            tried: &self.tried,
+        };
+        self.gateway.choose(&job.deployment, &query)
+    }
+
     async fn attempt(
         &mut self,
         placement: Placement<D>,
@@ -511,7 +522,14 @@
             if events.is_empty() {
                 continue;
             }
-            first.get_or_insert_with(|| started.elapsed());
+            if first.is_none() {
+                let elapsed = started.elapsed();
+                first = Some(elapsed);
+                if let Some(plan) = &self.plan {
+                    let usual = self.gateway.fleet().delay(&placement.choice.id);
+                    self.gateway.cache().arrived(plan, elapsed, usual);
+                }
+            }
             if pieces.send(Ok(events)).await.is_err() {
                 return End::Left;
             }
@@ -525,9 +543,6 @@
         self.gateway.metrics.first_token.with_label_values(&[class]).observe(first.as_secs_f64());
         placement.settle(Outcome::Served(first));
         let fetched = self.plan.iter().flat_map(|it| &it.fetch).flatten().count();
-        if let Some(plan) = self.plan.take() {
-            self.gateway.cache().settle(&plan, first);
-        }
         log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
             upstream = choice.id.as_str(), chosen = choice.reason,
             weights = choice.weights.unwrap_or_default(), tokens = choice.tokens,
@@ -604,14 +619,12 @@
 
     /// Plans where the parts of the prompt come from and go to.
     fn plan(&self, choice: &Choice, salt: &str) -> Option<Plan> {
-        let service = self.job.deployment.services.get(&self.job.service)?;
+        self.job.deployment.services.get(&self.job.service)?.engine.as_ref()?;
         let need = Need {
             salt,
             parts: &self.job.ask.parts,
-            token_bytes: service.engine.as_ref()?.token_bytes,
             zone: &choice.zone,
             origin: choice.origin,
-            hosts: self.gateway.fleet().hosts(),
         };
         Some(self.gateway.cache().plan(self.gateway.now(), &need))
     }
