mesh, pin: hosts tell each other their requests in flight

Cause: each host saw a ninth of the load and placed requests by it. Some engines ran out of memory and put runs back while others had room. Ruled out: shared parts alone; a host's own requests as an estimate of all. Change: hosts speak over QUIC with keys pinned by their rows in the store: requests in flight ten times a second, crashes, and rows for hosts that the store does not serve. Placement counts the tokens of all hosts.

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -228,13 +228,7 @@
     }
 
     /// Finds the store that is to hold a part: the same on every host, as long as it has room.
-    fn home(
-        &mut self,
-        now: Instant,
-        key: u64,
-        tokens: u32,
-        need: &Need<'_>,
-    ) -> Option<SocketAddr> {
+    fn home(&mut self, now: Instant, key: u64, tokens: u32, need: &Need<'_>) -> Option<SocketAddr> {
         if self.saving.get(&key).is_some_and(|it| now.since(*it) < SAVING) {
             return None;
         }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -42,21 +42,20 @@
 /// For so long after an upstream broke off, a row that says it is warm is not believed: it
 /// may have been written before.
 const DOUBT: Duration = Duration::from_millis(1500);
-/// An upstream may have this times the mean of this host's requests in flight before a
-/// session moves on to its next choice.
-const OVERFLOW: f64 = 1.4;
-/// Requests in flight that never make a session move on.
-const OVERFLOW_FREE: u32 = 4;
+/// An upstream may have this times the mean of the tokens in flight before a session moves on
+/// to its next choice.
+const OVERFLOW: f64 = 1.2;
 /// How much more often an upstream in the zone of a session's store ranks first.
 const NEAR_WEIGHT: f64 = 3.0;
-/// This host's part of an engine's memory that its requests fill before a session moves on
-/// to its next choice; the rest is for cached parts and other hosts' bursts.
-const TOKENS_FREE: f64 = 0.7;
+/// Part of an engine's memory that requests fill before a session moves on to its next choice.
+const TOKENS_FREE: f64 = 0.15;
 /// The same while only some upstreams have the newest weights, and nothing is cached there.
-const TOKENS_ROLLING: f64 = 0.2;
-/// Times its part of an engine's memory that a host fills; beyond that, runs would only put
-/// each other back.
-const TOKENS_MAX: f64 = 2.5;
+const TOKENS_ROLLING: f64 = 0.15;
+/// Part of an engine's memory that requests fill; beyond that, runs would only put each other
+/// back.
+const TOKENS_MAX: f64 = 1.2;
+/// How long what another host has told of its requests counts.
+const TOLD: Duration = Duration::from_millis(700);
 /// How long an upstream that turned a request away gets no other one while it lacks weights
 /// that were named.
 const ROLLING_REFUSAL: Duration = Duration::from_millis(1200);
@@ -122,6 +121,8 @@
     in_flight: u32,
     /// Tokens of the prompts and answers in flight from this host.
     tokens: u64,
+    /// Tokens and requests in flight from other hosts.
+    others: (u64, u32),
     sent: Window,
     /// Not used before this time.
     ejected_until: Instant,
@@ -136,6 +137,9 @@
     hash: u64,
 }
 
+/// Tokens and requests in flight by a short hash of the upstream's id.
+pub type Loads = HashMap<u32, (u64, u32)>;
+
 /// Weights that operators have named.
 #[derive(Clone, Copy, Debug)]
 struct Named {
@@ -198,6 +202,8 @@
     cold_overshoot: f64,
     cold_slack: f64,
     hosts: Vec<Host>,
+    /// Requests in flight from other hosts, as they tell them.
+    told: HashMap<Host, (Instant, Loads)>,
     states: HashMap<Upstream, State>,
     by_service: HashMap<Service, Vec<Upstream>>,
     evacuated: HashSet<Zone>,
@@ -215,6 +221,7 @@
             zone: site.zone.clone(),
             cold_overshoot: site.bounds.cold_overshoot,
             cold_slack: site.bounds.cold_slack,
+            told: HashMap::new(),
             hosts: vec![site.host.clone()],
             states: HashMap::new(),
             by_service: HashMap::new(),
@@ -245,6 +252,28 @@
         self.named.get(model).map(|it| it.version).or_else(held)
     }
 
+    /// Returns the requests in flight from this host.
+    pub fn loads(&self) -> Loads {
+        let busy = self.states.values().filter(|it| it.in_flight > 0);
+        busy.map(|it| (it.short(), (it.tokens, it.in_flight))).collect()
+    }
+
+    /// Takes the requests in flight from another host.
+    pub fn take_loads(&mut self, now: Instant, host: &Host, loads: Loads) {
+        self.told.insert(host.clone(), (now, loads));
+        self.sum_loads(now);
+    }
+
+    /// Adds up what other hosts have told a moment ago.
+    fn sum_loads(&mut self, now: Instant) {
+        self.told.retain(|_, (at, _)| now.since(*at) < TOLD);
+        for state in self.states.values_mut() {
+            let short = state.short();
+            let others = self.told.values().filter_map(|(_, loads)| loads.get(&short));
+            state.others = others.fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        }
+    }
+
     /// Returns the number of upstreams that have some weights of a model.
     pub fn holders(&self, model: &Model) -> usize {
         self.states.values().filter(|it| it.entry.weights(model).is_some()).count()
@@ -456,7 +485,10 @@
             let over = now.since(named.since) > self.rollout.mul_f64(ROLLOUT_PART);
             over.then_some((model, named.version))
         });
-        let most = (self.token_share(service) * TOKENS_MAX) as u64;
+        let most = service
+            .engine
+            .as_ref()
+            .map_or(u64::MAX, |it| (it.cache_tokens as f64 * TOKENS_MAX) as u64);
         let mut usable = Vec::with_capacity(ids.len());
         for id in ids {
             let Some(state) = self.states.get_mut(id) else { continue };
@@ -469,7 +501,7 @@
                 || expired.is_some_and(|(model, newest)| {
                     state.entry.weights(model).is_some_and(|it| it < newest)
                 })
-                || (state.in_flight > 0 && state.tokens + u64::from(query.tokens) > most)
+                || (state.all_requests() > 0 && state.all_tokens() + u64::from(query.tokens) > most)
             {
                 continue;
             }
@@ -485,14 +517,6 @@
         usable
     }
 
-    /// Returns this host's part of the tokens that an engine's memory holds.
-    fn token_share(&self, service: &ServiceEntry) -> f64 {
-        match &service.engine {
-            Some(engine) => engine.cache_tokens as f64 / self.hosts.len() as f64,
-            None => f64::MAX,
-        }
-    }
-
     fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
         let states = self.by_service.get(query.service).into_iter().flatten();
         let states = states.filter_map(|id| self.states.get(id));
@@ -519,34 +543,38 @@
         let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
         let ordinary = ((bearable * WARM_MARGIN) / self.hosts.len() as f64).max(1.0) as usize;
         let newest = query.model.and_then(|it| self.named.get(it)).map(|it| it.version);
-        let total: u32 =
-            usable.iter().filter_map(|it| self.states.get(it)).map(|it| it.in_flight).sum();
-        let mean = f64::from(total) / usable.len() as f64;
-        let room = OVERFLOW_FREE.max((mean * OVERFLOW).ceil() as u32);
+        let states = || usable.iter().filter_map(|it| self.states.get(it));
+        let total: u64 = states().map(State::all_tokens).sum();
+        let requests: u32 = states().map(State::all_requests).sum();
+        let capacity = service.engine.as_ref().map_or(f64::MAX, |it| it.cache_tokens as f64);
+        // A session moves on when its upstream has clearly more to do than others have.
+        let mean = total as f64 / usable.len() as f64;
+        let room = (mean * OVERFLOW).max(capacity * TOKENS_FREE) as u64;
+        let idle = requests < usable.len() as u32;
         let is_outdated = |state: &State| match (newest, query.model) {
             (Some(newest), Some(model)) => state.entry.weights(model).is_some_and(|it| it < newest),
             _ => false,
         };
-        let share = self.token_share(service);
         let rolling = usable.iter().filter_map(|it| self.states.get(it)).any(is_outdated);
         let mut best: Option<(Score, &Upstream)> = None;
         for id in usable {
             let Some(state) = self.states.get_mut(id) else { continue };
             let outdated = is_outdated(state);
             // The first upstreams with new weights cannot take the load of all.
-            let part = if rolling && !outdated { TOKENS_ROLLING } else { TOKENS_FREE };
-            let filled = state.tokens + u64::from(query.tokens) > (share * part) as u64;
-            let crowded = state.in_flight >= room || (state.in_flight > 0 && filled);
+            let rolled = (capacity * TOKENS_ROLLING) as u64;
+            let room = if rolling && !outdated { room.min(rolled) } else { room };
+            let crowded =
+                state.all_requests() > 0 && state.all_tokens() + u64::from(query.tokens) > room;
             let bursting = service.cold_rate > 0.0 && state.sent.count(now) >= ordinary;
             let score = Score {
                 bursting,
                 crowded,
                 outdated,
-                far: query.session.is_none() && state.entry.zone != self.zone && mean < 1.0,
+                far: query.session.is_none() && state.entry.zone != self.zone && idle,
                 load: match query.session {
                     Some(_) if !crowded => 0,
-                    Some(_) => state.tokens,
-                    None => state.in_flight.into(),
+                    Some(_) => state.all_tokens(),
+                    None => state.all_requests().into(),
                 },
                 rank: match query.session {
                     Some(session) => u64::MAX - state.weight(session, query.near),
@@ -629,6 +657,7 @@
             doubted: Instant::default(),
             in_flight: 0,
             tokens: 0,
+            others: (0, 0),
             sent: Window::new(COLD_SPAN),
             ejected_until: Instant::default(),
             trial: false,
@@ -641,6 +670,21 @@
         }
     }
 
+    /// Returns the hash by which hosts name the upstream to each other.
+    fn short(&self) -> u32 {
+        (self.hash >> 32) as u32
+    }
+
+    /// Returns the tokens in flight from all hosts.
+    fn all_tokens(&self) -> u64 {
+        self.tokens + self.others.0
+    }
+
+    /// Returns the requests in flight from all hosts.
+    fn all_requests(&self) -> u32 {
+        self.in_flight + self.others.1
+    }
+
     /// Ranks an upstream for a session; upstreams near the session's store come first more
     /// often.
     fn weight(&self, session: u64, near: Option<&Zone>) -> u64 {
--- /dev/null
+++ b/lib/src/mesh.rs
@@ -0,0 +1,346 @@
+//! What hosts tell each other over QUIC: requests in flight, crashes, and rows of the store for
+//! those that the store does not serve.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use pilota::{LinkedBytes, pb::Message};
+use quinn::{
+    ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+use rustls::pki_types::CertificateDer;
+use thiserror::Error as ThisError;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    dialect::Dialect,
+    generated::peer::{self, Gossip, Wanted},
+    ledger::{Ledger, Table},
+    node::HostRow,
+    pin::{self, Identity, PinError, Pins},
+    prelude::*,
+    rank,
+    replica::Row,
+    steer::{Steering, TABLES},
+    suspect::{Crash, Fingerprint},
+};
+
+/// How often a host tells its requests in flight: shorter than most of them last.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Other hosts that a host keeps connections to. Up to this size of the fleet, every host
+/// tells every other one; beyond it, each tells those that follow it in rank.
+const FANOUT: usize = 12;
+/// How often missing connections are made.
+const DIAL_PERIOD: Duration = Duration::from_millis(400);
+/// Longest time for a connection or a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Silence that ends a connection, in milliseconds.
+const IDLE_MS: u32 = 3000;
+/// Calls that another host may have open at once.
+const STREAMS: u32 = 8;
+/// Bytes of a call or its answer: a configuration with many routes.
+const MESSAGE_BYTES: usize = 8 << 20;
+/// Hosts that are asked at once for rows that the store does not give.
+const ASKED: usize = 2;
+/// Pause between such rounds.
+const ASK_PERIOD: Duration = Duration::from_millis(300);
+
+/// Why a host cannot speak with others.
+#[derive(Debug, ThisError)]
+pub enum MeshError {
+    /// There is no usable key.
+    #[error("mesh: {0}")]
+    Pin(#[from] PinError),
+    /// The address cannot be listened at.
+    #[error("mesh: cannot listen: {0}")]
+    Listen(#[from] std::io::Error),
+    /// The key does not suit QUIC.
+    #[error("mesh: {0}")]
+    Quic(#[from] quinn::crypto::rustls::NoInitialCipherSuite),
+}
+
+/// One host's end of the mesh.
+pub struct Mesh<D, L> {
+    steering: Steering<D, L>,
+    endpoint: Endpoint,
+    pins: Pins,
+    links: Mutex<HashMap<Host, Connection>>,
+}
+
+impl<D, L> Mesh<D, L>
+where
+    D: Dialect,
+    L: Ledger,
+{
+    /// Listens at an address, on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the key or the address cannot be used.
+    pub fn bind(
+        steering: Steering<D, L>,
+        identity: &Identity,
+        address: SocketAddr,
+    ) -> Result<Arc<Self>, MeshError> {
+        let pins = Pins::default();
+        let server = QuicServerConfig::try_from(pin::server(identity, &pins)?)?;
+        let mut server = ServerConfig::with_crypto(Arc::new(server));
+        server.transport_config(transport());
+        let client = QuicClientConfig::try_from(pin::client(identity, &pins)?)?;
+        let mut client = ClientConfig::new(Arc::new(client));
+        client.transport_config(transport());
+        let mut endpoint = Endpoint::server(server, address)?;
+        endpoint.set_default_client_config(client);
+        Ok(Arc::new(Mesh { steering, endpoint, pins, links: Mutex::default() }))
+    }
+
+    /// Speaks with other hosts until the process ends.
+    pub async fn run(self: Arc<Self>) {
+        tokio::join!(
+            self.clone().accept(),
+            self.clone().dial(),
+            self.clone().tell(),
+            self.clone().catch_up(),
+        );
+    }
+
+    /// Returns the other hosts by their rows.
+    fn rows(&self) -> HashMap<Host, HostRow> {
+        let replica = self.steering.board.table(Table::Hosts);
+        let rows = replica.rows().filter_map(|row| {
+            let host = Host::new(row.key.clone());
+            match serde_json::from_slice(row.value.as_deref()?) {
+                Ok(value) => Some((host, value)),
+                Err(err) => {
+                    log::warn!(peer = host.as_str(), error = err.to_string().as_str();
+                        "host's row cannot be read");
+                    None
+                }
+            }
+        });
+        rows.collect()
+    }
+
+    /// Returns the hosts that this one keeps connections to, those that follow it in rank.
+    fn neighbours(&self, rows: &HashMap<Host, HostRow>) -> Vec<Host> {
+        let me = &self.steering.gateway.site.host;
+        let mut ring: Vec<_> = rows.keys().filter(|it| *it != me).cloned().collect();
+        let key = rank::key(&["mesh"]);
+        let mine = rank::weight(key, me.as_str());
+        // The distance around the ring of ranks.
+        ring.sort_by_key(|it| rank::weight(key, it.as_str()).wrapping_sub(mine));
+        ring.truncate(FANOUT);
+        ring
+    }
+
+    async fn dial(self: Arc<Self>) {
+        let me = self.steering.gateway.site.host.clone();
+        loop {
+            let rows = self.rows();
+            let pins = rows.iter().map(|(host, row)| (row.fingerprint.clone(), host.clone()));
+            self.pins.set(pins.collect());
+            let small = rows.len() <= FANOUT + 1;
+            for host in self.neighbours(&rows) {
+                // In a small fleet both would dial; the lesser name does.
+                let other = small && host < me;
+                if other || self.links().get(&host).is_some_and(|it| it.close_reason().is_none()) {
+                    continue;
+                }
+                tokio::spawn(self.clone().connect(host.clone(), rows[&host].address));
+            }
+            self.links().retain(|host, it| rows.contains_key(host) && it.close_reason().is_none());
+            sleep(DIAL_PERIOD).await;
+        }
+    }
+
+    async fn connect(self: Arc<Self>, host: Host, address: SocketAddr) {
+        let Ok(connecting) = self.endpoint.connect(address, "mothvale") else { return };
+        match timeout(CALL_TIMEOUT, connecting).await {
+            Ok(Ok(connection)) => self.listen(host, connection).await,
+            Ok(Err(err)) => {
+                log::debug!(peer = host.as_str(), error = err.to_string().as_str();
+                    "host cannot be reached");
+            }
+            Err(_) => log::debug!(peer = host.as_str(); "host does not answer"),
+        }
+    }
+
+    async fn accept(self: Arc<Self>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let mesh = self.clone();
+            tokio::spawn(async move {
+                let Ok(Ok(connection)) = timeout(CALL_TIMEOUT, incoming).await else { return };
+                let Some(host) = mesh.caller(&connection) else { return };
+                mesh.listen(host, connection).await;
+            });
+        }
+    }
+
+    /// Finds the host at the other end by the key that it has shown.
+    fn caller(&self, connection: &Connection) -> Option<Host> {
+        let identity = connection.peer_identity()?;
+        let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+        self.pins.host(&pin::fingerprint(chain.first()?))
+    }
+
+    /// Takes what a host tells and answers what it asks until the connection ends.
+    async fn listen(self: Arc<Self>, host: Host, connection: Connection) {
+        log::info!(peer = host.as_str(); "host is connected");
+        self.links().insert(host.clone(), connection.clone());
+        loop {
+            tokio::select! {
+                told = connection.read_datagram() => match told {
+                    Ok(bytes) => self.told(&host, bytes),
+                    Err(err) => {
+                        log::info!(peer = host.as_str(), reason = err.to_string().as_str();
+                            "host is disconnected");
+                        return;
+                    }
+                },
+                stream = connection.accept_bi() => {
+                    let Ok((mut send, mut recv)) = stream else { continue };
+                    let mesh = self.clone();
+                    tokio::spawn(async move {
+                        let bytes = recv.read_to_end(MESSAGE_BYTES).await.ok()?;
+                        let wanted = Wanted::decode(Bytes::from(bytes)).ok()?;
+                        send.write_all(&encode(&mesh.answer(&wanted)?)).await.ok()?;
+                        send.finish().ok()
+                    });
+                }
+            }
+        }
+    }
+
+    fn told(&self, host: &Host, bytes: Bytes) {
+        let gateway = &self.steering.gateway;
+        let Ok(gossip) = Gossip::decode(bytes) else {
+            log::warn!(peer = host.as_str(); "gossip cannot be read");
+            return;
+        };
+        let loads = gossip.loads.iter().map(|it| (it.upstream, (it.tokens, it.requests)));
+        gateway.fleet().take_loads(gateway.now(), host, loads.collect());
+        for crash in gossip.crashes {
+            log::info!(peer = host.as_str(), upstream = crash.upstream.as_str(),
+                fingerprint = crash.request; "another host saw an upstream break off");
+            gateway.crashed_elsewhere(&Crash {
+                request: Fingerprint(crash.request),
+                upstream: Upstream::new(crash.upstream),
+            });
+        }
+        if gossip.operators > self.steering.board.table(Table::Operators).version() {
+            self.steering.board.behind(host);
+        }
+    }
+
+    fn answer(&self, wanted: &Wanted) -> Option<peer::Rows> {
+        let table = *TABLES.get(wanted.table as usize)?;
+        let replica = self.steering.board.table(table);
+        let rows = replica.since(wanted.version).into_iter();
+        let row = |it: Row| peer::Row { key: it.key, value: it.value, version: it.version };
+        Some(peer::Rows { version: replica.version(), rows: rows.map(row).collect() })
+    }
+
+    /// Tells the other hosts of requests in flight and of crashes.
+    async fn tell(self: Arc<Self>) {
+        let gateway = &self.steering.gateway;
+        loop {
+            sleep(PERIOD).await;
+            let loads = gateway.fleet().loads().into_iter();
+            let crashes = gateway.take_crashes().into_iter();
+            let gossip = Gossip {
+                loads: loads
+                    .map(|(upstream, (tokens, requests))| peer::Load { upstream, tokens, requests })
+                    .collect(),
+                crashes: crashes
+                    .map(|it| peer::Crash {
+                        request: it.request.0,
+                        upstream: FastStr::new(it.upstream.as_str()),
+                    })
+                    .collect(),
+                operators: self.steering.board.table(Table::Operators).version(),
+            };
+            let bytes = encode(&gossip);
+            for (host, link) in self.links().iter() {
+                if let Err(err) = link.send_datagram(bytes.clone()) {
+                    log::debug!(peer = host.as_str(), error = err.to_string().as_str();
+                        "gossip cannot be sent");
+                }
+            }
+        }
+    }
+
+    /// Asks other hosts for rows while the store gives none, or when one of them knows more.
+    async fn catch_up(self: Arc<Self>) {
+        let board = self.steering.board.clone();
+        let mut round = 0_u64;
+        loop {
+            board.lost.notified().await;
+            round += 1;
+            let links: Vec<_> =
+                self.links().iter().map(|(host, link)| (host.clone(), link.clone())).collect();
+            let mut links: Vec<_> = links
+                .into_iter()
+                .map(|it| (rank::mix(round ^ rank::key(&[it.0.as_str()])), it))
+                .collect();
+            links.sort_by_key(|it| it.0);
+            let ahead = board.ahead();
+            let (known, others): (Vec<_>, Vec<_>) =
+                links.into_iter().map(|it| it.1).partition(|it| ahead.as_ref() == Some(&it.0));
+            for (host, link) in known.into_iter().chain(others).take(ASKED) {
+                for at in 0..TABLES.len() {
+                    self.ask(&host, &link, at).await;
+                }
+            }
+            sleep(ASK_PERIOD).await;
+        }
+    }
+
+    async fn ask(&self, host: &Host, link: &Connection, at: usize) {
+        let table = TABLES[at];
+        let known = self.steering.board.table(table).version();
+        let wanted = Wanted { table: at as u32, version: known };
+        let call = async {
+            let (mut send, mut recv) = link.open_bi().await.ok()?;
+            send.write_all(&encode(&wanted)).await.ok()?;
+            send.finish().ok()?;
+            let bytes = recv.read_to_end(MESSAGE_BYTES).await.ok()?;
+            peer::Rows::decode(Bytes::from(bytes)).ok()
+        };
+        let Ok(Some(rows)) = timeout(CALL_TIMEOUT, call).await else { return };
+        if rows.version <= known {
+            return;
+        }
+        log::info!(peer = host.as_str(), table = table.name(), known = known,
+            version = rows.version, rows = rows.rows.len(); "rows come from another host");
+        let row = |it: peer::Row| Row { key: it.key, value: it.value, version: it.version };
+        let news = rows.rows.into_iter().map(row).collect();
+        let news = self.steering.board.table(table).apply(news, rows.version);
+        self.steering.announce(table, &news);
+    }
+
+    fn links(&self) -> MutexGuard<'_, HashMap<Host, Connection>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn transport() -> Arc<TransportConfig> {
+    let mut config = TransportConfig::default();
+    config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_MS))));
+    config.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS));
+    config.max_concurrent_uni_streams(VarInt::from_u32(0));
+    Arc::new(config)
+}
+
+fn encode<M>(message: &M) -> Bytes
+where
+    M: Message,
+{
+    let mut bytes = LinkedBytes::new();
+    // Writing to memory does not fail.
+    let _ = message.encode(&mut bytes);
+    bytes.concat().freeze()
+}
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -20,6 +20,8 @@
     gateway::Gateway,
     keep,
     ledger::{Ledger, LedgerError, Table, Write, Written},
+    mesh::Mesh,
+    pin::{Identity, PinError},
     prelude::*,
     rollout, serve,
     site::Site,
@@ -46,6 +48,9 @@
     /// Metrics cannot be set up.
     #[error("metrics: {0}")]
     Metric(#[from] prometheus::Error),
+    /// No key can be made for calls between hosts.
+    #[error("{0}")]
+    Pin(#[from] PinError),
     /// An address cannot be listened at.
     #[error("{field}: cannot listen at {address}: {source}")]
     Listen {
@@ -68,6 +73,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// Fingerprint of its key for calls between hosts.
+    pub fingerprint: String,
 }
 
 /// A gateway.
@@ -103,9 +110,10 @@
         let traffic = runtime()?;
         let control = runtime()?;
         let gateway = self.gateway.clone();
+        let identity = Identity::generate(&gateway.site.host)?;
         thread::Builder::new().name("control".into()).spawn(move || {
             let ledger = connect(gateway.site.store);
-            control.block_on(steer(gateway, ledger));
+            control.block_on(steer(gateway, ledger, &identity));
         })?;
         traffic.block_on(carry(self.gateway))
     }
@@ -115,20 +123,31 @@
     Builder::new_current_thread().enable_all().build()
 }
 
-async fn steer<D, L>(gateway: Arc<Gateway<D>>, ledger: L)
+async fn steer<D, L>(gateway: Arc<Gateway<D>>, ledger: L, identity: &Identity)
 where
     D: Dialect,
     L: Ledger,
 {
     let board = Arc::new(Board::default());
     let steering = Steering { gateway: gateway.clone(), ledger: ledger.clone(), board };
+    let address = SocketAddr::new(gateway.site.front.ip(), gateway.site.peer_ports.0);
     let row = HostRow {
-        address: SocketAddr::new(gateway.site.front.ip(), gateway.site.peer_ports.0),
+        address,
         zone: gateway.site.zone.to_string(),
+        fingerprint: identity.fingerprint(),
+    };
+    let mesh = match Mesh::bind(steering.clone(), identity, address) {
+        Ok(mesh) => mesh,
+        // Without the others, what the store says still holds.
+        Err(err) => {
+            log::error!(error = err.to_string().as_str(); "no calls between hosts");
+            return steering.run().await;
+        }
     };
     let registered = AtomicBool::new(false);
     tokio::join!(
         steering.run(),
+        mesh.run(),
         keep::run(gateway.clone()),
         rollout::run(gateway.clone(), ledger.clone()),
         register(&gateway, &ledger, &row, &registered),
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -620,12 +620,8 @@
     /// Plans where the parts of the prompt come from and go to.
     fn plan(&self, choice: &Choice, salt: &str) -> Option<Plan> {
         self.job.deployment.services.get(&self.job.service)?.engine.as_ref()?;
-        let need = Need {
-            salt,
-            parts: &self.job.ask.parts,
-            zone: &choice.zone,
-            origin: choice.origin,
-        };
+        let need =
+            Need { salt, parts: &self.job.ask.parts, zone: &choice.zone, origin: choice.origin };
         Some(self.gateway.cache().plan(self.gateway.now(), &need))
     }
 
--- a/lib/src/steer.rs
+++ b/lib/src/steer.rs
@@ -27,7 +27,8 @@
 #[derive(Debug, Default)]
 pub struct Board {
     tables: [Mutex<Replica>; 3],
-    /// Told when a table of the store cannot be read.
+    ahead: Mutex<Option<Host>>,
+    /// Told when a table of the store cannot be read, or another host knows more.
     pub lost: Notify,
 }
 
@@ -35,6 +36,17 @@
 pub const TABLES: [Table; 3] = [Table::Operators, Table::Upstreams, Table::Hosts];
 
 impl Board {
+    /// Takes that another host knows newer rows than this one.
+    pub fn behind(&self, host: &Host) {
+        *self.ahead.lock().unwrap_or_else(PoisonError::into_inner) = Some(host.clone());
+        self.lost.notify_one();
+    }
+
+    /// Returns the host that was last seen to know more than this one.
+    pub fn ahead(&self) -> Option<Host> {
+        self.ahead.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+
     /// Returns what is known of a table.
     ///
     /// # Panics
