rollout, lease, fleet: each named version is due by itself, the lease is renewed by one write

A giver that froze was followed only 6.2 s later. Ruled out: hosts that had not heard of the weights; all had within 20 ms. Change: every version keeps its own bound; a host that starts in the middle counts from its start; the lease's term is 1.3 s, renewed by one write.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -140,11 +140,33 @@
 /// Tokens and requests in flight by a short hash of the upstream's id.
 pub type Loads = HashMap<u32, (u64, u32)>;
 
-/// Weights that operators have named.
-#[derive(Clone, Copy, Debug)]
+/// Weights that operators have named for one model.
+#[derive(Clone, Debug, Default)]
 struct Named {
     version: u32,
-    since: Instant,
+    /// Versions whose bound has not run out, with the time at which it does.
+    due: SmallVec<[(u32, Instant); 2]>,
+    /// The newest version whose bound has run out.
+    required: u32,
+}
+
+impl Named {
+    /// Takes a version whose bound runs out at `due`.
+    fn add(&mut self, version: u32, due: Instant) {
+        self.version = self.version.max(version);
+        self.due.push((version, due));
+    }
+
+    /// Returns the version below which no request may begin.
+    fn required(&mut self, now: Instant) -> u32 {
+        for (version, due) in &self.due {
+            if *due <= now {
+                self.required = self.required.max(*version);
+            }
+        }
+        self.due.retain(|it| it.1 > now);
+        self.required
+    }
 }
 
 /// What a request asks of the fleet.
@@ -211,6 +233,8 @@
     named: HashMap<Model, Named>,
     /// After this, no request may begin on older weights than were named.
     rollout: Duration,
+    /// After this, a host that has started is counted on again.
+    contact: Duration,
 }
 
 impl Fleet {
@@ -228,6 +252,7 @@
             evacuated: HashSet::new(),
             named: HashMap::new(),
             rollout: site.bounds.rollout,
+            contact: site.bounds.contact,
         }
     }
 
@@ -342,12 +367,18 @@
         }
     }
 
-    /// Takes the newest weight version of a model.
-    pub fn name_weights(&mut self, now: Instant, model: Model, version: u32) {
+    /// Takes the newest weight version of a model and when it was named, where that is known.
+    pub fn name_weights(&mut self, since: Option<Instant>, model: Model, version: u32) {
         let known = self.named.get(&model).map_or(0, |it| it.version);
         if version > known {
             log::info!(model = model.as_str(), version = version; "weights are named");
-            self.named.insert(model, Named { version, since: now });
+            // A host that has just started cannot know for how long they have been named. It
+            // may go on for as long as it takes to be counted on again.
+            let due = match since {
+                Some(since) => since + self.rollout.mul_f64(ROLLOUT_PART),
+                None => Instant::default() + self.contact.mul_f64(ROLLOUT_PART),
+            };
+            self.named.entry(model).or_default().add(version, due);
         }
     }
 
@@ -480,11 +511,8 @@
     fn usable(&mut self, now: Instant, service: &ServiceEntry, query: &Query<'_>) -> Vec<Upstream> {
         let Some(ids) = self.by_service.get(query.service) else { return Vec::new() };
         let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
-        let expired = query.model.and_then(|model| {
-            let named = self.named.get(model)?;
-            let over = now.since(named.since) > self.rollout.mul_f64(ROLLOUT_PART);
-            over.then_some((model, named.version))
-        });
+        let expired =
+            query.model.and_then(|model| Some((model, self.named.get_mut(model)?.required(now))));
         let most = service
             .engine
             .as_ref()
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -125,18 +125,19 @@
         Active { gateway: self.clone() }
     }
 
-    /// Takes rows of the operators' table.
-    pub fn take_notices(&self, rows: &[Row]) {
+    /// Takes rows of the operators' table. `initial` are those that this host finds when it
+    /// starts; it cannot know for how long they have been there.
+    pub fn take_notices(&self, rows: &[Row], initial: bool) {
         for row in rows {
             match self.dialect.notice(&row.key, row.value.as_deref()) {
-                Ok(notice) => self.take_notice(notice, row.version),
+                Ok(notice) => self.take_notice(notice, row.version, initial),
                 Err(err) => log::warn!(row = row.key.as_str(), version = row.version,
                     error = err.to_string().as_str(); "operators' row cannot be read"),
             }
         }
     }
 
-    fn take_notice(&self, notice: Notice, row: u64) {
+    fn take_notice(&self, notice: Notice, row: u64, initial: bool) {
         match notice {
             Notice::Deployment(deployment) => {
                 let known = self.deployment.load().as_ref().map_or(0, |it| it.version);
@@ -151,7 +152,8 @@
             }
             Notice::Evacuation { zone, out } => self.fleet().evacuate(zone, out),
             Notice::Weights { model, version } => {
-                self.fleet().name_weights(self.now(), model, version);
+                let since = (!initial).then(|| self.now());
+                self.fleet().name_weights(since, model, version);
                 self.outdated.notify_one();
             }
             Notice::Unknown => {}
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -8,11 +8,11 @@
 use crate::prelude::*;
 
 /// How long a lease is taken for; renewed while there is work.
-const TERM: Duration = Duration::from_millis(1800);
+const TERM: Duration = Duration::from_millis(1300);
 /// Left of the term when a lease is renewed.
-const RENEWAL: Duration = Duration::from_millis(1100);
+const RENEWAL: Duration = Duration::from_millis(800);
 /// Taken off the holder's own time for what lies between a check and what it allows.
-const MARGIN: Duration = Duration::from_millis(300);
+const MARGIN: Duration = Duration::from_millis(200);
 
 /// The row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,6 +60,10 @@
     row: Row,
     version: u64,
     until: Instant,
+    /// Before the last write was sent.
+    asked: Instant,
+    /// The store's clock in the answer to it.
+    clock: Duration,
 }
 
 impl Lease {
@@ -106,9 +110,33 @@
         }
     }
 
-    /// Takes that a row was written.
-    pub fn written(&mut self, row: Row, version: u64, until: Instant) {
-        self.held = Some(Held { row, version, until });
+    /// Takes that a row was written. `asked` is the time before the write was sent, `clock` the
+    /// store's clock in its answer.
+    pub fn written(
+        &mut self,
+        row: Row,
+        version: u64,
+        until: Instant,
+        asked: Instant,
+        clock: Duration,
+    ) {
+        self.held = Some(Held { row, version, until, asked, clock });
+    }
+
+    /// Returns the write that renews the lease without reading it first: it fails if another
+    /// holder has come. None while it need not be renewed, or is not held.
+    pub fn renewal(&self, now: Instant) -> Option<Step> {
+        let held = self.held.as_ref()?;
+        self.fence(now)?;
+        if !self.needs_renewal(now) {
+            return None;
+        }
+        // The store's clock shows at most this: its answer was read after `asked`.
+        let most = held.clock + now.since(held.asked);
+        let row = Row { until_ms: millis(most + TERM), ..held.row.clone() };
+        // The row's time may run ahead of the store's by the time of one call; the holder's
+        // own time does not.
+        Some(Step::Write { row, expected: held.version, until: now + TERM })
     }
 
     /// Takes that it is not known, or not so, that this host holds the lease.
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -319,7 +319,7 @@
         let row = |it: peer::Row| Row { key: it.key, value: it.value, version: it.version };
         let news = rows.rows.into_iter().map(row).collect();
         let news = self.steering.board.table(table).apply(news, rows.version);
-        self.steering.announce(table, &news);
+        self.steering.announce(table, &news, known == 0);
     }
 
     fn links(&self) -> MutexGuard<'_, HashMap<Host, Connection>> {
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -23,9 +23,11 @@
 /// many at full speed.
 const PER_LOAD: usize = 6;
 /// Hosts look for work in the order of their ranks, so that one of them takes the lease.
-const RANK_PAUSE: Duration = Duration::from_millis(600);
+const RANK_PAUSE: Duration = Duration::from_millis(250);
 /// Longest such pause.
-const RANK_PAUSE_MAX: Duration = Duration::from_secs(4);
+const RANK_PAUSE_MAX: Duration = Duration::from_secs(20);
+/// Longest wait before the lease of another holder is looked at again.
+const WAIT_MAX: Duration = Duration::from_millis(1500);
 /// Time from an order to the first look at how it went: loading takes about a second.
 const FIRST_LOOK: Duration = Duration::from_millis(900);
 /// Time between looks.
@@ -146,14 +148,14 @@
             if self.gateway.fleet().outdated().is_empty() {
                 return;
             }
+            self.take().await;
         }
-        self.renew().await;
         while self.lease.fence(self.gateway.now()).is_some() {
             if self.gateway.draining.is_cancelled() {
                 return;
             }
-            if self.lease.needs_renewal(self.gateway.now()) {
-                self.renew().await;
+            if let Some(step) = self.lease.renewal(self.gateway.now()) {
+                self.write_step(step, "").await;
             }
             let (outdated, all) = {
                 let fleet = self.gateway.fleet();
@@ -179,8 +181,8 @@
         RANK_PAUSE.saturating_mul(ahead.count() as u32).min(RANK_PAUSE_MAX)
     }
 
-    /// Reads the lease's row and takes or renews the lease where that is allowed.
-    async fn renew(&mut self) {
+    /// Reads the lease's row and takes the lease where that is allowed.
+    async fn take(&mut self) {
         let asked = self.gateway.now();
         let page = match self.ledger.all(Table::Leases).await {
             Ok(page) => page,
@@ -199,21 +201,33 @@
         match self.lease.read(asked, page.clock, row) {
             Step::Hold => {}
             Step::Wait(wait) => {
+                log::info!(holder = former.as_str(), wait_ms = wait.as_millis() as u64;
+                    "lease is another's");
                 self.lease.lost();
-                sleep(wait).await;
+                // Until then the holder may have given it up; it is looked at again.
+                sleep(wait.min(WAIT_MAX)).await;
             }
-            Step::Write { row, expected, until } => {
-                let fence = row.fence;
-                match self.write(&row, expected).await {
-                    Some(version) => {
-                        if former != row.holder {
-                            log::info!(fence = fence, former = former.as_str(); "lease is taken");
-                        }
-                        self.lease.written(row, version, until);
-                    }
-                    // Whether it was written shows at the next read.
-                    None => sleep(AGAIN).await,
+            step => {
+                log::info!(former = former.as_str(); "lease is free");
+                self.write_step(step, &former).await;
+            }
+        }
+    }
+
+    async fn write_step(&mut self, step: Step, former: &str) {
+        let Step::Write { row, expected, until } = step else { return };
+        let asked = self.gateway.now();
+        match self.write(&row, expected).await {
+            Some((version, clock)) => {
+                if !former.is_empty() || expected == 0 {
+                    log::info!(fence = row.fence, former = former; "lease is taken");
                 }
+                self.lease.written(row, version, until, asked, clock);
+            }
+            // Whether it was written shows at the next read.
+            None => {
+                self.lease.lost();
+                sleep(AGAIN).await;
             }
         }
     }
@@ -227,7 +241,7 @@
         }
     }
 
-    async fn write(&self, row: &Row, expected: u64) -> Option<u64> {
+    async fn write(&self, row: &Row, expected: u64) -> Option<(u64, Duration)> {
         let write = Write {
             table: Table::Leases,
             key: FastStr::from_static_str(LEASE_KEY),
@@ -236,7 +250,7 @@
             expected: Some(expected),
         };
         match self.ledger.write(write).await {
-            Ok(Written::Done { version, .. }) => Some(version),
+            Ok(Written::Done { version, clock }) => Some((version, clock)),
             Ok(Written::Conflict) => None,
             Err(err) => {
                 log::warn!(error = err.to_string().as_str(); "lease may not be written");
--- a/lib/src/steer.rs
+++ b/lib/src/steer.rs
@@ -140,17 +140,22 @@
 
     /// Takes rows that the store, or another host, has told.
     fn take(&self, table: Table, rows: Vec<Row>, version: u64, whole: bool) {
-        let news = {
+        let (news, initial) = {
             let mut replica = self.board.table(table);
-            if whole { replica.reset(rows, version) } else { replica.apply(rows, version) }
+            let initial = replica.version() == 0;
+            let news = match whole {
+                true => replica.reset(rows, version),
+                false => replica.apply(rows, version),
+            };
+            (news, initial)
         };
-        self.announce(table, &news);
+        self.announce(table, &news, initial);
     }
 
-    /// Acts on rows that are new.
-    pub fn announce(&self, table: Table, news: &[Row]) {
+    /// Acts on rows that are new. `initial` are those that this host finds when it starts.
+    pub fn announce(&self, table: Table, news: &[Row], initial: bool) {
         match table {
-            Table::Operators => self.gateway.take_notices(news),
+            Table::Operators => self.gateway.take_notices(news, initial),
             Table::Upstreams => self.gateway.take_upstreams(news),
             Table::Hosts if !news.is_empty() => {
                 let replica = self.board.table(Table::Hosts);
