mesh, rollout: hosts tell which upstreams take weights

Change: the holder of the lease tells which upstreams load and which are done; slow cache stores are probed more often and their changes logged.

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -24,11 +24,11 @@
 /// Part of a store's room that is used.
 const FULL: f64 = 0.97;
 /// Weight of the newest time in a store's mean time to the first token.
-const DELAY_WEIGHT: f64 = 0.2;
+const DELAY_WEIGHT: f64 = 0.3;
 /// Mean time, in seconds, by which a store holds requests up from which it counts as slow.
 const SLOW: f64 = 0.25;
 /// How often a fetch is made from a slow store to see whether it is fast again.
-const PROBE: Duration = Duration::from_millis(250);
+const PROBE: Duration = Duration::from_millis(120);
 /// Fetches shorter than this say nothing of a store's speed.
 const TELLING: u32 = 1000;
 /// How much more a store in the engine's own zone is preferred for a part than its room says.
@@ -165,7 +165,13 @@
         let held_up = first.saturating_sub(usual).as_secs_f64();
         let stores = self.stores.iter_mut();
         for store in stores.filter(|it| plan.telling.contains(&it.entry.address)) {
-            store.held_up += DELAY_WEIGHT * (held_up - store.held_up);
+            let before = store.held_up;
+            store.held_up += DELAY_WEIGHT * (held_up - before);
+            if (before < SLOW) != (store.held_up < SLOW) {
+                log::info!(store = store.entry.address.to_string().as_str(),
+                    held_up_ms = (store.held_up * 1000.0) as u64, slow = before < SLOW;
+                    "cache store turned slow or fast");
+            }
         }
     }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -54,6 +54,9 @@
 /// Part of an engine's memory that requests fill; beyond that, runs would only put each other
 /// back.
 const TOKENS_MAX: f64 = 1.2;
+/// How long an upstream gets no requests after the holder of the lease has told that it takes
+/// new weights; told again several times meanwhile.
+const LOADING: Duration = Duration::from_millis(350);
 /// How long what another host has told of its requests counts.
 const TOLD: Duration = Duration::from_millis(700);
 /// How long an upstream that turned a request away gets no other one while it lacks weights
@@ -277,6 +280,19 @@
         self.named.get(model).map(|it| it.version).or_else(held)
     }
 
+    /// Takes the upstreams that take new weights on another host's orders: they turn requests
+    /// away meanwhile.
+    pub fn take_loading(&mut self, now: Instant, loading: &[u32]) {
+        for state in self.states.values_mut().filter(|it| loading.contains(&it.short())) {
+            state.refused_until = state.refused_until.max(now + LOADING);
+        }
+    }
+
+    /// Returns the hash by which hosts name an upstream to each other.
+    pub fn short(&self, id: &Upstream) -> Option<u32> {
+        self.states.get(id).map(State::short)
+    }
+
     /// Returns the requests in flight from this host.
     pub fn loads(&self) -> Loads {
         let busy = self.states.values().filter(|it| it.in_flight > 0);
@@ -385,8 +401,9 @@
     /// Takes the weight version that an answer showed.
     pub fn weights_seen(&mut self, id: &Upstream, model: &Model, version: u32) {
         let Some(state) = self.states.get_mut(id) else { return };
-        for it in state.entry.models.iter_mut().filter(|it| it.0 == *model) {
-            it.1 = it.1.max(version);
+        for it in state.entry.models.iter_mut().filter(|it| it.0 == *model && it.1 < version) {
+            it.1 = version;
+            state.refused_until = Instant::default();
         }
     }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -50,9 +50,19 @@
     quotas: Mutex<HashMap<Service, Quota>>,
     suspects: Mutex<Suspects>,
     crashes: Mutex<Vec<Crash>>,
+    rollout: Mutex<Rollout>,
     active: AtomicU32,
 }
 
+/// What the holder of the lease for weights tells the other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Rollout {
+    /// Upstreams that take new weights.
+    pub loading: Vec<Upstream>,
+    /// Upstreams that have taken new weights of a model.
+    pub loaded: Vec<(Upstream, Model, u32)>,
+}
+
 impl<D> Gateway<D>
 where
     D: Dialect,
@@ -78,6 +88,7 @@
             quotas: Mutex::default(),
             suspects: Mutex::default(),
             crashes: Mutex::default(),
+            rollout: Mutex::default(),
             active: AtomicU32::new(0),
         })
     }
@@ -107,6 +118,11 @@
         lock(&self.cache)
     }
 
+    /// Returns what this host has to tell of its orders.
+    pub fn rollout(&self) -> MutexGuard<'_, Rollout> {
+        lock(&self.rollout)
+    }
+
     /// Tells whether new callers may be sent here.
     pub fn is_ready(&self) -> bool {
         !self.draining.is_cancelled()
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -223,6 +223,11 @@
         };
         let loads = gossip.loads.iter().map(|it| (it.upstream, (it.tokens, it.requests)));
         gateway.fleet().take_loads(gateway.now(), host, loads.collect());
+        gateway.fleet().take_loading(gateway.now(), &gossip.loading);
+        for it in gossip.loaded {
+            let (id, model) = (Upstream::new(it.upstream), Model::new(it.model));
+            gateway.fleet().weights_seen(&id, &model, it.version);
+        }
         for crash in gossip.crashes {
             log::info!(peer = host.as_str(), upstream = crash.upstream.as_str(),
                 fingerprint = crash.request; "another host saw an upstream break off");
@@ -251,7 +256,18 @@
             sleep(PERIOD).await;
             let loads = gateway.fleet().loads().into_iter();
             let crashes = gateway.take_crashes().into_iter();
+            let rollout = gateway.rollout().clone();
+            let loading = rollout.loading.iter();
+            let loading: Vec<_> = loading.filter_map(|it| gateway.fleet().short(it)).collect();
+            gateway.fleet().take_loading(gateway.now(), &loading);
+            let loaded = rollout.loaded.into_iter().map(|(id, model, version)| peer::Loaded {
+                upstream: FastStr::new(id.as_str()),
+                model: FastStr::new(model.as_str()),
+                version,
+            });
             let gossip = Gossip {
+                loading,
+                loaded: loaded.collect(),
                 loads: loads
                     .map(|(upstream, (tokens, requests))| peer::Load { upstream, tokens, requests })
                     .collect(),
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -11,7 +11,7 @@
     clock::unix_millis,
     dialect::{Dialect, Order, Report, Verdict},
     fleet::Entry,
-    gateway::Gateway,
+    gateway::{Gateway, Rollout},
     lease::{Lease, Row, Step},
     ledger::{Ledger, Table, Write, Written},
     link::Link,
@@ -105,6 +105,15 @@
         tasks
     }
 
+    /// Returns the upstreams that take new weights.
+    pub fn loading(&self, now: Instant) -> Vec<Upstream> {
+        let loading = |it: &Progress| match it {
+            Progress::Loading(at, _) => now.since(*at) < ORDER_TIMEOUT,
+            Progress::Paused(_) => false,
+        };
+        self.progress.iter().filter(|it| loading(it.1)).map(|it| it.0.clone()).collect()
+    }
+
     /// Takes that an order was not taken.
     pub fn refused(&mut self, now: Instant, id: &Upstream) {
         self.progress.insert(id.clone(), Progress::Paused(now + AGAIN));
@@ -167,6 +176,7 @@
                 return;
             }
             let tasks = self.plan.tasks(self.gateway.now(), &outdated, all);
+            self.gateway.rollout().loading = self.plan.loading(self.gateway.now());
             self.work(tasks).await;
             sleep(ROUND).await;
         }
@@ -233,6 +243,7 @@
     }
 
     async fn release(&mut self) {
+        *self.gateway.rollout() = Rollout::default();
         // The time in the row is only brought forward; a rough clock does.
         let Some((row, version)) = self.lease.release(Duration::MAX) else { return };
         let fence = row.fence;
@@ -298,6 +309,12 @@
     if let Some(has) = has {
         gateway.fleet().weights_seen(&id, &model, has);
     }
+    if let Some(has) = has.filter(|it| *it >= version) {
+        let mut rollout = gateway.rollout();
+        rollout.loading.retain(|it| *it != id);
+        rollout.loaded.retain(|it| it.0 != id);
+        rollout.loaded.push((id.clone(), model.clone(), has));
+    }
     if has.is_some_and(|it| it >= version) || !order {
         return (id, true);
     }
