mesh, steer: one host of a zone reads for the others

Ruled out: fewer followers without telling the others; those could not fetch. Change: the first connected hosts of a zone in the order of ranks read; others pull what they read four times a second and read themselves when no answer comes for 0.7 s. A holder without its lease no longer tells what loads.

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -5,7 +5,7 @@
 //! was known is dropped with the first sign that the store may have restarted.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
 };
@@ -33,6 +33,8 @@
 const TELLING: u32 = 1000;
 /// How much more a store in the engine's own zone is preferred for a part than its room says.
 const NEAR_WEIGHT: f64 = 3.0;
+/// Changes of a store that are remembered for other hosts.
+const LOGGED: usize = 4096;
 /// Parts that are remembered as being saved.
 const SAVES: usize = 8192;
 
@@ -67,6 +69,34 @@
     pub changes: Vec<Change>,
 }
 
+/// A part in a store, by the hash of salt and id; without tokens it is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The hash.
+    pub key: u64,
+    /// Tokens of it that are there.
+    pub tokens: u32,
+}
+
+/// What one host tells another of a store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// The store.
+    pub address: SocketAddr,
+    /// Identifies its present start.
+    pub boot: u64,
+    /// Where its next answer goes on.
+    pub next: u64,
+    /// Whether these are all parts, and not just the changes.
+    pub whole: bool,
+    /// Time since the store has answered.
+    pub age: Duration,
+    /// The store's clock in that answer, in milliseconds.
+    pub clock: u64,
+    /// The parts.
+    pub parts: Vec<Held>,
+}
+
 /// Where the parts of a request are fetched from and saved to.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
@@ -89,6 +119,10 @@
     clock: Option<u64>,
     parts: HashMap<u64, u32>,
     tokens: u64,
+    /// The last changes, each with where the store's answer led that told it.
+    log: VecDeque<(u64, Held)>,
+    /// Up to where changes are no longer in the log.
+    forgotten: u64,
     /// Mean time by which requests that fetched from it were held up, in seconds.
     held_up: f64,
     probed: Instant,
@@ -145,7 +179,55 @@
         store.answered = asked;
         store.clock = changes.clock;
         for change in &changes.changes {
-            store.change(change);
+            let tokens = if change.held { change.tokens } else { 0 };
+            store.change(Held { key: key(&change.salt, &change.part), tokens });
+        }
+    }
+
+    /// Returns the stores that are known, with the points up to which they are.
+    pub fn marks(&self) -> Vec<(SocketAddr, u64, u64)> {
+        self.stores.iter().map(|it| (it.entry.address, it.boot.unwrap_or(0), it.next)).collect()
+    }
+
+    /// Returns what has changed in a store since a point, for another host; none while this
+    /// host does not know the store.
+    pub fn export(&self, now: Instant, address: SocketAddr, boot: u64, next: u64) -> Option<News> {
+        let store = self.store(address).filter(|it| it.vouches(now))?;
+        let whole = store.boot != Some(boot) || next < store.forgotten;
+        let parts = match whole {
+            true => store.parts.iter().map(|it| Held { key: *it.0, tokens: *it.1 }).collect(),
+            false => store.log.iter().filter(|it| it.0 > next).map(|it| it.1).collect(),
+        };
+        Some(News {
+            address,
+            boot: store.boot?,
+            next: store.next,
+            whole,
+            age: now.since(store.answered),
+            clock: store.clock?,
+            parts,
+        })
+    }
+
+    /// Takes what another host knows of a store; `asked` is the time before it was asked.
+    pub fn import(&mut self, asked: Instant, news: &News) {
+        let Some(store) = self.stores.iter_mut().find(|it| it.entry.address == news.address) else {
+            return;
+        };
+        let answered = asked.before(news.age);
+        if news.whole || store.boot != Some(news.boot) {
+            store.forget();
+            store.boot = Some(news.boot);
+            store.forgotten = news.next;
+        }
+        if !news.whole && answered < store.answered {
+            return;
+        }
+        store.next = news.next;
+        store.answered = answered;
+        store.clock = Some(news.clock);
+        for held in &news.parts {
+            store.change(*held);
         }
     }
 
@@ -265,6 +347,8 @@
             clock: None,
             parts: HashMap::new(),
             tokens: 0,
+            log: VecDeque::new(),
+            forgotten: 0,
             held_up: 0.0,
             probed: Instant::default(),
         }
@@ -303,19 +387,25 @@
         self.clock.map_or(0, |it| it + FETCH_LIMIT.as_millis() as u64)
     }
 
-    fn change(&mut self, change: &Change) {
-        let key = key(&change.salt, &change.part);
-        let before = self.parts.remove(&key).unwrap_or(0);
+    fn change(&mut self, held: Held) {
+        let before = self.parts.remove(&held.key).unwrap_or(0);
         self.tokens = self.tokens.saturating_sub(before.into());
-        if change.held {
-            self.parts.insert(key, change.tokens);
-            self.tokens += u64::from(change.tokens);
+        if held.tokens > 0 {
+            self.parts.insert(held.key, held.tokens);
+            self.tokens += u64::from(held.tokens);
+        }
+        if self.log.len() >= LOGGED {
+            let oldest = self.log.pop_front();
+            self.forgotten = oldest.map_or(self.forgotten, |it| it.0);
         }
+        self.log.push_back((self.next, held));
     }
 
     fn forget(&mut self) {
         self.parts.clear();
         self.tokens = 0;
+        self.log.clear();
+        self.forgotten = 0;
     }
 }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -308,10 +308,15 @@
     /// Adds up what other hosts have told a moment ago.
     fn sum_loads(&mut self, now: Instant) {
         self.told.retain(|_, (at, _)| now.since(*at) < TOLD);
+        let all = self.hosts.len().saturating_sub(1) as u64;
+        let known = self.told.len().max(1) as u64;
+        let all = all.max(known);
         for state in self.states.values_mut() {
             let short = state.short();
             let others = self.told.values().filter_map(|(_, loads)| loads.get(&short));
-            state.others = others.fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+            let sum = others.fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+            // Hosts that do not tell this one are taken to have as much in flight.
+            state.others = (sum.0 * all / known, sum.1 * all as u32 / known as u32);
         }
     }
 
--- a/lib/src/keep.rs
+++ b/lib/src/keep.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use tokio::{task::JoinHandle, time::sleep};
 
-use crate::{dialect::Dialect, gateway::Gateway, link::Link, prelude::*};
+use crate::{dialect::Dialect, gateway::Gateway, link::Link, prelude::*, steer::Board};
 
 /// Longest wait of a call for changes.
 const WAIT: Duration = Duration::from_millis(400);
@@ -21,7 +21,7 @@
 const ANSWER_BYTES: usize = 2 << 20;
 
 /// Follows the stores that the configuration names.
-pub async fn run<D>(gateway: Arc<Gateway<D>>)
+pub async fn run<D>(gateway: Arc<Gateway<D>>, board: Arc<Board>)
 where
     D: Dialect,
 {
@@ -37,22 +37,27 @@
                 kept
             });
             for address in addresses {
-                followed
-                    .entry(address)
-                    .or_insert_with(|| tokio::spawn(follow(gateway.clone(), address)));
+                followed.entry(address).or_insert_with(|| {
+                    tokio::spawn(follow(gateway.clone(), board.clone(), address))
+                });
             }
         }
         sleep(LISTED).await;
     }
 }
 
-async fn follow<D>(gateway: Arc<Gateway<D>>, address: SocketAddr)
+async fn follow<D>(gateway: Arc<Gateway<D>>, board: Arc<Board>, address: SocketAddr)
 where
     D: Dialect,
 {
     let mut link = None;
     let mut lost = true;
     loop {
+        if board.is_kept(gateway.now()) {
+            link = None;
+            sleep(PACE).await;
+            continue;
+        }
         let asked = gateway.now();
         let since = gateway.cache().next(address);
         match ask(&gateway, &mut link, address, since).await {
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -17,8 +17,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    cache::{Held, News},
     dialect::Dialect,
-    generated::peer::{self, Gossip, Wanted},
+    generated::peer::{self, Gossip, Pull, Question, Wanted, question},
     ledger::{Ledger, Table},
     node::HostRow,
     pin::{self, Identity, PinError, Pins},
@@ -44,6 +45,12 @@
 const STREAMS: u32 = 8;
 /// Bytes of a call or its answer: a configuration with many routes.
 const MESSAGE_BYTES: usize = 8 << 20;
+/// How often a host asks the keeper of its zone what that has read.
+const PULL_PERIOD: Duration = Duration::from_millis(250);
+/// How long an answer of the keeper stands for reads of this host's own.
+const KEPT: Duration = Duration::from_millis(700);
+/// A keeper whose own reads are older than this part of the drain bound is of no use.
+const STALE_PART: f64 = 0.5;
 /// Hosts that are asked at once for rows that the store does not give.
 const ASKED: usize = 2;
 /// Pause between such rounds.
@@ -105,6 +112,7 @@
             self.clone().dial(),
             self.clone().tell(),
             self.clone().catch_up(),
+            self.clone().pull(),
         );
     }
 
@@ -206,8 +214,12 @@
                     let mesh = self.clone();
                     tokio::spawn(async move {
                         let bytes = recv.read_to_end(MESSAGE_BYTES).await.ok()?;
-                        let wanted = Wanted::decode(Bytes::from(bytes)).ok()?;
-                        send.write_all(&encode(&mesh.answer(&wanted)?)).await.ok()?;
+                        let question = Question::decode(Bytes::from(bytes)).ok()?;
+                        let answer = match question.body? {
+                            question::Body::Wanted(wanted) => encode(&mesh.answer(&wanted)?),
+                            question::Body::Pull(pull) => encode(&mesh.pulled(&pull)?),
+                        };
+                        send.write_all(&answer).await.ok()?;
                         send.finish().ok()
                     });
                 }
@@ -318,24 +330,134 @@
     async fn ask(&self, host: &Host, link: &Connection, at: usize) {
         let table = TABLES[at];
         let known = self.steering.board.table(table).version();
-        let wanted = Wanted { table: at as u32, version: known };
-        let call = async {
-            let (mut send, mut recv) = link.open_bi().await.ok()?;
-            send.write_all(&encode(&wanted)).await.ok()?;
-            send.finish().ok()?;
-            let bytes = recv.read_to_end(MESSAGE_BYTES).await.ok()?;
-            peer::Rows::decode(Bytes::from(bytes)).ok()
-        };
-        let Ok(Some(rows)) = timeout(CALL_TIMEOUT, call).await else { return };
+        let wanted = question::Body::Wanted(Wanted { table: at as u32, version: known });
+        let Some(bytes) = exchange(link, wanted).await else { return };
+        let Ok(rows) = peer::Rows::decode(bytes) else { return };
         if rows.version <= known {
             return;
         }
         log::info!(peer = host.as_str(), table = table.name(), known = known,
             version = rows.version, rows = rows.rows.len(); "rows come from another host");
+        self.apply(table, rows);
+    }
+
+    fn apply(&self, table: Table, rows: peer::Rows) {
         let row = |it: peer::Row| Row { key: it.key, value: it.value, version: it.version };
-        let news = rows.rows.into_iter().map(row).collect();
-        let news = self.steering.board.table(table).apply(news, rows.version);
-        self.steering.announce(table, &news, known == 0);
+        let rows_of = rows.rows.into_iter().map(row).collect();
+        let (news, initial) = {
+            let mut replica = self.steering.board.table(table);
+            let initial = replica.version() == 0;
+            (replica.apply(rows_of, rows.version), initial)
+        };
+        self.steering.announce(table, &news, initial);
+    }
+
+    /// Asks the keeper of the zone for what this host would otherwise read itself: the
+    /// upstreams' table and the changes of the stores. Keepers are the first hosts of a zone
+    /// in the order of ranks; a host that is itself the first one reads.
+    async fn pull(self: Arc<Self>) {
+        let gateway = &self.steering.gateway;
+        loop {
+            sleep(PULL_PERIOD).await;
+            let rows = self.rows();
+            for (host, row) in self.keepers(&rows) {
+                if self.pull_from(&host, &row).await {
+                    let now = gateway.now();
+                    if !self.steering.board.is_kept(now) {
+                        log::info!(peer = host.as_str(); "another host reads for this one");
+                    }
+                    self.steering.board.keep(now + KEPT);
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Returns the hosts of this zone that come before this one.
+    fn keepers(&self, rows: &HashMap<Host, HostRow>) -> Vec<(Host, HostRow)> {
+        let site = &self.steering.gateway.site;
+        let key = rank::key(&["keeper"]);
+        let weight = |host: &Host| rank::weight(key, host.as_str());
+        let mine = weight(&site.host);
+        let zone = rows.iter().filter(|it| it.1.zone == site.zone.as_str());
+        let mut ahead: Vec<_> = zone.filter(|it| weight(it.0) > mine).collect();
+        ahead.sort_by_key(|it| std::cmp::Reverse(weight(it.0)));
+        ahead.into_iter().take(ASKED).map(|it| (it.0.clone(), it.1.clone())).collect()
+    }
+
+    async fn pull_from(self: &Arc<Self>, host: &Host, row: &HostRow) -> bool {
+        let link = self.links().get(host).filter(|it| it.close_reason().is_none()).cloned();
+        let Some(link) = link else {
+            tokio::spawn(self.clone().connect(host.clone(), row.address));
+            return false;
+        };
+        let gateway = &self.steering.gateway;
+        let asked = gateway.now();
+        let mark = |(address, boot, next): (SocketAddr, u64, u64)| peer::StoreMark {
+            address: address.to_string().into(),
+            boot,
+            next,
+        };
+        let pull = Pull {
+            upstreams: self.steering.board.table(Table::Upstreams).version(),
+            stores: gateway.cache().marks().into_iter().map(mark).collect(),
+        };
+        let Some(bytes) = exchange(&link, question::Body::Pull(pull)).await else { return false };
+        let Ok(pulled) = peer::Pulled::decode(bytes) else { return false };
+        let age = Duration::from_millis(pulled.age_ms);
+        if age > gateway.site.bounds.drain.mul_f64(STALE_PART) {
+            return false;
+        }
+        let Some(upstreams) = pulled.upstreams else { return false };
+        self.apply(Table::Upstreams, upstreams);
+        self.steering.board.read_upstreams(asked.before(age));
+        for store in pulled.stores {
+            let Ok(address) = store.address.parse() else { continue };
+            let held = |it: peer::StorePart| Held { key: it.key, tokens: it.tokens };
+            gateway.cache().import(
+                asked,
+                &News {
+                    address,
+                    boot: store.boot,
+                    next: store.next,
+                    whole: store.whole,
+                    age: Duration::from_millis(store.age_ms),
+                    clock: store.clock,
+                    parts: store.parts.into_iter().map(held).collect(),
+                },
+            );
+        }
+        true
+    }
+
+    /// Answers another host of the zone, unless this host does not read itself.
+    fn pulled(&self, pull: &Pull) -> Option<peer::Pulled> {
+        let gateway = &self.steering.gateway;
+        let board = &self.steering.board;
+        let now = gateway.now();
+        if board.is_kept(now) || gateway.draining.is_cancelled() {
+            return None;
+        }
+        let wanted = Wanted { table: 1, version: pull.upstreams };
+        let stores = pull.stores.iter().filter_map(|it| {
+            let address = it.address.parse().ok()?;
+            let news = gateway.cache().export(now, address, it.boot, it.next)?;
+            let part = |it: Held| peer::StorePart { key: it.key, tokens: it.tokens };
+            Some(peer::StoreNews {
+                address: it.address.clone(),
+                boot: news.boot,
+                next: news.next,
+                whole: news.whole,
+                age_ms: millis(news.age),
+                clock: news.clock,
+                parts: news.parts.into_iter().map(part).collect(),
+            })
+        });
+        Some(peer::Pulled {
+            upstreams: self.answer(&wanted),
+            age_ms: millis(now.since(board.upstreams_read())),
+            stores: stores.collect(),
+        })
     }
 
     fn links(&self) -> MutexGuard<'_, HashMap<Host, Connection>> {
@@ -343,6 +465,21 @@
     }
 }
 
+/// Makes one call; none when there is no answer.
+async fn exchange(link: &Connection, body: question::Body) -> Option<Bytes> {
+    let call = async {
+        let (mut send, mut recv) = link.open_bi().await.ok()?;
+        send.write_all(&encode(&Question { body: Some(body) })).await.ok()?;
+        send.finish().ok()?;
+        recv.read_to_end(MESSAGE_BYTES).await.ok().filter(|it| !it.is_empty())
+    };
+    timeout(CALL_TIMEOUT, call).await.ok()?.map(Bytes::from)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn transport() -> Arc<TransportConfig> {
     let mut config = TransportConfig::default();
     config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_MS))));
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -145,10 +145,11 @@
         }
     };
     let registered = AtomicBool::new(false);
+    let board = steering.board.clone();
     tokio::join!(
         steering.run(),
         mesh.run(),
-        keep::run(gateway.clone()),
+        keep::run(gateway.clone(), board),
         rollout::run(gateway.clone(), ledger.clone()),
         register(&gateway, &ledger, &row, &registered),
         unregister(&gateway, &ledger, &registered),
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -34,6 +34,8 @@
 const LOOK: Duration = Duration::from_millis(350);
 /// An order that has not led to its weights by then is given again.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(6);
+/// An upstream that has not taken its weights by then gets requests again meanwhile.
+const LOADING: Duration = Duration::from_millis(2500);
 /// Pause after an order that was refused or got no answer. One without an answer may be
 /// carried out seconds later, which the number of orders shows.
 const AGAIN: Duration = Duration::from_millis(800);
@@ -108,7 +110,7 @@
     /// Returns the upstreams that take new weights.
     pub fn loading(&self, now: Instant) -> Vec<Upstream> {
         let loading = |it: &Progress| match it {
-            Progress::Loading(at, _) => now.since(*at) < ORDER_TIMEOUT,
+            Progress::Loading(at, _) => now.since(*at) < LOADING,
             Progress::Paused(_) => false,
         };
         self.progress.iter().filter(|it| loading(it.1)).map(|it| it.0.clone()).collect()
@@ -152,6 +154,12 @@
 {
     /// Takes the lease, or waits for its holder; then works while it is held.
     async fn session(&mut self) {
+        self.work_while_held().await;
+        // Without the lease, this host knows no more of what upstreams take.
+        self.gateway.rollout().loading.clear();
+    }
+
+    async fn work_while_held(&mut self) {
         if self.lease.fence(self.gateway.now()).is_none() {
             sleep(self.pause()).await;
             if self.gateway.fleet().outdated().is_empty() {
--- a/lib/src/steer.rs
+++ b/lib/src/steer.rs
@@ -20,6 +20,8 @@
 /// Pause after a failed read; doubles.
 const RETRY: Duration = Duration::from_millis(150);
 const RETRY_MAX: Duration = Duration::from_secs(1);
+/// How often a host looks whether another one still reads for it.
+const KEPT_POLL: Duration = Duration::from_millis(100);
 /// How often old connections and beliefs are dropped.
 const TIDY: Duration = Duration::from_millis(900);
 
@@ -28,6 +30,8 @@
 pub struct Board {
     tables: [Mutex<Replica>; 3],
     ahead: Mutex<Option<Host>>,
+    /// Until when another host reads for this one, and when the upstreams' table was read.
+    kept: Mutex<Kept>,
     /// Told when a table of the store cannot be read, or another host knows more.
     pub lost: Notify,
 }
@@ -35,7 +39,38 @@
 /// The tables that a board has.
 pub const TABLES: [Table; 3] = [Table::Operators, Table::Upstreams, Table::Hosts];
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Kept {
+    until: Instant,
+    upstreams_read: Instant,
+}
+
 impl Board {
+    /// Takes that another host reads for this one until a time.
+    pub fn keep(&self, until: Instant) {
+        self.kept().until = until;
+    }
+
+    /// Tells whether another host reads for this one.
+    pub fn is_kept(&self, now: Instant) -> bool {
+        self.kept().until > now
+    }
+
+    /// Takes that the upstreams' table was as it is known at a time.
+    pub fn read_upstreams(&self, at: Instant) {
+        let mut kept = self.kept();
+        kept.upstreams_read = kept.upstreams_read.max(at);
+    }
+
+    /// Returns when the upstreams' table was as it is known.
+    pub fn upstreams_read(&self) -> Instant {
+        self.kept().upstreams_read
+    }
+
+    fn kept(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes that another host knows newer rows than this one.
     pub fn behind(&self, host: &Host) {
         *self.ahead.lock().unwrap_or_else(PoisonError::into_inner) = Some(host.clone());
@@ -103,6 +138,11 @@
         let mut whole = true;
         let mut failures = 0_u32;
         loop {
+            if table == Table::Upstreams && self.board.is_kept(self.gateway.now()) {
+                sleep(KEPT_POLL).await;
+                continue;
+            }
+            let asked = self.gateway.now();
             let known = self.board.table(table).version();
             let read = match whole {
                 true => self.ledger.all(table).await,
@@ -119,6 +159,9 @@
                     // An answer that is older than what is known is asked for again.
                     whole = asked_whole && stale;
                     self.take(table, page.rows, page.version, asked_whole);
+                    if table == Table::Upstreams {
+                        self.board.read_upstreams(asked);
+                    }
                     sleep(if whole { RETRY } else { pace }).await;
                 }
                 Err(LedgerError::Gap) => {
