tests: the gateway's decisions, by the load or fault that each answers

Found: a keeper that lost a store and found the same start again did not take back what it had told; it now tells everything (test that failed first).

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -174,6 +174,8 @@
         if store.boot != Some(changes.boot) || changes.gap {
             store.forget();
             store.boot = Some(changes.boot);
+            // Hosts that knew the store before this answer are told everything.
+            store.forgotten = changes.next;
         }
         store.next = changes.next;
         store.answered = asked;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,9 +3,13 @@
 mod test_adapters;
 mod test_answer;
 mod test_bad_input;
+mod test_cache;
 mod test_claim;
 mod test_core;
+mod test_fleet;
+mod test_gateway;
 mod test_group;
+mod test_lease;
 mod test_log;
 mod test_path;
 mod test_route;
--- /dev/null
+++ b/lib/tests/test_cache.rs
@@ -0,0 +1,204 @@
+//! Stores of KV cache: what is fetched, what is saved, and what is never fetched.
+
+use std::{net::SocketAddr, time::Duration};
+
+use mothvale_lib::{
+    cache::{Cache, Change, Changes, Need, Plan},
+    deployment::StoreEntry,
+    dialect::Part,
+    prelude::*,
+};
+use mothvale_testutils::gateway::at;
+use proptest::prelude::*;
+
+const SALT: &str = "demo:1";
+
+fn store(port: u16, tokens: u64) -> StoreEntry {
+    StoreEntry {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        zone: Zone::new("hobart"),
+        tokens,
+        first_byte: Duration::from_millis(1),
+        bytes_per_second: 8e9,
+        watchers: 12,
+    }
+}
+
+fn parts() -> [Part; 3] {
+    let part = |id: &'static str, tokens| Part { id: FastStr::new(id), tokens };
+    [part("template", 60), part("session", 8000), part("own", 900)]
+}
+
+fn plan(cache: &mut Cache, now: Instant, salt: &str) -> Plan {
+    let zone = Zone::new("hobart");
+    cache.plan(now, &Need { salt, parts: &parts(), zone: &zone, origin: None })
+}
+
+fn change(held: bool, part: &'static str) -> Change {
+    Change { held, salt: FastStr::new(SALT), part: FastStr::new(part), tokens: 100 }
+}
+
+fn answer(boot: u64, next: u64, changes: Vec<Change>) -> Changes {
+    Changes { boot, next, gap: false, clock: Some(50_000), changes }
+}
+
+fn cache() -> (Cache, SocketAddr) {
+    let mut cache = Cache::default();
+    cache.set_stores(&[store(1, 1_000_000)]);
+    (cache, store(1, 0).address)
+}
+
+/// Pattern: prompts share a short first part; without it nothing that follows is of use.
+#[test]
+fn parts_of_every_size_are_saved_and_then_fetched() {
+    let (mut cache, address) = cache();
+    cache.take(at(0), address, &answer(1, 0, Vec::new()));
+    let first = plan(&mut cache, at(10), SALT);
+    assert_eq!(first.save[..], [Some(address), Some(address), None]);
+    let held = vec![change(true, "template"), change(true, "session")];
+    cache.take(at(100), address, &answer(1, 2, held));
+    let second = plan(&mut cache, at(110), SALT);
+    assert_eq!(second.fetch[..], [Some(address), Some(address), None]);
+    assert_eq!(second.save[..], [None, None, None]);
+    assert_eq!(second.until, Some(51_900));
+}
+
+#[test]
+fn nothing_is_fetched_under_another_salt() {
+    let (mut cache, address) = cache();
+    cache.take(at(0), address, &answer(1, 1, vec![change(true, "session")]));
+    for salt in ["demo:2", "demo:1:workspace"] {
+        assert!(plan(&mut cache, at(10), salt).fetch.iter().all(Option::is_none));
+    }
+}
+
+#[test]
+fn store_that_may_have_restarted_is_not_fetched_from() {
+    let (mut cache, address) = cache();
+    let fetches = |cache: &mut Cache, now| plan(cache, now, SALT).fetch[1].is_some();
+    cache.take(at(0), address, &answer(1, 1, vec![change(true, "session")]));
+    assert!(fetches(&mut cache, at(1000)));
+    // No answer for a while.
+    assert!(!fetches(&mut cache, at(1200)));
+    cache.take(at(1300), address, &answer(1, 1, Vec::new()));
+    assert!(fetches(&mut cache, at(1300)));
+    cache.lose(address);
+    assert!(!fetches(&mut cache, at(1300)));
+    // Another start of the store is empty.
+    cache.take(at(1400), address, &answer(2, 0, Vec::new()));
+    assert!(!fetches(&mut cache, at(1400)));
+}
+
+#[test]
+fn gap_in_the_changes_drops_what_was_known() {
+    let (mut cache, address) = cache();
+    cache.take(at(0), address, &answer(1, 1, vec![change(true, "session")]));
+    let gap = Changes { gap: true, ..answer(1, 9, Vec::new()) };
+    cache.take(at(10), address, &gap);
+    assert_eq!(plan(&mut cache, at(20), SALT).fetch[1], None);
+}
+
+#[test]
+fn part_is_saved_once_by_a_host() {
+    let (mut cache, address) = cache();
+    cache.take(at(0), address, &answer(1, 0, Vec::new()));
+    assert!(plan(&mut cache, at(10), SALT).save[1].is_some());
+    assert!(plan(&mut cache, at(20), SALT).save[1].is_none());
+}
+
+#[test]
+fn full_store_takes_no_more() {
+    let mut cache = Cache::default();
+    cache.set_stores(&[store(1, 4000)]);
+    cache.take(at(0), store(1, 0).address, &answer(1, 0, Vec::new()));
+    let plan = plan(&mut cache, at(10), SALT);
+    assert!(plan.save[0].is_some());
+    assert!(plan.save[1].is_none());
+}
+
+/// Pattern: one store turns slow, and requests that fetch from it wait for seconds.
+#[test]
+fn store_that_holds_requests_up_is_passed_over_and_probed() {
+    let (mut cache, address) = cache();
+    cache.take(at(0), address, &answer(1, 1, vec![change(true, "session")]));
+    let usual = Duration::from_millis(100);
+    for _ in 0..3 {
+        let plan = plan(&mut cache, at(10), SALT);
+        cache.arrived(&plan, Duration::from_millis(1500), usual);
+    }
+    let probes = (0..10).filter(|it| plan(&mut cache, at(500 + it * 20), SALT).fetch[1].is_some());
+    assert_eq!(probes.count(), 2);
+    // Fast answers to probes bring it back.
+    for step in 0..12 {
+        let plan = plan(&mut cache, at(700 + step * 5), SALT);
+        if plan.fetch[1].is_some() {
+            cache.arrived(&plan, usual, usual);
+        }
+    }
+    cache.take(at(900), address, &answer(1, 1, Vec::new()));
+    for step in 0..40 {
+        let plan = plan(&mut cache, at(900 + step * 20), SALT);
+        if plan.fetch[1].is_some() {
+            cache.arrived(&plan, usual, usual);
+        }
+    }
+    assert!((0..5).all(|it| plan(&mut cache, at(1700 + it), SALT).fetch[1].is_some()));
+}
+
+#[test]
+fn engine_that_is_slow_for_all_says_nothing_of_the_store() {
+    let (mut cache, address) = cache();
+    cache.take(at(0), address, &answer(1, 1, vec![change(true, "session")]));
+    for _ in 0..20 {
+        let plan = plan(&mut cache, at(10), SALT);
+        let slow = Duration::from_millis(1500);
+        cache.arrived(&plan, slow, slow);
+    }
+    assert!((0..5).all(|it| plan(&mut cache, at(20 + it), SALT).fetch[1].is_some()));
+}
+
+/// The keeper lost the store and found the same start again; what the other host knew from
+/// before then was not taken back.
+#[test]
+fn keeper_that_lost_a_store_tells_everything_again() {
+    let ((mut keeper, address), (mut told, _)) = (cache(), cache());
+    keeper.take(at(0), address, &answer(1, 1, vec![change(true, "template")]));
+    told.import(at(10), &keeper.export(at(10), address, 0, 0).unwrap());
+    keeper.lose(address);
+    keeper.take(at(100), address, &answer(1, 4, vec![change(true, "session")]));
+    told.import(at(110), &keeper.export(at(110), address, 1, 1).unwrap());
+    assert_eq!(plan(&mut told, at(120), SALT).fetch[0], None);
+}
+
+proptest! {
+    /// A host that hears of a store through another one believes what that one believes,
+    /// whatever happens to the store in between.
+    #[test]
+    fn told_host_agrees_with_its_keeper(steps in prop::collection::vec(0_u8..6, 1..60)) {
+        let (mut keeper, address) = cache();
+        let (mut told, _) = cache();
+        let (mut boot, mut next) = (1, 0);
+        for (index, step) in steps.iter().enumerate() {
+            let now = at(index as u64 * 100);
+            next += 1;
+            match step {
+                0 => keeper.take(now, address, &answer(boot, next, vec![change(true, "session")])),
+                1 => keeper.take(now, address, &answer(boot, next, vec![change(false, "session")])),
+                2 => keeper.take(now, address, &answer(boot, next, vec![change(true, "template")])),
+                3 => keeper.lose(address),
+                4 => {
+                    (boot, next) = (boot + 1, 0);
+                    keeper.take(now, address, &answer(boot, next, Vec::new()));
+                }
+                _ => {
+                    let (_, boot, next) = told.marks()[0];
+                    if let Some(news) = keeper.export(now, address, boot, next) {
+                        told.import(now, &news);
+                        let known = plan(&mut keeper, now, SALT).fetch;
+                        prop_assert_eq!(plan(&mut told, now, SALT).fetch, known);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_fleet.rs
@@ -0,0 +1,212 @@
+//! Choice of an upstream by what is believed of all, without I/O.
+
+use std::{collections::HashMap, time::Duration};
+
+use mothvale_lib::{
+    fleet::{Choice, Denial, Fleet, Outcome, Query},
+    prelude::*,
+};
+use mothvale_testutils::gateway::{CACHE_TOKENS, ENGINES, at, deployment, engine, fleet, site};
+
+fn choose(fleet: &mut Fleet, now: Instant, session: u64, tokens: u32) -> Result<Choice, Denial> {
+    let query = Query {
+        service: &Service::new(ENGINES),
+        model: Some(&Model::new("demo")),
+        session: Some(session),
+        near: None,
+        tokens,
+        tried: &[],
+    };
+    fleet.choose(now, &deployment(), &query)
+}
+
+fn settle(fleet: &mut Fleet, now: Instant, choice: &Choice, outcome: Outcome) {
+    let deployment = deployment();
+    fleet.settle(now, &deployment.services[&Service::new(ENGINES)], choice, outcome);
+}
+
+/// Sends requests one after the other, each settled at once, and counts where they go.
+fn spread(fleet: &mut Fleet, start: u64, step: u64, count: u64) -> HashMap<Upstream, u32> {
+    let mut counts = HashMap::new();
+    for index in 0..count {
+        let now = at(start + index * step);
+        if let Ok(choice) = choose(fleet, now, index, 100) {
+            settle(fleet, now, &choice, Outcome::Served(Duration::from_millis(20)));
+            *counts.entry(choice.id).or_default() += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn session_returns_to_its_upstream() {
+    let mut fleet = fleet(6);
+    let first = choose(&mut fleet, at(0), 7, 100).unwrap();
+    settle(&mut fleet, at(10), &first, Outcome::Served(Duration::from_millis(10)));
+    assert_eq!(choose(&mut fleet, at(9000), 7, 100).unwrap().id, first.id);
+}
+
+/// Pattern: one session gets much of the traffic while others idle.
+#[test]
+fn hot_session_moves_on_before_memory_is_full() {
+    let mut fleet = fleet(4);
+    let mut counts: HashMap<Upstream, u64> = HashMap::new();
+    for index in 0..24 {
+        let choice = choose(&mut fleet, at(index), 7, 10_000).unwrap();
+        *counts.entry(choice.id).or_default() += 10_000;
+    }
+    assert_eq!(counts.len(), 4);
+    assert!(counts.values().all(|it| *it <= CACHE_TOKENS), "{counts:?}");
+}
+
+/// Pattern: what other hosts have in flight fills an upstream that this host sees idle.
+#[test]
+fn load_of_other_hosts_counts() {
+    let mut fleet = fleet(3);
+    fleet.set_hosts(vec![Host::new("host0"), Host::new("host1")]);
+    let home = choose(&mut fleet, at(0), 7, 100).unwrap();
+    settle(&mut fleet, at(0), &home, Outcome::Left);
+    let short = fleet.short(&home.id).unwrap();
+    let loads = HashMap::from([(short, (60_000, 12))]);
+    fleet.take_loads(at(100), &Host::new("host1"), loads);
+    assert_ne!(choose(&mut fleet, at(200), 7, 100).unwrap().id, home.id);
+    // What was told too long ago no longer counts.
+    fleet.take_loads(at(1500), &Host::new("host2"), HashMap::new());
+    assert_eq!(choose(&mut fleet, at(1500), 7, 100).unwrap().id, home.id);
+}
+
+#[test]
+fn full_memory_is_refused_with_a_time() {
+    let mut fleet = fleet(1);
+    let mut taken = 0;
+    let denial = loop {
+        match choose(&mut fleet, at(0), taken, 20_000) {
+            Ok(_) => taken += 1,
+            Err(denial) => break denial,
+        }
+    };
+    assert!((5..=6).contains(&taken), "{taken}");
+    assert!(matches!(denial, Denial::Full(wait) if wait > Duration::ZERO));
+}
+
+#[test]
+fn cold_upstream_gets_its_share_over_all_hosts() {
+    let hosts: Vec<_> = (0..9).map(|it| Host::new(format!("host{it}"))).collect();
+    let mut total = 0;
+    for host in &hosts {
+        let mut fleet = Fleet::new(&site(host.as_str(), "hobart"));
+        fleet.set_hosts(hosts.clone());
+        fleet.observe(
+            at(0),
+            mothvale_lib::fleet::Entry {
+                cold: Duration::from_secs(3),
+                ..engine("engine0", "hobart")
+            },
+        );
+        total += spread(&mut fleet, 0, 1, 900).values().sum::<u32>();
+    }
+    // 16 a second times 1.5, and 5, is the most that breaks nothing.
+    assert!(total <= 29, "{total}");
+    assert!(total >= 16, "{total}");
+}
+
+#[test]
+fn break_makes_an_upstream_cold_until_it_says_otherwise() {
+    let mut fleet = fleet(1);
+    fleet.set_hosts((0..9).map(|it| Host::new(format!("host{it}"))).collect());
+    assert!(spread(&mut fleet, 0, 1, 40).values().sum::<u32>() > 30);
+    let choice = choose(&mut fleet, at(2000), 1, 100).unwrap();
+    settle(&mut fleet, at(2000), &choice, Outcome::Broken);
+    assert!(spread(&mut fleet, 2001, 1, 40).values().sum::<u32>() <= 3);
+    // A row that may have been written before the break changes nothing.
+    fleet.observe(at(2500), engine("engine0", "hobart"));
+    assert!(spread(&mut fleet, 3100, 1, 40).values().sum::<u32>() <= 3);
+    fleet.observe(at(4200), engine("engine0", "hobart"));
+    assert!(spread(&mut fleet, 4300, 1, 40).values().sum::<u32>() > 30);
+}
+
+#[test]
+fn unreachable_upstream_is_tried_one_request_at_a_time() {
+    let mut fleet = fleet(1);
+    let choice = choose(&mut fleet, at(0), 1, 100).unwrap();
+    settle(&mut fleet, at(0), &choice, Outcome::Unreachable);
+    assert!(choose(&mut fleet, at(100), 1, 100).is_err());
+    let trial = choose(&mut fleet, at(500), 1, 100).unwrap();
+    assert!(choose(&mut fleet, at(501), 2, 100).is_err());
+    settle(&mut fleet, at(510), &trial, Outcome::Served(Duration::from_millis(9)));
+    choose(&mut fleet, at(1600), 2, 100).unwrap();
+    choose(&mut fleet, at(1601), 3, 100).unwrap();
+}
+
+/// Pattern: a grey upstream fails part of its requests while all else says it is well.
+#[test]
+fn faulty_upstreams_are_put_out_of_use_but_never_most_of_them() {
+    let mut fleet = fleet(6);
+    for index in 0..600 {
+        let now = at(index * 10);
+        let Ok(choice) = choose(&mut fleet, now, index, 100) else { continue };
+        settle(&mut fleet, now, &choice, Outcome::Failed);
+    }
+    let usable = spread(&mut fleet, 6001, 1, 60);
+    assert!(usable.len() >= 4, "{usable:?}");
+}
+
+#[test]
+fn leaving_upstream_and_zone_that_is_out_get_nothing() {
+    let mut fleet = fleet(2);
+    fleet.observe(at(0), engine("engine2", "burnie"));
+    let draining = mothvale_lib::fleet::Entry { draining: true, ..engine("engine0", "hobart") };
+    fleet.observe(at(10), draining);
+    fleet.evacuate(Zone::new("burnie"), true);
+    let counts = spread(&mut fleet, 20, 1, 40);
+    assert_eq!(counts.keys().map(Upstream::as_str).collect::<Vec<_>>(), ["engine1"]);
+    fleet.evacuate(Zone::new("burnie"), false);
+    assert_eq!(spread(&mut fleet, 100, 1, 40).len(), 2);
+}
+
+/// Pattern: two weight versions are named one after the other.
+#[test]
+fn each_named_version_is_due_by_itself() {
+    let mut fleet = fleet(2);
+    let model = Model::new("demo");
+    fleet.name_weights(Some(at(0)), model.clone(), 2);
+    fleet.weights_seen(&Upstream::new("engine0"), &model, 2);
+    fleet.name_weights(Some(at(9000)), model.clone(), 3);
+    assert_eq!(spread(&mut fleet, 9100, 1, 40).len(), 2);
+    // Version 2 is due 13.5 s after it was named, whatever was named since.
+    let counts = spread(&mut fleet, 13_600, 1, 40);
+    assert_eq!(counts.keys().map(Upstream::as_str).collect::<Vec<_>>(), ["engine0"]);
+    assert!(choose(&mut fleet, at(22_600), 1, 100).is_err());
+}
+
+#[test]
+fn host_that_starts_counts_named_weights_from_its_start() {
+    let mut fleet = fleet(1);
+    fleet.name_weights(None, Model::new("demo"), 2);
+    assert!(choose(&mut fleet, at(1000), 1, 100).is_ok());
+    assert!(choose(&mut fleet, at(2800), 2, 100).is_err());
+}
+
+/// Pattern: a third of the upstreams take new weights and turn requests away meanwhile.
+#[test]
+fn upstreams_that_take_weights_are_left_alone() {
+    let mut fleet = fleet(3);
+    fleet.name_weights(Some(at(0)), Model::new("demo"), 2);
+    let short = fleet.short(&Upstream::new("engine1")).unwrap();
+    fleet.take_loading(at(100), &[short]);
+    assert!(!spread(&mut fleet, 101, 1, 60).contains_key("engine1"));
+    fleet.weights_seen(&Upstream::new("engine1"), &Model::new("demo"), 2);
+    assert!(spread(&mut fleet, 200, 1, 60).contains_key("engine1"));
+}
+
+#[test]
+fn row_that_is_older_than_an_answer_does_not_bring_old_weights_back() {
+    let mut fleet = fleet(1);
+    let (id, model) = (Upstream::new("engine0"), Model::new("demo"));
+    fleet.weights_seen(&id, &model, 4);
+    fleet.observe(at(10), engine("engine0", "hobart"));
+    assert_eq!(fleet.entry(&id).unwrap().weights(&model), Some(4));
+    let restarted = mothvale_lib::fleet::Entry { born: 2, ..engine("engine0", "hobart") };
+    fleet.observe(at(20), restarted);
+    assert_eq!(fleet.entry(&id).unwrap().weights(&model), Some(1));
+}
--- /dev/null
+++ b/lib/testutils/src/gateway.rs
@@ -0,0 +1,121 @@
+//! Values for tests of the gateway's decisions.
+
+use std::{collections::HashMap, time::Duration};
+
+use mothvale_lib::{
+    deployment::{Deployment, EngineEntry, Limits, Repeat, Route, ServiceEntry},
+    fleet::{Entry, Fleet},
+    prelude::*,
+    site::{Bounds, Site},
+};
+
+/// Tokens that the test engines' memory holds.
+pub const CACHE_TOKENS: u64 = 100_000;
+/// The service of model engines.
+pub const ENGINES: &str = "engines";
+/// The plain service.
+pub const PLAIN: &str = "plain";
+
+/// Returns a point of time, in milliseconds after the start.
+pub fn at(millis: u64) -> Instant {
+    Instant::default() + Duration::from_millis(millis)
+}
+
+/// Returns the site of a host in a zone.
+pub fn site(host: &str, zone: &str) -> Site {
+    let address = "127.0.0.1:0".parse().expect("an address");
+    Site {
+        host: Host::new(host.to_owned()),
+        zone: Zone::new(zone.to_owned()),
+        front: address,
+        ready: address,
+        peer_ports: (7260, 7275),
+        store: address,
+        heartbeat: Duration::from_millis(1200),
+        bounds: Bounds {
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_window: Duration::from_secs(10),
+            retry_slack: 58.0,
+            cold_overshoot: 1.5,
+            cold_slack: 5.0,
+            evacuate: Duration::from_secs(5),
+            lease: Duration::from_secs(3),
+            rollout: Duration::from_secs(15),
+            contact: Duration::from_secs(3),
+        },
+    }
+}
+
+/// Returns a deployment with a service of engines and a plain one.
+pub fn deployment() -> Deployment {
+    let engine = EngineEntry {
+        slots: 64,
+        token_bytes: 18_432,
+        cache_tokens: CACHE_TOKENS,
+        models: SmallVec::from_iter([Model::new("demo")]),
+    };
+    let engines = ServiceEntry {
+        max_connections: 300,
+        cold_start: Duration::from_secs(3),
+        cold_rate: 16.0,
+        engine: Some(engine),
+    };
+    let services = HashMap::from([
+        (Service::new(ENGINES), Arc::new(engines)),
+        (Service::new(PLAIN), Arc::new(ServiceEntry::default())),
+    ]);
+    let routes = vec![route("/a/", ENGINES), route("/a/b/", PLAIN)];
+    Deployment::new(1, routes, services, Vec::new(), None, limits())
+}
+
+/// Returns a route of the host name `example`.
+pub fn route(prefix: &'static str, service: &'static str) -> Route {
+    Route {
+        name: FastStr::new(prefix),
+        host: FastStr::new("example"),
+        prefix: FastStr::new(prefix),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        priority: 1,
+        targets: SmallVec::from_iter([(Service::new(service), 1)]),
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+/// Returns limits for callers.
+pub fn limits() -> Limits {
+    Limits {
+        header_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    }
+}
+
+/// Returns the row of a warm engine with weight version 1.
+pub fn engine(id: &str, zone: &str) -> Entry {
+    Entry {
+        id: Upstream::new(id.to_owned()),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        service: Service::new(ENGINES),
+        zone: Zone::new(zone.to_owned()),
+        draining: false,
+        slots: 64,
+        cold: Duration::ZERO,
+        models: SmallVec::from_iter([(Model::new("demo"), 1)]),
+        born: 1,
+    }
+}
+
+/// Returns a fleet of one host with `count` warm engines in its zone.
+pub fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::new(&site("host0", "hobart"));
+    for index in 0..count {
+        fleet.observe(at(0), engine(&format!("engine{index}"), "hobart"));
+    }
+    fleet
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod claims;
 pub mod cluster;
+pub mod gateway;
 
 /// Makes broken invariants panic; every test that runs the program's own code calls this.
 pub fn init() {
