--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -388,6 +388,11 @@
         }
     }
 
+    /// Tells whether a zone is taken out.
+    pub fn is_out(&self, zone: &Zone) -> bool {
+        self.evacuated.contains(zone)
+    }
+
     /// Takes the newest weight version of a model and when it was named, where that is known.
     pub fn name_weights(&mut self, since: Option<Instant>, model: Model, version: u32) {
         let known = self.named.get(&model).map_or(0, |it| it.version);
