node, fleet: settings are read again, connections are shared by the hosts

Cause: SIGHUP ended the process. Connections to an upstream were not bounded by its limit. Change: SIGHUP and a look every ten seconds read the settings again; what changed is told and taken at the next start. A host uses its part of an upstream's connections.

--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -29,18 +29,17 @@
     if !given.words.is_empty() {
         return Err(Failure::wrong("usage: mothvale gateway"));
     }
-    let site = load()?;
+    let site = load().map_err(Failure::settings)?;
     log_setup::install_stdout(&Log::default()).map_err(Failure::failed)?;
     let node = Node::new(site, Platform).map_err(Failure::failed)?;
-    node.run(StoreClient::new).map_err(Failure::failed)
+    node.run(StoreClient::new, load).map_err(Failure::failed)
 }
 
-fn load() -> Result<Site, Failure> {
-    let file = env::var(VARIABLE).map_err(|_| Failure::wrong(format!("{VARIABLE} is not set")))?;
-    let text = fs::read_to_string(&file)
-        .map_err(|err| Failure::settings(format!("{file}: cannot read: {err}")))?;
+fn load() -> Result<Site, String> {
+    let file = env::var(VARIABLE).map_err(|_| format!("{VARIABLE} is not set"))?;
+    let text = fs::read_to_string(&file).map_err(|err| format!("{file}: cannot read: {err}"))?;
     settings::parse(&file, &text).map_err(|errors| {
         let lines: Vec<_> = errors.iter().map(ToString::to_string).collect();
-        Failure::settings(lines.join("\n"))
+        lines.join("\n")
     })
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -57,6 +57,8 @@
 /// How long an upstream gets no requests after the holder of the lease has told that it takes
 /// new weights; told again several times meanwhile.
 const LOADING: Duration = Duration::from_millis(350);
+/// Part of an upstream's connections that requests use; kept ones wait beside them.
+const CONNECTIONS_PART: f64 = 0.8;
 /// How long what another host has told of its requests counts.
 const TOLD: Duration = Duration::from_millis(700);
 /// How long an upstream that turned a request away gets no other one while it lacks weights
@@ -538,6 +540,10 @@
     fn usable(&mut self, now: Instant, service: &ServiceEntry, query: &Query<'_>) -> Vec<Upstream> {
         let Some(ids) = self.by_service.get(query.service) else { return Vec::new() };
         let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
+        let connections = match service.max_connections {
+            0 => u32::MAX,
+            most => (f64::from(most) * CONNECTIONS_PART / self.hosts.len() as f64).max(1.0) as u32,
+        };
         let expired =
             query.model.and_then(|model| Some((model, self.named.get_mut(model)?.required(now))));
         let most = service
@@ -552,6 +558,7 @@
                 || self.evacuated.contains(&state.entry.zone)
                 || state.ejected_until > now
                 || state.refused_until > now
+                || state.in_flight >= connections
                 || (state.trial && state.in_flight > 0)
                 || expired.is_some_and(|(model, newest)| {
                     state.entry.weights(model).is_some_and(|it| it < newest)
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -35,6 +35,8 @@
 const RELEASE: Duration = Duration::from_millis(2700);
 /// Taken off the time from SIGTERM to the forced end.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// How often the settings are looked at without a signal.
+const REREAD: Duration = Duration::from_secs(10);
 /// How often a host that leaves looks whether work is left.
 const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
 /// Pause after a failed write of the host's row.
@@ -97,15 +99,17 @@
     }
 
     /// Runs until SIGTERM, then until the work is done. The calling thread carries the
-    /// traffic; another one follows the store, with the client that `connect` makes.
+    /// traffic; another one follows the store, with the client that `connect` makes. `reload`
+    /// reads the settings again.
     ///
     /// # Errors
     ///
     /// Returns an error when an address, a thread or a signal cannot be had.
-    pub fn run<L, F>(self, connect: F) -> Result<(), NodeError>
+    pub fn run<L, F, R>(self, connect: F, reload: R) -> Result<(), NodeError>
     where
         L: Ledger,
         F: FnOnce(SocketAddr) -> L + Send + 'static,
+        R: Fn() -> Result<Site, String>,
     {
         let traffic = runtime()?;
         let control = runtime()?;
@@ -115,7 +119,7 @@
             let ledger = connect(gateway.site.store);
             control.block_on(steer(gateway, ledger, &identity));
         })?;
-        traffic.block_on(carry(self.gateway))
+        traffic.block_on(carry(self.gateway, reload))
     }
 }
 
@@ -209,10 +213,12 @@
     ledger.write(Write { table: Table::Hosts, key, value, expected: None }).await
 }
 
-async fn carry<D>(gateway: Arc<Gateway<D>>) -> Result<(), NodeError>
+async fn carry<D, R>(gateway: Arc<Gateway<D>>, reload: R) -> Result<(), NodeError>
 where
     D: Dialect,
+    R: Fn() -> Result<Site, String>,
 {
+    let mut hangup = signal(SignalKind::hangup())?;
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let site = &gateway.site;
@@ -225,9 +231,14 @@
     let accepting = tokio::spawn(serve::accept(gateway.clone(), front));
     tokio::spawn(serve::observe(gateway.clone(), ready));
     tokio::spawn(serve::observe(gateway.clone(), metrics));
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut known = site.clone();
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reread(&mut known, &reload, true),
+            () = sleep(REREAD) => reread(&mut known, &reload, false),
+        }
     }
     let stopped = Moment::now();
     log::info!(active = gateway.active(); "stops");
@@ -247,6 +258,25 @@
     Ok(())
 }
 
+/// Reads the settings again. Addresses, zone and bounds are taken at the next start; until then
+/// the host keeps to those that it started with.
+fn reread<R>(known: &mut Site, reload: &R, asked: bool)
+where
+    R: Fn() -> Result<Site, String>,
+{
+    match reload() {
+        Ok(site) if site != *known => {
+            log::warn!(host = site.host.as_str(); "settings changed, a restart takes them");
+            *known = site;
+        }
+        Ok(_) if asked => log::info!("settings are read again and have not changed"),
+        Ok(_) => {}
+        Err(err) => {
+            log::error!(error = err.as_str(); "settings cannot be read, the former ones stay");
+        }
+    }
+}
+
 async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| NodeError::Listen { field, address, source })
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -89,6 +89,16 @@
     assert!(matches!(denial, Denial::Full(wait) if wait > Duration::ZERO));
 }
 
+/// Pattern: a burst of requests that would open more connections than an upstream accepts.
+#[test]
+fn connections_are_shared_by_the_hosts() {
+    let mut fleet = fleet(1);
+    fleet.set_hosts((0..10).map(|it| Host::new(format!("host{it}"))).collect());
+    let placed = (0..100).filter(|it| choose(&mut fleet, at(*it), *it, 1).is_ok()).count();
+    // 300 connections for ten hosts, a fifth of them for those that wait.
+    assert_eq!(placed, 24);
+}
+
 #[test]
 fn cold_upstream_gets_its_share_over_all_hosts() {
     let hosts: Vec<_> = (0..9).map(|it| Host::new(format!("host{it}"))).collect();
