--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -301,6 +301,20 @@
         busy.map(|it| (it.short(), (it.tokens, it.in_flight))).collect()
     }
 
+    /// Returns the requests in flight from this host and from those of the others that count.
+    pub fn loads_with<F>(&self, counts: F) -> Loads
+    where
+        F: Fn(&Host) -> bool,
+    {
+        let mut all = self.loads();
+        let others = self.told.iter().filter(|it| counts(it.0));
+        for (short, load) in others.flat_map(|it| &it.1.1) {
+            let sum: &mut (u64, u32) = all.entry(*short).or_default();
+            *sum = (sum.0 + load.0, sum.1 + load.1);
+        }
+        all
+    }
+
     /// Takes the requests in flight from another host.
     pub fn take_loads(&mut self, now: Instant, host: &Host, loads: Loads) {
         self.told.insert(host.clone(), (now, loads));
@@ -310,15 +324,10 @@
     /// Adds up what other hosts have told a moment ago.
     fn sum_loads(&mut self, now: Instant) {
         self.told.retain(|_, (at, _)| now.since(*at) < TOLD);
-        let all = self.hosts.len().saturating_sub(1) as u64;
-        let known = self.told.len().max(1) as u64;
-        let all = all.max(known);
         for state in self.states.values_mut() {
             let short = state.short();
             let others = self.told.values().filter_map(|(_, loads)| loads.get(&short));
-            let sum = others.fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
-            // Hosts that do not tell this one are taken to have as much in flight.
-            state.others = (sum.0 * all / known, sum.1 * all as u32 / known as u32);
+            state.others = others.fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
         }
     }
 
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -19,6 +19,7 @@
 use crate::{
     cache::{Held, News},
     dialect::Dialect,
+    fleet::Loads,
     generated::peer::{self, Gossip, Pull, Question, Wanted, question},
     ledger::{Ledger, Table},
     node::HostRow,
@@ -32,9 +33,14 @@
 
 /// How often a host tells its requests in flight: shorter than most of them last.
 const PERIOD: Duration = Duration::from_millis(100);
-/// Other hosts that a host keeps connections to. Up to this size of the fleet, every host
-/// tells every other one; beyond it, each tells those that follow it in rank.
-const FANOUT: usize = 12;
+/// Up to so many others, every host tells every other one. In a larger fleet, hosts tell the
+/// keeper of their zone, and keepers tell each other.
+const ALL: usize = 16;
+/// Other hosts that a host of a large fleet is connected to beside the keeper of its zone, for
+/// rows that the store does not give.
+const FANOUT: usize = 3;
+/// How long a keeper passes on what it was told of crashes and orders.
+const PASSED_ON: Duration = Duration::from_millis(600);
 /// How often missing connections are made.
 const DIAL_PERIOD: Duration = Duration::from_millis(400);
 /// Longest time for a connection or a call.
@@ -76,6 +82,18 @@
     endpoint: Endpoint,
     pins: Pins,
     links: Mutex<HashMap<Host, Connection>>,
+    /// What was told a moment ago, to be passed on in a large fleet.
+    heard: Mutex<Vec<Heard>>,
+    /// The hosts' rows as read at a version of their table.
+    known: Mutex<(u64, Arc<HashMap<Host, HostRow>>)>,
+}
+
+/// What was told a moment ago.
+struct Heard {
+    at: Instant,
+    /// Whether it came from the keeper of another zone, which all keepers hear themselves.
+    far: bool,
+    gossip: Gossip,
 }
 
 impl<D, L> Mesh<D, L>
@@ -102,7 +120,14 @@
         client.transport_config(transport());
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
-        Ok(Arc::new(Mesh { steering, endpoint, pins, links: Mutex::default() }))
+        Ok(Arc::new(Mesh {
+            steering,
+            endpoint,
+            pins,
+            links: Mutex::default(),
+            heard: Mutex::default(),
+            known: Mutex::default(),
+        }))
     }
 
     /// Speaks with other hosts until the process ends.
@@ -116,9 +141,13 @@
         );
     }
 
-    /// Returns the other hosts by their rows.
-    fn rows(&self) -> HashMap<Host, HostRow> {
+    /// Returns all hosts by their rows, which are read once for each version.
+    fn rows(&self) -> Arc<HashMap<Host, HostRow>> {
         let replica = self.steering.board.table(Table::Hosts);
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.0 == replica.version() {
+            return known.1.clone();
+        }
         let rows = replica.rows().filter_map(|row| {
             let host = Host::new(row.key.clone());
             match serde_json::from_slice(row.value.as_deref()?) {
@@ -130,7 +159,8 @@
                 }
             }
         });
-        rows.collect()
+        *known = (replica.version(), Arc::new(rows.collect()));
+        known.1.clone()
     }
 
     /// Returns the hosts that this one keeps connections to, those that follow it in rank.
@@ -141,17 +171,40 @@
         let mine = rank::weight(key, me.as_str());
         // The distance around the ring of ranks.
         ring.sort_by_key(|it| rank::weight(key, it.as_str()).wrapping_sub(mine));
+        if ring.len() <= ALL {
+            return ring;
+        }
         ring.truncate(FANOUT);
+        if !self.is_kept() {
+            ring.extend(self.other_keepers(rows));
+        }
         ring
     }
 
+    /// Returns the first host of each other zone.
+    fn other_keepers(&self, rows: &HashMap<Host, HostRow>) -> Vec<Host> {
+        let site = &self.steering.gateway.site;
+        let key = rank::key(&["keeper"]);
+        let mut first: HashMap<&str, (u64, &Host)> = HashMap::new();
+        for (host, row) in rows.iter().filter(|it| it.1.zone != site.zone.as_str()) {
+            let candidate = (rank::weight(key, host.as_str()), host);
+            let best = first.entry(&row.zone).or_insert(candidate);
+            *best = (*best).max(candidate);
+        }
+        first.into_values().map(|it| it.1.clone()).collect()
+    }
+
+    fn is_kept(&self) -> bool {
+        self.steering.board.is_kept(self.steering.gateway.now())
+    }
+
     async fn dial(self: Arc<Self>) {
         let me = self.steering.gateway.site.host.clone();
         loop {
             let rows = self.rows();
             let pins = rows.iter().map(|(host, row)| (row.fingerprint.clone(), host.clone()));
             self.pins.set(pins.collect());
-            let small = rows.len() <= FANOUT + 1;
+            let small = rows.len() <= ALL + 1;
             for host in self.neighbours(&rows) {
                 // In a small fleet both would dial; the lesser name does.
                 let other = small && host < me;
@@ -211,13 +264,13 @@
                 },
                 stream = connection.accept_bi() => {
                     let Ok((mut send, mut recv)) = stream else { continue };
-                    let mesh = self.clone();
+                    let (mesh, asker) = (self.clone(), host.clone());
                     tokio::spawn(async move {
                         let bytes = recv.read_to_end(MESSAGE_BYTES).await.ok()?;
                         let question = Question::decode(Bytes::from(bytes)).ok()?;
                         let answer = match question.body? {
                             question::Body::Wanted(wanted) => encode(&mesh.answer(&wanted)?),
-                            question::Body::Pull(pull) => encode(&mesh.pulled(&pull)?),
+                            question::Body::Pull(pull) => encode(&mesh.pulled(&asker, pull)?),
                         };
                         send.write_all(&answer).await.ok()?;
                         send.finish().ok()
@@ -228,29 +281,82 @@
     }
 
     fn told(&self, host: &Host, bytes: Bytes) {
+        match Gossip::decode(bytes) {
+            Ok(gossip) => self.take(host, gossip),
+            Err(_) => log::warn!(peer = host.as_str(); "gossip cannot be read"),
+        }
+    }
+
+    fn take(&self, host: &Host, gossip: Gossip) {
         let gateway = &self.steering.gateway;
-        let Ok(gossip) = Gossip::decode(bytes) else {
-            log::warn!(peer = host.as_str(); "gossip cannot be read");
-            return;
-        };
+        let now = gateway.now();
         let loads = gossip.loads.iter().map(|it| (it.upstream, (it.tokens, it.requests)));
-        gateway.fleet().take_loads(gateway.now(), host, loads.collect());
-        gateway.fleet().take_loading(gateway.now(), &gossip.loading);
-        for it in gossip.loaded {
-            let (id, model) = (Upstream::new(it.upstream), Model::new(it.model));
+        gateway.fleet().take_loads(now, host, loads.collect());
+        gateway.fleet().take_loading(now, &gossip.loading);
+        for it in &gossip.loaded {
+            let (id, model) = (Upstream::new(it.upstream.clone()), Model::new(it.model.clone()));
             gateway.fleet().weights_seen(&id, &model, it.version);
         }
-        for crash in gossip.crashes {
-            log::info!(peer = host.as_str(), upstream = crash.upstream.as_str(),
+        for crash in &gossip.crashes {
+            log::debug!(peer = host.as_str(), upstream = crash.upstream.as_str(),
                 fingerprint = crash.request; "another host saw an upstream break off");
             gateway.crashed_elsewhere(&Crash {
                 request: Fingerprint(crash.request),
-                upstream: Upstream::new(crash.upstream),
+                upstream: Upstream::new(crash.upstream.clone()),
             });
         }
         if gossip.operators > self.steering.board.table(Table::Operators).version() {
             self.steering.board.behind(host);
         }
+        let passed_on = !gossip.crashes.is_empty() || !gossip.loading.is_empty();
+        if self.is_large() && (passed_on || !gossip.loaded.is_empty()) {
+            let far = gossip.zone;
+            let gossip = Gossip { loads: Vec::new(), ..gossip };
+            self.heard().push(Heard { at: now, far, gossip });
+        }
+    }
+
+    /// Returns what this host would tell of itself.
+    fn own(&self) -> Gossip {
+        let gateway = &self.steering.gateway;
+        let rollout = gateway.rollout().clone();
+        let loading = rollout.loading.iter();
+        let loading: Vec<_> = loading.filter_map(|it| gateway.fleet().short(it)).collect();
+        gateway.fleet().take_loading(gateway.now(), &loading);
+        let loaded = rollout.loaded.into_iter().map(|(id, model, version)| peer::Loaded {
+            upstream: FastStr::new(id.as_str()),
+            model: FastStr::new(model.as_str()),
+            version,
+        });
+        let crashes = gateway.take_crashes().into_iter().map(|it| peer::Crash {
+            request: it.request.0,
+            upstream: FastStr::new(it.upstream.as_str()),
+        });
+        Gossip {
+            loads: encode_loads(gateway.fleet().loads()),
+            crashes: crashes.collect(),
+            operators: self.steering.board.table(Table::Operators).version(),
+            loading,
+            loaded: loaded.collect(),
+            zone: false,
+        }
+    }
+
+    /// Adds what this host was told a moment ago to what it tells; to other keepers only what
+    /// its own zone has told.
+    fn pass_on(&self, gossip: &mut Gossip, far: bool) {
+        let now = self.steering.gateway.now();
+        let mut heard = self.heard();
+        heard.retain(|it| now.since(it.at) < PASSED_ON);
+        for Heard { gossip: it, .. } in heard.iter().filter(|it| far || !it.far) {
+            gossip.crashes.extend(it.crashes.iter().cloned());
+            gossip.loading.extend(&it.loading);
+            gossip.loaded.extend(it.loaded.iter().cloned());
+        }
+    }
+
+    fn heard(&self) -> MutexGuard<'_, Vec<Heard>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn answer(&self, wanted: &Wanted) -> Option<peer::Rows> {
@@ -261,42 +367,44 @@
         Some(peer::Rows { version: replica.version(), rows: rows.map(row).collect() })
     }
 
-    /// Tells the other hosts of requests in flight and of crashes.
+    /// Tells the other hosts of requests in flight and of crashes. In a large fleet only keepers
+    /// tell, for their zones and to each other.
     async fn tell(self: Arc<Self>) {
         let gateway = &self.steering.gateway;
         loop {
             sleep(PERIOD).await;
-            let loads = gateway.fleet().loads().into_iter();
-            let crashes = gateway.take_crashes().into_iter();
-            let rollout = gateway.rollout().clone();
-            let loading = rollout.loading.iter();
-            let loading: Vec<_> = loading.filter_map(|it| gateway.fleet().short(it)).collect();
-            gateway.fleet().take_loading(gateway.now(), &loading);
-            let loaded = rollout.loaded.into_iter().map(|(id, model, version)| peer::Loaded {
-                upstream: FastStr::new(id.as_str()),
-                model: FastStr::new(model.as_str()),
-                version,
-            });
-            let gossip = Gossip {
-                loading,
-                loaded: loaded.collect(),
-                loads: loads
-                    .map(|(upstream, (tokens, requests))| peer::Load { upstream, tokens, requests })
-                    .collect(),
-                crashes: crashes
-                    .map(|it| peer::Crash {
-                        request: it.request.0,
-                        upstream: FastStr::new(it.upstream.as_str()),
-                    })
-                    .collect(),
-                operators: self.steering.board.table(Table::Operators).version(),
-            };
-            let bytes = encode(&gossip);
-            for (host, link) in self.links().iter() {
-                if let Err(err) = link.send_datagram(bytes.clone()) {
-                    log::debug!(peer = host.as_str(), error = err.to_string().as_str();
-                        "gossip cannot be sent");
-                }
+            let rows = self.rows();
+            if rows.len() <= ALL + 1 {
+                let links: Vec<_> = self.links().keys().cloned().collect();
+                self.send(&links, &self.own());
+                continue;
+            }
+            if self.is_kept() {
+                continue;
+            }
+            let zone = gateway.site.zone.as_str();
+            let near = |host: &Host| rows.get(host).is_some_and(|it| it.zone == zone);
+            let mut gossip = self.own();
+            gossip.loads = encode_loads(gateway.fleet().loads_with(near));
+            gossip.zone = true;
+            let own = gossip.clone();
+            self.pass_on(&mut gossip, false);
+            self.send(&self.other_keepers(&rows), &gossip);
+            // Zone members are told when they ask.
+            if !own.crashes.is_empty() {
+                let gossip = Gossip { loads: Vec::new(), ..own };
+                self.heard().push(Heard { at: gateway.now(), far: true, gossip });
+            }
+        }
+    }
+
+    fn send(&self, hosts: &[Host], gossip: &Gossip) {
+        let bytes = encode(gossip);
+        let links = self.links();
+        for (host, link) in hosts.iter().filter_map(|it| Some((it, links.get(it)?))) {
+            if let Err(err) = link.send_datagram(bytes.clone()) {
+                log::debug!(peer = host.as_str(), error = err.to_string().as_str();
+                    "gossip cannot be sent");
             }
         }
     }
@@ -401,6 +509,7 @@
         let pull = Pull {
             upstreams: self.steering.board.table(Table::Upstreams).version(),
             stores: gateway.cache().marks().into_iter().map(mark).collect(),
+            own: self.is_large().then(|| self.own()),
         };
         let Some(bytes) = exchange(&link, question::Body::Pull(pull)).await else { return false };
         let Ok(pulled) = peer::Pulled::decode(bytes) else { return false };
@@ -410,6 +519,9 @@
         }
         let Some(upstreams) = pulled.upstreams else { return false };
         self.apply(Table::Upstreams, upstreams);
+        if let Some(others) = pulled.others {
+            self.take(host, others);
+        }
         self.steering.board.read_upstreams(asked.before(age));
         for store in pulled.stores {
             let Ok(address) = store.address.parse() else { continue };
@@ -431,13 +543,24 @@
     }
 
     /// Answers another host of the zone, unless this host does not read itself.
-    fn pulled(&self, pull: &Pull) -> Option<peer::Pulled> {
+    fn pulled(&self, asker: &Host, pull: Pull) -> Option<peer::Pulled> {
         let gateway = &self.steering.gateway;
         let board = &self.steering.board;
         let now = gateway.now();
         if board.is_kept(now) || gateway.draining.is_cancelled() {
             return None;
         }
+        let others = pull.own.map(|own| {
+            self.take(asker, own);
+            let loads = gateway.fleet().loads_with(|it| it != asker);
+            let mut others = Gossip {
+                loads: encode_loads(loads),
+                operators: board.table(Table::Operators).version(),
+                ..Gossip::default()
+            };
+            self.pass_on(&mut others, true);
+            others
+        });
         let wanted = Wanted { table: 1, version: pull.upstreams };
         let stores = pull.stores.iter().filter_map(|it| {
             let address = it.address.parse().ok()?;
@@ -456,10 +579,15 @@
         Some(peer::Pulled {
             upstreams: self.answer(&wanted),
             age_ms: millis(now.since(board.upstreams_read())),
+            others,
             stores: stores.collect(),
         })
     }
 
+    fn is_large(&self) -> bool {
+        self.rows().len() > ALL + 1
+    }
+
     fn links(&self) -> MutexGuard<'_, HashMap<Host, Connection>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -476,6 +604,11 @@
     timeout(CALL_TIMEOUT, call).await.ok()?.map(Bytes::from)
 }
 
+fn encode_loads(loads: Loads) -> Vec<peer::Load> {
+    let load = |(upstream, (tokens, requests))| peer::Load { upstream, tokens, requests };
+    loads.into_iter().map(load).collect()
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
