--- a/lib/tests/test_bad_input.rs
+++ b/lib/tests/test_bad_input.rs
@@ -51,6 +51,9 @@
     IdempotencyKeyReused: 422 invalid_request_error idempotency_key_reused run=no
     InProgress: 409 invalid_request_error in_progress run=unknown retry-after
     TableUnavailable: 503 server_error table_unavailable run=no retry-after
+    RouteUnknown: 404 invalid_request_error route_not_found run=no
+    NotConfigured: 503 server_error not_configured run=no retry-after
+    Quarantined: 503 server_error quarantined run=no retry-after
     NotRun: 503 server_error not_run run=no retry-after
     OutcomeUnknown: 502 server_error outcome_unknown run=unknown
     Internal: 500 server_error internal run=unknown
