standing, stream, pin: large modules split by job, no change of behaviour

Change: what is believed of one upstream is in standing, streams in stream; the methods stand once; mesh uses the function of peer.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -10,32 +10,17 @@
 use crate::{
     deployment::{Deployment, ServiceEntry},
     prelude::*,
-    rank, share,
-    window::Window,
+    share,
+    standing::{COLD_SPAN, REFUSAL, REFUSAL_MAX, Standing},
 };
 
-/// Span over which requests to a cold upstream are counted, the one its limit is for.
-const COLD_SPAN: Duration = Duration::from_secs(1);
 /// Part of the cold limit that is used while an upstream is known to be cold.
 const COLD_MARGIN: f64 = 0.7;
 /// Times its part of the limit that a host sends to an upstream that nobody has called
 /// cold: it may have become cold without a word, but hosts do not burst all at once.
 const WARM_MARGIN: f64 = 2.0;
-/// First time out of use of an upstream that cannot be reached; doubles with each failure.
-const EJECTION: Duration = Duration::from_millis(400);
-/// Longest time out of use without another attempt.
-const EJECTION_MAX: Duration = Duration::from_secs(4);
-/// How long an upstream that turned a request away gets no other one; doubles.
-const REFUSAL: Duration = Duration::from_millis(200);
-const REFUSAL_MAX: Duration = Duration::from_secs(1);
-/// Weight of the newest outcome in an upstream's share of failures.
-const FAILURE_WEIGHT: f64 = 0.12;
-/// Share of failures above which an upstream counts as faulty.
-const FAILURE_LIMIT: f64 = 0.3;
 /// Share of failures above which a failed request is given to another upstream.
 const FAULTY_SHARE: f64 = 0.22;
-/// Time out of use of a faulty upstream.
-const FAULTY: Duration = Duration::from_secs(3);
 /// Most of a service's upstreams, as one of so many, that may be out of use for failures
 /// of requests they took.
 const FAULTY_PART: usize = 3;
@@ -45,8 +30,6 @@
 /// An upstream may have this times the mean of the tokens in flight before a session moves on
 /// to its next choice.
 const OVERFLOW: f64 = 1.2;
-/// How much more often an upstream in the zone of a session's store ranks first.
-const NEAR_WEIGHT: f64 = 3.0;
 /// Part of an engine's memory that requests fill before a session moves on to its next choice.
 const TOKENS_FREE: f64 = 0.15;
 /// The same while only some upstreams have the newest weights, and nothing is cached there.
@@ -66,81 +49,8 @@
 const ROLLING_REFUSAL: Duration = Duration::from_millis(1200);
 /// Part of the rollout bound after which upstreams with older weights get no more requests.
 const ROLLOUT_PART: f64 = 0.9;
-/// Weight of the newest time in an upstream's mean time to the first byte.
-const DELAY_WEIGHT: f64 = 0.15;
 
-/// What a row of the store says of an upstream.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Names one upstream, over its restarts.
-    pub id: Upstream,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its service.
-    pub service: Service,
-    /// Its availability zone.
-    pub zone: Zone,
-    /// Whether it is leaving.
-    pub draining: bool,
-    /// Requests it works on at once.
-    pub slots: u32,
-    /// How much longer it is cold.
-    pub cold: Duration,
-    /// Weight versions of the models it has.
-    pub models: SmallVec<[(Model, u32); 2]>,
-    /// Identifies its present start: Unix milliseconds; 0 where it does not say.
-    pub born: u64,
-}
-
-/// How a request to an upstream went.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// It answered; the time to the first byte of the answer.
-    Served(Duration),
-    /// It answered that it failed.
-    Failed,
-    /// It answered that it did not run the request.
-    Refused,
-    /// Another upstream, or another start of it, has the address.
-    Moved,
-    /// No connection came about.
-    Unreachable,
-    /// The connection broke, or the answer was not one.
-    Broken,
-    /// The caller left, or time ran out; says nothing of the upstream.
-    Left,
-}
-
-impl Entry {
-    /// Returns the weight version of a model, where it has one.
-    pub fn weights(&self, model: &Model) -> Option<u32> {
-        self.models.iter().find(|it| it.0 == *model).map(|it| it.1)
-    }
-}
-
-#[derive(Clone, Debug)]
-struct State {
-    entry: Entry,
-    cold_until: Instant,
-    doubted: Instant,
-    in_flight: u32,
-    /// Tokens of the prompts and answers in flight from this host.
-    tokens: u64,
-    /// Tokens and requests in flight from other hosts.
-    others: (u64, u32),
-    sent: Window,
-    /// Not used before this time.
-    ejected_until: Instant,
-    /// One request at a time until one succeeds.
-    trial: bool,
-    failures: u32,
-    failure_share: f64,
-    refused_until: Instant,
-    refusals: u32,
-    delay: f64,
-    /// Rank keys.
-    hash: u64,
-}
+pub use crate::standing::{Entry, Outcome};
 
 /// Tokens and requests in flight by a short hash of the upstream's id.
 pub type Loads = HashMap<u32, (u64, u32)>;
@@ -231,7 +141,7 @@
     hosts: Vec<Host>,
     /// Requests in flight from other hosts, as they tell them.
     told: HashMap<Host, (Instant, Loads)>,
-    states: HashMap<Upstream, State>,
+    states: HashMap<Upstream, Standing>,
     by_service: HashMap<Service, Vec<Upstream>>,
     evacuated: HashSet<Zone>,
     /// Newest named weight version by model.
@@ -292,7 +202,7 @@
 
     /// Returns the hash by which hosts name an upstream to each other.
     pub fn short(&self, id: &Upstream) -> Option<u32> {
-        self.states.get(id).map(State::short)
+        self.states.get(id).map(Standing::short)
     }
 
     /// Returns the requests in flight from this host.
@@ -352,7 +262,7 @@
         let mut state = match previous {
             Some(state) if !restarted => state,
             // What was in flight at the former start is settled against a saturating count.
-            _ => State::new(&entry, now),
+            _ => Standing::new(&entry, now),
         };
         let doubted = now.since(state.doubted) < DOUBT && state.doubted != Instant::default();
         if !doubted {
@@ -615,14 +525,14 @@
         let ordinary = ((bearable * WARM_MARGIN) / self.hosts.len() as f64).max(1.0) as usize;
         let newest = query.model.and_then(|it| self.named.get(it)).map(|it| it.version);
         let states = || usable.iter().filter_map(|it| self.states.get(it));
-        let total: u64 = states().map(State::all_tokens).sum();
-        let requests: u32 = states().map(State::all_requests).sum();
+        let total: u64 = states().map(Standing::all_tokens).sum();
+        let requests: u32 = states().map(Standing::all_requests).sum();
         let capacity = service.engine.as_ref().map_or(f64::MAX, |it| it.cache_tokens as f64);
         // A session moves on when its upstream has clearly more to do than others have.
         let mean = total as f64 / usable.len() as f64;
         let room = (mean * OVERFLOW).max(capacity * TOKENS_FREE) as u64;
         let idle = requests < usable.len() as u32;
-        let is_outdated = |state: &State| match (newest, query.model) {
+        let is_outdated = |state: &Standing| match (newest, query.model) {
             (Some(newest), Some(model)) => state.entry.weights(model).is_some_and(|it| it < newest),
             _ => false,
         };
@@ -719,103 +629,3 @@
         }
     }
 }
-
-impl State {
-    fn new(entry: &Entry, now: Instant) -> Self {
-        State {
-            entry: entry.clone(),
-            cold_until: now + entry.cold,
-            doubted: Instant::default(),
-            in_flight: 0,
-            tokens: 0,
-            others: (0, 0),
-            sent: Window::new(COLD_SPAN),
-            ejected_until: Instant::default(),
-            trial: false,
-            failures: 0,
-            failure_share: 0.0,
-            refused_until: Instant::default(),
-            refusals: 0,
-            delay: 0.0,
-            hash: rank::key(&["upstream", entry.id.as_str()]),
-        }
-    }
-
-    /// Returns the hash by which hosts name the upstream to each other.
-    fn short(&self) -> u32 {
-        (self.hash >> 32) as u32
-    }
-
-    /// Returns the tokens in flight from all hosts.
-    fn all_tokens(&self) -> u64 {
-        self.tokens + self.others.0
-    }
-
-    /// Returns the requests in flight from all hosts.
-    fn all_requests(&self) -> u32 {
-        self.in_flight + self.others.1
-    }
-
-    /// Ranks an upstream for a session; upstreams near the session's store come first more
-    /// often.
-    fn weight(&self, session: u64, near: Option<&Zone>) -> u64 {
-        let chance = ((rank::mix(session ^ self.hash) >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
-        let times = if near == Some(&self.entry.zone) { NEAR_WEIGHT } else { 1.0 };
-        (chance.powf(1.0 / times) * (1_u64 << 53) as f64) as u64
-    }
-
-    fn settle(&mut self, now: Instant, service: &ServiceEntry, outcome: Outcome, allowed: bool) {
-        match outcome {
-            Outcome::Served(delay) => {
-                self.trial = false;
-                self.failures = 0;
-                self.refusals = 0;
-                self.delay += DELAY_WEIGHT * (delay.as_secs_f64() - self.delay);
-                self.failure_share *= 1.0 - FAILURE_WEIGHT;
-            }
-            Outcome::Failed => self.failed(now, allowed),
-            Outcome::Refused => {
-                let pause = REFUSAL * 2_u32.pow(self.refusals.min(4));
-                self.refused_until = now + pause.min(REFUSAL_MAX);
-                self.refusals += 1;
-            }
-            // The next row tells who has the address now.
-            Outcome::Moved => self.eject(now, EJECTION_MAX),
-            Outcome::Unreachable => self.unreachable(now, service),
-            Outcome::Broken => {
-                self.doubt(now, service);
-                self.failed(now, allowed);
-            }
-            Outcome::Left => {}
-        }
-    }
-
-    fn failed(&mut self, now: Instant, allowed: bool) {
-        self.failure_share += FAILURE_WEIGHT * (1.0 - self.failure_share);
-        if self.failure_share > FAILURE_LIMIT && allowed {
-            // Half of the limit is forgiven, so that a trial that succeeds brings it back.
-            self.failure_share = FAILURE_LIMIT / 2.0;
-            self.eject(now, FAULTY);
-        }
-    }
-
-    fn unreachable(&mut self, now: Instant, service: &ServiceEntry) {
-        let pause = EJECTION * 2_u32.pow(self.failures.min(4));
-        self.failures += 1;
-        self.doubt(now, service);
-        self.eject(now, pause.min(EJECTION_MAX));
-    }
-
-    /// After a break, an upstream may come back cold.
-    fn doubt(&mut self, now: Instant, service: &ServiceEntry) {
-        self.doubted = now;
-        self.cold_until = self.cold_until.max(now + service.cold_start);
-    }
-
-    fn eject(&mut self, now: Instant, pause: Duration) {
-        self.trial = true;
-        self.ejected_until = self.ejected_until.max(now + pause);
-        log::info!(upstream = self.entry.id.as_str(), failures = self.failures,
-            pause_ms = pause.as_millis() as u64; "upstream is out of use");
-    }
-}
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -7,7 +7,7 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use pilota::{LinkedBytes, pb::Message};
+use pilota::pb::Message;
 use quinn::{
     ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
@@ -23,6 +23,7 @@
     generated::peer::{self, Gossip, Pull, Question, Wanted, question},
     ledger::{Ledger, Table},
     node::HostRow,
+    peer::encode,
     pin::{self, Identity, PinError, Pins},
     prelude::*,
     rank,
@@ -620,13 +621,3 @@
     config.max_concurrent_uni_streams(VarInt::from_u32(0));
     Arc::new(config)
 }
-
-fn encode<M>(message: &M) -> Bytes
-where
-    M: Message,
-{
-    let mut bytes = LinkedBytes::new();
-    // Writing to memory does not fail.
-    let _ = message.encode(&mut bytes);
-    bytes.concat().freeze()
-}
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -19,7 +19,6 @@
     cache::{Need, Plan},
     deployment::{Deployment, Repeat, Route, Tenancy},
     dialect::{Ask, Dialect, Dressing, Reply},
-    event::Splitter,
     fault::Reach,
     fleet::{Choice, Denial, Outcome, Query},
     gateway::Gateway,
@@ -38,8 +37,6 @@
 const UNREACHABLE: u32 = 5;
 /// Bytes of an answer that is not a stream.
 const ANSWER_BYTES: usize = 8 << 20;
-/// Events that wait for a caller.
-const WAITING: usize = 32;
 /// Times the target after which a silent attempt is given up where another may follow.
 const PATIENCE: u32 = 2;
 /// Least time for an attempt.
@@ -149,21 +146,21 @@
 }
 
 /// A request that counts as in flight at an upstream until it is settled.
-struct Placement<D>
+pub(crate) struct Placement<D>
 where
     D: Dialect,
 {
-    gateway: Arc<Gateway<D>>,
-    job: Arc<Job>,
-    choice: Choice,
-    settled: bool,
+    pub(crate) gateway: Arc<Gateway<D>>,
+    pub(crate) job: Arc<Job>,
+    pub(crate) choice: Choice,
+    pub(crate) settled: bool,
 }
 
 impl<D> Placement<D>
 where
     D: Dialect,
 {
-    fn settle(mut self, outcome: Outcome) {
+    pub(crate) fn settle(mut self, outcome: Outcome) {
         self.settled = true;
         self.tell(outcome);
     }
@@ -185,15 +182,15 @@
 }
 
 /// An upstream's answer whose head has come and is believed.
-struct Opened<D>
+pub(crate) struct Opened<D>
 where
     D: Dialect,
 {
-    placement: Placement<D>,
-    link: Link,
-    head: Parts,
-    body: Incoming,
-    started: Moment,
+    pub(crate) placement: Placement<D>,
+    pub(crate) link: Link,
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) started: Moment,
 }
 
 /// What follows an attempt without an answer for the caller.
@@ -209,20 +206,20 @@
 where
     D: Dialect,
 {
-    gateway: Arc<Gateway<D>>,
-    job: Arc<Job>,
-    session: Option<u64>,
-    tried: SmallVec<[Upstream; 4]>,
+    pub(crate) gateway: Arc<Gateway<D>>,
+    pub(crate) job: Arc<Job>,
+    pub(crate) session: Option<u64>,
+    pub(crate) tried: SmallVec<[Upstream; 4]>,
     /// Times it reached an upstream.
-    arrivals: u32,
+    pub(crate) arrivals: u32,
     /// Attempts that may have run.
-    runs: u32,
-    refusals: u32,
-    unreachable: u32,
+    pub(crate) runs: u32,
+    pub(crate) refusals: u32,
+    pub(crate) unreachable: u32,
     /// The upstream's own failure, told when nothing better follows.
-    failure: Option<Response<Body>>,
+    pub(crate) failure: Option<Response<Body>>,
     /// Where the last attempt was to fetch and save parts of the prompt.
-    plan: Option<Plan>,
+    pub(crate) plan: Option<Plan>,
 }
 
 impl<D> Passage<D>
@@ -271,7 +268,7 @@
     }
 
     /// Sends the request until the head of an answer comes that is believed.
-    async fn open(&mut self, last_event: Option<u64>) -> Result<Opened<D>, Error> {
+    pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Opened<D>, Error> {
         loop {
             if self.job.left().is_zero() {
                 return Err(self.late());
@@ -457,125 +454,6 @@
         Ok(Some(response))
     }
 
-    /// Passes a stream on, in a task of its own.
-    fn stream(self, opened: Opened<D>) -> Response<Body> {
-        let (sender, receiver) = mpsc::channel(WAITING);
-        let response = self.answer(&opened.head, Body::Stream(receiver));
-        tokio::spawn(self.pump(opened, sender));
-        response
-    }
-
-    async fn pump(mut self, mut opened: Opened<D>, pieces: mpsc::Sender<Result<Bytes, Cut>>) {
-        let _active = self.gateway.enter();
-        let mut last_event = None;
-        loop {
-            let end = self.follow(opened, &pieces, &mut last_event).await;
-            let again = match end {
-                End::Done | End::Left => return,
-                End::Late => false,
-                End::Broken => self.may_run_again(),
-            };
-            if !again {
-                break;
-            }
-            let resumed = tokio::select! {
-                () = pieces.closed() => return,
-                resumed = self.open(last_event) => resumed,
-            };
-            match resumed {
-                Ok(next) if next.head.status == StatusCode::OK => opened = next,
-                _ => break,
-            }
-        }
-        log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
-            last_event = last_event.unwrap_or_default(), runs = self.runs; "stream is cut");
-        self.gateway.metrics.outcome("stream_cut");
-        // A caller that has left needs no mark.
-        let _ = pieces.send(Err(Cut)).await;
-    }
-
-    /// Passes on the events of one run.
-    async fn follow(
-        &mut self,
-        opened: Opened<D>,
-        pieces: &mpsc::Sender<Result<Bytes, Cut>>,
-        last_event: &mut Option<u64>,
-    ) -> End {
-        let Opened { placement, link, head, mut body, started } = opened;
-        let mut splitter = Splitter::default();
-        let mut first = None;
-        loop {
-            let frame = tokio::select! {
-                () = pieces.closed() => return End::Left,
-                frame = timeout_at(self.job.deadline, body.frame()) => frame,
-            };
-            let data = match frame {
-                Err(_) => return End::Late,
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(None) if splitter.rest().is_empty() => break,
-                Ok(None | Some(Err(_))) => return self.stream_broken(placement),
-            };
-            if !splitter.push(&data) {
-                return self.stream_broken(placement);
-            }
-            let events = self.events(&mut splitter, last_event);
-            if events.is_empty() {
-                continue;
-            }
-            if first.is_none() {
-                let elapsed = started.elapsed();
-                first = Some(elapsed);
-                if let Some(plan) = &self.plan {
-                    let usual = self.gateway.fleet().delay(&placement.choice.id);
-                    self.gateway.cache().arrived(plan, elapsed, usual);
-                }
-            }
-            if pieces.send(Ok(events)).await.is_err() {
-                return End::Left;
-            }
-        }
-        let choice = placement.choice.clone();
-        self.gateway.cleared(self.job.fingerprint());
-        self.gateway.pool().put(&choice.id, choice.address, link, &head.headers);
-        let first = first.unwrap_or_else(|| started.elapsed());
-        let class = self.job.route.name.as_str();
-        let wait = self.job.received.elapsed();
-        self.gateway.metrics.first_token.with_label_values(&[class]).observe(first.as_secs_f64());
-        placement.settle(Outcome::Served(first));
-        let fetched = self.plan.iter().flat_map(|it| &it.fetch).flatten().count();
-        log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
-            upstream = choice.id.as_str(), chosen = choice.reason,
-            weights = choice.weights.unwrap_or_default(), tokens = choice.tokens,
-            fetched = fetched, runs = self.runs, first_ms = first.as_millis() as u64,
-            total_ms = wait.as_millis() as u64; "stream ended");
-        End::Done
-    }
-
-    /// Joins the whole events that have come, without those that the caller has.
-    fn events(&self, splitter: &mut Splitter, last_event: &mut Option<u64>) -> Bytes {
-        let mut joined: SmallVec<[Bytes; 4]> = SmallVec::new();
-        while let Some(event) = splitter.next_event() {
-            let repeated = matches!((event.id, *last_event), (Some(id), Some(last)) if id <= last);
-            if repeated {
-                continue;
-            }
-            *last_event = event.id.or(*last_event);
-            joined.push(event.bytes);
-        }
-        match joined.len() {
-            1 => joined.remove(0),
-            _ => joined.concat().into(),
-        }
-    }
-
-    fn stream_broken(&mut self, placement: Placement<D>) -> End {
-        self.note(&placement.choice, "stream_broken");
-        self.gateway.crashed(self.job.fingerprint(), &placement.choice.id);
-        self.tried.push(placement.choice.id.clone());
-        placement.settle(Outcome::Broken);
-        End::Broken
-    }
-
     /// Finds a kept connection or makes a new one; tells whether it was kept.
     async fn connect(&self, choice: &Choice) -> Option<(Link, bool)> {
         let most = match self.job.route.repeat.allowed() {
@@ -631,7 +509,7 @@
         }
     }
 
-    fn answer(&self, head: &Parts, body: Body) -> Response<Body> {
+    pub(crate) fn answer(&self, head: &Parts, body: Body) -> Response<Body> {
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = hop::strip(&head.headers);
@@ -655,7 +533,7 @@
         (self.job.route.target * PATIENCE).min(left / 2).max(ATTEMPT_MIN).min(left)
     }
 
-    fn may_run_again(&self) -> bool {
+    pub(crate) fn may_run_again(&self) -> bool {
         self.job.route.repeat.allowed() && self.runs < self.job.route.max_attempts
     }
 
@@ -689,18 +567,10 @@
         Error::new(kind, "the request's time is over").retry_after(Duration::from_millis(100))
     }
 
-    fn note(&self, choice: &Choice, what: &str) {
+    pub(crate) fn note(&self, choice: &Choice, what: &str) {
         log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
             upstream = choice.id.as_str(), chosen = choice.reason, outcome = what,
             arrivals = self.arrivals, runs = self.runs,
             left_ms = self.job.left().as_millis() as u64; "attempt ended");
     }
 }
-
-/// How one run of a stream ended.
-enum End {
-    Done,
-    Left,
-    Late,
-    Broken,
-}
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -213,7 +213,8 @@
     Reply { body: Some(body) }
 }
 
-fn encode<M>(message: &M) -> Bytes
+/// Writes a message between hosts.
+pub(crate) fn encode<M>(message: &M) -> Bytes
 where
     M: Message,
 {
--- a/lib/src/pin.rs
+++ b/lib/src/pin.rs
@@ -153,6 +153,33 @@
     }
 }
 
+/// How both sides check signatures: the library's two traits have the same three methods.
+macro_rules! only_tls13 {
+    () => {
+        fn verify_tls12_signature(
+            &self,
+            _: &[u8],
+            _: &CertificateDer<'_>,
+            _: &DigitallySignedStruct,
+        ) -> Result<HandshakeSignatureValid, TlsError> {
+            Err(TlsError::General("only TLS 1.3 is spoken between hosts".into()))
+        }
+
+        fn verify_tls13_signature(
+            &self,
+            message: &[u8],
+            certificate: &CertificateDer<'_>,
+            signed: &DigitallySignedStruct,
+        ) -> Result<HandshakeSignatureValid, TlsError> {
+            self.signature(message, certificate, signed)
+        }
+
+        fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+            self.provider.signature_verification_algorithms.supported_schemes()
+        }
+    };
+}
+
 impl ServerCertVerifier for Verifier {
     fn verify_server_cert(
         &self,
@@ -165,27 +192,7 @@
         self.check(end_entity).map(|()| ServerCertVerified::assertion())
     }
 
-    fn verify_tls12_signature(
-        &self,
-        _: &[u8],
-        _: &CertificateDer<'_>,
-        _: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, TlsError> {
-        Err(TlsError::General("only TLS 1.3 is spoken between hosts".into()))
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        certificate: &CertificateDer<'_>,
-        signed: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, TlsError> {
-        self.signature(message, certificate, signed)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.provider.signature_verification_algorithms.supported_schemes()
-    }
+    only_tls13!();
 }
 
 impl ClientCertVerifier for Verifier {
@@ -202,25 +209,5 @@
         self.check(end_entity).map(|()| ClientCertVerified::assertion())
     }
 
-    fn verify_tls12_signature(
-        &self,
-        _: &[u8],
-        _: &CertificateDer<'_>,
-        _: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, TlsError> {
-        Err(TlsError::General("only TLS 1.3 is spoken between hosts".into()))
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        certificate: &CertificateDer<'_>,
-        signed: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, TlsError> {
-        self.signature(message, certificate, signed)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.provider.signature_verification_algorithms.supported_schemes()
-    }
+    only_tls13!();
 }
--- /dev/null
+++ b/lib/src/stream.rs
@@ -0,0 +1,149 @@
+//! The part of a request's way on which its answer is a stream: whole events are passed on as
+//! they come, and a run that breaks is gone on with elsewhere where that is allowed.
+
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use tokio::{sync::mpsc, time::timeout_at};
+
+use crate::{
+    dialect::Dialect,
+    event::Splitter,
+    fleet::Outcome,
+    passage::{Body, Cut, Opened, Passage, Placement},
+    prelude::*,
+};
+
+/// Events that wait for a caller.
+const WAITING: usize = 32;
+
+impl<D> Passage<D>
+where
+    D: Dialect,
+{
+    /// Passes a stream on, in a task of its own.
+    pub(crate) fn stream(self, opened: Opened<D>) -> Response<Body> {
+        let (sender, receiver) = mpsc::channel(WAITING);
+        let response = self.answer(&opened.head, Body::Stream(receiver));
+        tokio::spawn(self.pump(opened, sender));
+        response
+    }
+
+    async fn pump(mut self, mut opened: Opened<D>, pieces: mpsc::Sender<Result<Bytes, Cut>>) {
+        let _active = self.gateway.enter();
+        let mut last_event = None;
+        loop {
+            let end = self.follow(opened, &pieces, &mut last_event).await;
+            let again = match end {
+                End::Done | End::Left => return,
+                End::Late => false,
+                End::Broken => self.may_run_again(),
+            };
+            if !again {
+                break;
+            }
+            let resumed = tokio::select! {
+                () = pieces.closed() => return,
+                resumed = self.open(last_event) => resumed,
+            };
+            match resumed {
+                Ok(next) if next.head.status == StatusCode::OK => opened = next,
+                _ => break,
+            }
+        }
+        log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
+            last_event = last_event.unwrap_or_default(), runs = self.runs; "stream is cut");
+        self.gateway.metrics.outcome("stream_cut");
+        // A caller that has left needs no mark.
+        let _ = pieces.send(Err(Cut)).await;
+    }
+
+    /// Passes on the events of one run.
+    async fn follow(
+        &mut self,
+        opened: Opened<D>,
+        pieces: &mpsc::Sender<Result<Bytes, Cut>>,
+        last_event: &mut Option<u64>,
+    ) -> End {
+        let Opened { placement, link, head, mut body, started } = opened;
+        let mut splitter = Splitter::default();
+        let mut first = None;
+        loop {
+            let frame = tokio::select! {
+                () = pieces.closed() => return End::Left,
+                frame = timeout_at(self.job.deadline, body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) => return End::Late,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) if splitter.rest().is_empty() => break,
+                Ok(None | Some(Err(_))) => return self.stream_broken(placement),
+            };
+            if !splitter.push(&data) {
+                return self.stream_broken(placement);
+            }
+            let events = self.events(&mut splitter, last_event);
+            if events.is_empty() {
+                continue;
+            }
+            if first.is_none() {
+                let elapsed = started.elapsed();
+                first = Some(elapsed);
+                if let Some(plan) = &self.plan {
+                    let usual = self.gateway.fleet().delay(&placement.choice.id);
+                    self.gateway.cache().arrived(plan, elapsed, usual);
+                }
+            }
+            if pieces.send(Ok(events)).await.is_err() {
+                return End::Left;
+            }
+        }
+        let choice = placement.choice.clone();
+        self.gateway.cleared(self.job.fingerprint());
+        self.gateway.pool().put(&choice.id, choice.address, link, &head.headers);
+        let first = first.unwrap_or_else(|| started.elapsed());
+        let class = self.job.route.name.as_str();
+        let wait = self.job.received.elapsed();
+        self.gateway.metrics.first_token.with_label_values(&[class]).observe(first.as_secs_f64());
+        placement.settle(Outcome::Served(first));
+        let fetched = self.plan.iter().flat_map(|it| &it.fetch).flatten().count();
+        log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
+            upstream = choice.id.as_str(), chosen = choice.reason,
+            weights = choice.weights.unwrap_or_default(), tokens = choice.tokens,
+            fetched = fetched, runs = self.runs, first_ms = first.as_millis() as u64,
+            total_ms = wait.as_millis() as u64; "stream ended");
+        End::Done
+    }
+
+    /// Joins the whole events that have come, without those that the caller has.
+    fn events(&self, splitter: &mut Splitter, last_event: &mut Option<u64>) -> Bytes {
+        let mut joined: SmallVec<[Bytes; 4]> = SmallVec::new();
+        while let Some(event) = splitter.next_event() {
+            let repeated = matches!((event.id, *last_event), (Some(id), Some(last)) if id <= last);
+            if repeated {
+                continue;
+            }
+            *last_event = event.id.or(*last_event);
+            joined.push(event.bytes);
+        }
+        match joined.len() {
+            1 => joined.remove(0),
+            _ => joined.concat().into(),
+        }
+    }
+
+    fn stream_broken(&mut self, placement: Placement<D>) -> End {
+        self.note(&placement.choice, "stream_broken");
+        self.gateway.crashed(self.job.fingerprint(), &placement.choice.id);
+        self.tried.push(placement.choice.id.clone());
+        placement.settle(Outcome::Broken);
+        End::Broken
+    }
+}
+
+/// How one run of a stream ended.
+enum End {
+    Done,
+    Left,
+    Late,
+    Broken,
+}
