follow, dialect: names of the field for what reads the store and what is sent

Cause: steering, board and dressing are words of our own. Change: follow::Follower, follow::Replicas, cache_watch, dialect::Outgoing. No change of behaviour.

--- a/lib/src/keep.rs
+++ b/lib/src/cache_watch.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use tokio::{task::JoinHandle, time::sleep};
 
-use crate::{dialect::Dialect, gateway::Gateway, link::Link, prelude::*, steer::Board};
+use crate::{dialect::Dialect, follow::Replicas, gateway::Gateway, link::Link, prelude::*};
 
 /// Longest wait of a call for changes.
 const WAIT: Duration = Duration::from_millis(400);
@@ -21,7 +21,7 @@
 const ANSWER_BYTES: usize = 2 << 20;
 
 /// Follows the stores that the configuration names.
-pub async fn run<D>(gateway: Arc<Gateway<D>>, board: Arc<Board>)
+pub async fn run<D>(gateway: Arc<Gateway<D>>, replicas: Arc<Replicas>)
 where
     D: Dialect,
 {
@@ -38,7 +38,7 @@
             });
             for address in addresses {
                 followed.entry(address).or_insert_with(|| {
-                    tokio::spawn(follow(gateway.clone(), board.clone(), address))
+                    tokio::spawn(follow(gateway.clone(), replicas.clone(), address))
                 });
             }
         }
@@ -46,14 +46,14 @@
     }
 }
 
-async fn follow<D>(gateway: Arc<Gateway<D>>, board: Arc<Board>, address: SocketAddr)
+async fn follow<D>(gateway: Arc<Gateway<D>>, replicas: Arc<Replicas>, address: SocketAddr)
 where
     D: Dialect,
 {
     let mut link = None;
     let mut lost = true;
     loop {
-        if board.is_kept(gateway.now()) {
+        if replicas.is_kept(gateway.now()) {
             link = None;
             sleep(PACE).await;
             continue;
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -39,7 +39,7 @@
 
 /// What the gateway adds to a request for an upstream.
 #[derive(Clone, Debug, Default)]
-pub struct Dressing<'a> {
+pub struct Outgoing<'a> {
     /// How long the upstream may work.
     pub deadline: Duration,
     /// The upstream that is meant; any other is to turn the request away.
@@ -156,7 +156,7 @@
 
     /// Writes the head for an upstream: what the caller sent, without what only concerns one
     /// connection or is not the caller's to say, and with what the gateway adds.
-    fn dress(&self, headers: &HeaderMap, dressing: &Dressing<'_>) -> HeaderMap;
+    fn outgoing(&self, headers: &HeaderMap, outgoing: &Outgoing<'_>) -> HeaderMap;
 
     /// Reads the head of an upstream's answer.
     fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
--- a/lib/src/steer.rs
+++ b/lib/src/follow.rs
@@ -27,7 +27,7 @@
 
 /// What is known of the store's tables, shared with what talks to other hosts.
 #[derive(Debug, Default)]
-pub struct Board {
+pub struct Replicas {
     tables: [Mutex<Replica>; 3],
     ahead: Mutex<Option<Host>>,
     /// Until when another host reads for this one, and when the upstreams' table was read.
@@ -36,7 +36,7 @@
     pub lost: Notify,
 }
 
-/// The tables that a board has.
+/// The tables that are followed.
 pub const TABLES: [Table; 3] = [Table::Operators, Table::Upstreams, Table::Hosts];
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,7 +45,7 @@
     upstreams_read: Instant,
 }
 
-impl Board {
+impl Replicas {
     /// Takes that another host reads for this one until a time.
     pub fn keep(&self, until: Instant) {
         self.kept().until = until;
@@ -88,36 +88,36 @@
     ///
     /// Panics for a table that is not one of [`TABLES`].
     pub fn table(&self, table: Table) -> MutexGuard<'_, Replica> {
-        let at = TABLES.iter().position(|it| *it == table).expect("a table of the board");
+        let at = TABLES.iter().position(|it| *it == table).expect("a table that is followed");
         self.tables[at].lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Drives a gateway from the store.
 #[derive(Debug)]
-pub struct Steering<D, L> {
+pub struct Follower<D, L> {
     /// The gateway.
     pub gateway: Arc<Gateway<D>>,
     /// The store.
     pub ledger: L,
     /// What is known of the store's tables.
-    pub board: Arc<Board>,
+    pub replicas: Arc<Replicas>,
 }
 
-impl<D, L> Clone for Steering<D, L>
+impl<D, L> Clone for Follower<D, L>
 where
     L: Clone,
 {
     fn clone(&self) -> Self {
-        Steering {
+        Follower {
             gateway: self.gateway.clone(),
             ledger: self.ledger.clone(),
-            board: self.board.clone(),
+            replicas: self.replicas.clone(),
         }
     }
 }
 
-impl<D, L> Steering<D, L>
+impl<D, L> Follower<D, L>
 where
     D: Dialect,
     L: Ledger,
@@ -138,12 +138,12 @@
         let mut whole = true;
         let mut failures = 0_u32;
         loop {
-            if table == Table::Upstreams && self.board.is_kept(self.gateway.now()) {
+            if table == Table::Upstreams && self.replicas.is_kept(self.gateway.now()) {
                 sleep(KEPT_POLL).await;
                 continue;
             }
             let asked = self.gateway.now();
-            let known = self.board.table(table).version();
+            let known = self.replicas.table(table).version();
             let read = match whole {
                 true => self.ledger.all(table).await,
                 false => self.ledger.changes(table, known, wait).await,
@@ -160,7 +160,7 @@
                     whole = asked_whole && stale;
                     self.take(table, page.rows, page.version, asked_whole);
                     if table == Table::Upstreams {
-                        self.board.read_upstreams(asked);
+                        self.replicas.read_upstreams(asked);
                     }
                     sleep(if whole { RETRY } else { pace }).await;
                 }
@@ -173,7 +173,7 @@
                         log::warn!(table = table.name(), version = known,
                             error = err.to_string().as_str(); "store cannot be read");
                     }
-                    self.board.lost.notify_one();
+                    self.replicas.lost.notify_one();
                     sleep((RETRY * 2_u32.pow(failures.min(4))).min(RETRY_MAX)).await;
                     failures += 1;
                 }
@@ -184,7 +184,7 @@
     /// Takes rows that the store, or another host, has told.
     fn take(&self, table: Table, rows: Vec<Row>, version: u64, whole: bool) {
         let (news, initial) = {
-            let mut replica = self.board.table(table);
+            let mut replica = self.replicas.table(table);
             let initial = replica.version() == 0;
             let news = match whole {
                 true => replica.reset(rows, version),
@@ -201,7 +201,7 @@
             Table::Operators => self.gateway.take_notices(news, initial),
             Table::Upstreams => self.gateway.take_upstreams(news),
             Table::Hosts if !news.is_empty() => {
-                let replica = self.board.table(Table::Hosts);
+                let replica = self.replicas.table(Table::Hosts);
                 let hosts: Vec<_> = replica.rows().map(|it| Host::new(it.key.clone())).collect();
                 drop(replica);
                 log::info!(hosts = hosts.len(); "hosts changed");
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -20,6 +20,7 @@
     cache::{Held, News},
     dialect::Dialect,
     fleet::Loads,
+    follow::{Follower, TABLES},
     generated::peer::{self, Gossip, Pull, Question, Wanted, question},
     ledger::{Ledger, Table},
     node::HostRow,
@@ -28,7 +29,6 @@
     prelude::*,
     rank,
     replica::Row,
-    steer::{Steering, TABLES},
     suspect::{Crash, Fingerprint},
 };
 
@@ -79,7 +79,7 @@
 
 /// One host's end of the mesh.
 pub struct Mesh<D, L> {
-    steering: Steering<D, L>,
+    follower: Follower<D, L>,
     endpoint: Endpoint,
     pins: Pins,
     links: Mutex<HashMap<Host, Connection>>,
@@ -108,7 +108,7 @@
     ///
     /// Returns an error when the key or the address cannot be used.
     pub fn bind(
-        steering: Steering<D, L>,
+        follower: Follower<D, L>,
         identity: &Identity,
         address: SocketAddr,
     ) -> Result<Arc<Self>, MeshError> {
@@ -122,7 +122,7 @@
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
         Ok(Arc::new(Mesh {
-            steering,
+            follower,
             endpoint,
             pins,
             links: Mutex::default(),
@@ -144,7 +144,7 @@
 
     /// Returns all hosts by their rows, which are read once for each version.
     fn rows(&self) -> Arc<HashMap<Host, HostRow>> {
-        let replica = self.steering.board.table(Table::Hosts);
+        let replica = self.follower.replicas.table(Table::Hosts);
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         if known.0 == replica.version() {
             return known.1.clone();
@@ -166,7 +166,7 @@
 
     /// Returns the hosts that this one keeps connections to, those that follow it in rank.
     fn neighbours(&self, rows: &HashMap<Host, HostRow>) -> Vec<Host> {
-        let me = &self.steering.gateway.site.host;
+        let me = &self.follower.gateway.site.host;
         let mut ring: Vec<_> = rows.keys().filter(|it| *it != me).cloned().collect();
         let key = rank::key(&["mesh"]);
         let mine = rank::weight(key, me.as_str());
@@ -184,7 +184,7 @@
 
     /// Returns the first host of each other zone.
     fn other_keepers(&self, rows: &HashMap<Host, HostRow>) -> Vec<Host> {
-        let site = &self.steering.gateway.site;
+        let site = &self.follower.gateway.site;
         let key = rank::key(&["keeper"]);
         let mut first: HashMap<&str, (u64, &Host)> = HashMap::new();
         for (host, row) in rows.iter().filter(|it| it.1.zone != site.zone.as_str()) {
@@ -196,11 +196,11 @@
     }
 
     fn is_kept(&self) -> bool {
-        self.steering.board.is_kept(self.steering.gateway.now())
+        self.follower.replicas.is_kept(self.follower.gateway.now())
     }
 
     async fn dial(self: Arc<Self>) {
-        let me = self.steering.gateway.site.host.clone();
+        let me = self.follower.gateway.site.host.clone();
         loop {
             let rows = self.rows();
             let pins = rows.iter().map(|(host, row)| (row.fingerprint.clone(), host.clone()));
@@ -289,7 +289,7 @@
     }
 
     fn take(&self, host: &Host, gossip: Gossip) {
-        let gateway = &self.steering.gateway;
+        let gateway = &self.follower.gateway;
         let now = gateway.now();
         let loads = gossip.loads.iter().map(|it| (it.upstream, (it.tokens, it.requests)));
         gateway.fleet().take_loads(now, host, loads.collect());
@@ -306,8 +306,8 @@
                 upstream: Upstream::new(crash.upstream.clone()),
             });
         }
-        if gossip.operators > self.steering.board.table(Table::Operators).version() {
-            self.steering.board.behind(host);
+        if gossip.operators > self.follower.replicas.table(Table::Operators).version() {
+            self.follower.replicas.behind(host);
         }
         let passed_on = !gossip.crashes.is_empty() || !gossip.loading.is_empty();
         if self.is_large() && (passed_on || !gossip.loaded.is_empty()) {
@@ -319,7 +319,7 @@
 
     /// Returns what this host would tell of itself.
     fn own(&self) -> Gossip {
-        let gateway = &self.steering.gateway;
+        let gateway = &self.follower.gateway;
         let rollout = gateway.rollout().clone();
         let loading = rollout.loading.iter();
         let loading: Vec<_> = loading.filter_map(|it| gateway.fleet().short(it)).collect();
@@ -336,7 +336,7 @@
         Gossip {
             loads: encode_loads(gateway.fleet().loads()),
             crashes: crashes.collect(),
-            operators: self.steering.board.table(Table::Operators).version(),
+            operators: self.follower.replicas.table(Table::Operators).version(),
             loading,
             loaded: loaded.collect(),
             zone: false,
@@ -346,7 +346,7 @@
     /// Adds what this host was told a moment ago to what it tells; to other keepers only what
     /// its own zone has told.
     fn pass_on(&self, gossip: &mut Gossip, far: bool) {
-        let now = self.steering.gateway.now();
+        let now = self.follower.gateway.now();
         let mut heard = self.heard();
         heard.retain(|it| now.since(it.at) < PASSED_ON);
         for Heard { gossip: it, .. } in heard.iter().filter(|it| far || !it.far) {
@@ -362,7 +362,7 @@
 
     fn answer(&self, wanted: &Wanted) -> Option<peer::Rows> {
         let table = *TABLES.get(wanted.table as usize)?;
-        let replica = self.steering.board.table(table);
+        let replica = self.follower.replicas.table(table);
         let rows = replica.since(wanted.version).into_iter();
         let row = |it: Row| peer::Row { key: it.key, value: it.value, version: it.version };
         Some(peer::Rows { version: replica.version(), rows: rows.map(row).collect() })
@@ -371,7 +371,7 @@
     /// Tells the other hosts of requests in flight and of crashes. In a large fleet only keepers
     /// tell, for their zones and to each other.
     async fn tell(self: Arc<Self>) {
-        let gateway = &self.steering.gateway;
+        let gateway = &self.follower.gateway;
         loop {
             sleep(PERIOD).await;
             let rows = self.rows();
@@ -412,10 +412,10 @@
 
     /// Asks other hosts for rows while the store gives none, or when one of them knows more.
     async fn catch_up(self: Arc<Self>) {
-        let board = self.steering.board.clone();
+        let replicas = self.follower.replicas.clone();
         let mut round = 0_u64;
         loop {
-            board.lost.notified().await;
+            replicas.lost.notified().await;
             round += 1;
             let links: Vec<_> =
                 self.links().iter().map(|(host, link)| (host.clone(), link.clone())).collect();
@@ -424,7 +424,7 @@
                 .map(|it| (rank::mix(round ^ rank::key(&[it.0.as_str()])), it))
                 .collect();
             links.sort_by_key(|it| it.0);
-            let ahead = board.ahead();
+            let ahead = replicas.ahead();
             let (known, others): (Vec<_>, Vec<_>) =
                 links.into_iter().map(|it| it.1).partition(|it| ahead.as_ref() == Some(&it.0));
             for (host, link) in known.into_iter().chain(others).take(ASKED) {
@@ -438,7 +438,7 @@
 
     async fn ask(&self, host: &Host, link: &Connection, at: usize) {
         let table = TABLES[at];
-        let known = self.steering.board.table(table).version();
+        let known = self.follower.replicas.table(table).version();
         let wanted = question::Body::Wanted(Wanted { table: at as u32, version: known });
         let Some(bytes) = exchange(link, wanted).await else { return };
         let Ok(rows) = peer::Rows::decode(bytes) else { return };
@@ -454,28 +454,28 @@
         let row = |it: peer::Row| Row { key: it.key, value: it.value, version: it.version };
         let rows_of = rows.rows.into_iter().map(row).collect();
         let (news, initial) = {
-            let mut replica = self.steering.board.table(table);
+            let mut replica = self.follower.replicas.table(table);
             let initial = replica.version() == 0;
             (replica.apply(rows_of, rows.version), initial)
         };
-        self.steering.announce(table, &news, initial);
+        self.follower.announce(table, &news, initial);
     }
 
     /// Asks the keeper of the zone for what this host would otherwise read itself: the
     /// upstreams' table and the changes of the stores. Keepers are the first hosts of a zone
     /// in the order of ranks; a host that is itself the first one reads.
     async fn pull(self: Arc<Self>) {
-        let gateway = &self.steering.gateway;
+        let gateway = &self.follower.gateway;
         loop {
             sleep(PULL_PERIOD).await;
             let rows = self.rows();
             for (host, row) in self.keepers(&rows) {
                 if self.pull_from(&host, &row).await {
                     let now = gateway.now();
-                    if !self.steering.board.is_kept(now) {
+                    if !self.follower.replicas.is_kept(now) {
                         log::info!(peer = host.as_str(); "another host reads for this one");
                     }
-                    self.steering.board.keep(now + KEPT);
+                    self.follower.replicas.keep(now + KEPT);
                     break;
                 }
             }
@@ -484,7 +484,7 @@
 
     /// Returns the hosts of this zone that come before this one.
     fn keepers(&self, rows: &HashMap<Host, HostRow>) -> Vec<(Host, HostRow)> {
-        let site = &self.steering.gateway.site;
+        let site = &self.follower.gateway.site;
         let key = rank::key(&["keeper"]);
         let weight = |host: &Host| rank::weight(key, host.as_str());
         let mine = weight(&site.host);
@@ -500,7 +500,7 @@
             tokio::spawn(self.clone().connect(host.clone(), row.address));
             return false;
         };
-        let gateway = &self.steering.gateway;
+        let gateway = &self.follower.gateway;
         let asked = gateway.now();
         let mark = |(address, boot, next): (SocketAddr, u64, u64)| peer::StoreMark {
             address: address.to_string().into(),
@@ -508,7 +508,7 @@
             next,
         };
         let pull = Pull {
-            upstreams: self.steering.board.table(Table::Upstreams).version(),
+            upstreams: self.follower.replicas.table(Table::Upstreams).version(),
             stores: gateway.cache().marks().into_iter().map(mark).collect(),
             own: self.is_large().then(|| self.own()),
         };
@@ -523,7 +523,7 @@
         if let Some(others) = pulled.others {
             self.take(host, others);
         }
-        self.steering.board.read_upstreams(asked.before(age));
+        self.follower.replicas.read_upstreams(asked.before(age));
         for store in pulled.stores {
             let Ok(address) = store.address.parse() else { continue };
             let held = |it: peer::StorePart| Held { key: it.key, tokens: it.tokens };
@@ -545,10 +545,10 @@
 
     /// Answers another host of the zone, unless this host does not read itself.
     fn pulled(&self, asker: &Host, pull: Pull) -> Option<peer::Pulled> {
-        let gateway = &self.steering.gateway;
-        let board = &self.steering.board;
+        let gateway = &self.follower.gateway;
+        let replicas = &self.follower.replicas;
         let now = gateway.now();
-        if board.is_kept(now) || gateway.draining.is_cancelled() {
+        if replicas.is_kept(now) || gateway.draining.is_cancelled() {
             return None;
         }
         let others = pull.own.map(|own| {
@@ -556,7 +556,7 @@
             let loads = gateway.fleet().loads_with(|it| it != asker);
             let mut others = Gossip {
                 loads: encode_loads(loads),
-                operators: board.table(Table::Operators).version(),
+                operators: replicas.table(Table::Operators).version(),
                 ..Gossip::default()
             };
             self.pass_on(&mut others, true);
@@ -579,7 +579,7 @@
         });
         Some(peer::Pulled {
             upstreams: self.answer(&wanted),
-            age_ms: millis(now.since(board.upstreams_read())),
+            age_ms: millis(now.since(replicas.upstreams_read())),
             others,
             stores: stores.collect(),
         })
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -16,16 +16,16 @@
 };
 
 use crate::{
+    cache_watch,
     dialect::Dialect,
+    follow::{Follower, Replicas},
     gateway::Gateway,
-    keep,
     ledger::{Ledger, LedgerError, Table, Write, Written},
     mesh::Mesh,
     pin::{Identity, PinError},
     prelude::*,
     rollout, serve,
     site::Site,
-    steer::{Board, Steering},
 };
 
 /// Port of the metrics, as `deploy/system.toml` names it.
@@ -117,7 +117,7 @@
         let identity = Identity::generate(&gateway.site.host)?;
         thread::Builder::new().name("control".into()).spawn(move || {
             let ledger = connect(gateway.site.store);
-            control.block_on(steer(gateway, ledger, &identity));
+            control.block_on(follow(gateway, ledger, &identity));
         })?;
         traffic.block_on(carry(self.gateway, reload))
     }
@@ -127,33 +127,33 @@
     Builder::new_current_thread().enable_all().build()
 }
 
-async fn steer<D, L>(gateway: Arc<Gateway<D>>, ledger: L, identity: &Identity)
+async fn follow<D, L>(gateway: Arc<Gateway<D>>, ledger: L, identity: &Identity)
 where
     D: Dialect,
     L: Ledger,
 {
-    let board = Arc::new(Board::default());
-    let steering = Steering { gateway: gateway.clone(), ledger: ledger.clone(), board };
+    let replicas = Arc::new(Replicas::default());
+    let follower = Follower { gateway: gateway.clone(), ledger: ledger.clone(), replicas };
     let address = SocketAddr::new(gateway.site.front.ip(), gateway.site.peer_ports.0);
     let row = HostRow {
         address,
         zone: gateway.site.zone.to_string(),
         fingerprint: identity.fingerprint(),
     };
-    let mesh = match Mesh::bind(steering.clone(), identity, address) {
+    let mesh = match Mesh::bind(follower.clone(), identity, address) {
         Ok(mesh) => mesh,
         // Without the others, what the store says still holds.
         Err(err) => {
             log::error!(error = err.to_string().as_str(); "no calls between hosts");
-            return steering.run().await;
+            return follower.run().await;
         }
     };
     let registered = AtomicBool::new(false);
-    let board = steering.board.clone();
+    let replicas = follower.replicas.clone();
     tokio::join!(
-        steering.run(),
+        follower.run(),
         mesh.run(),
-        keep::run(gateway.clone(), board),
+        cache_watch::run(gateway.clone(), replicas),
         rollout::run(gateway.clone(), ledger.clone()),
         register(&gateway, &ledger, &row, &registered),
         unregister(&gateway, &ledger, &registered),
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -18,7 +18,7 @@
 use crate::{
     cache::{Need, Plan},
     deployment::{Deployment, Repeat, Route, Tenancy},
-    dialect::{Ask, Dialect, Dressing, Reply},
+    dialect::{Ask, Dialect, Outgoing, Reply},
     fault::Reach,
     fleet::{Choice, Denial, Outcome, Query},
     gateway::Gateway,
@@ -478,7 +478,7 @@
     ) -> Result<Request<Full<Bytes>>, Error> {
         let salt = self.job.salt(choice.weights);
         self.plan = salt.as_deref().and_then(|salt| self.plan(choice, salt));
-        let dressing = Dressing {
+        let outgoing = Outgoing {
             deadline: self.job.left(),
             upstream: choice.id.as_str(),
             workspace: self.job.tenancy.as_ref().map(|it| it.workspace.as_str()),
@@ -491,7 +491,7 @@
         let mut request = Request::new(Full::new(self.job.body.clone()));
         *request.method_mut() = self.job.method.clone();
         *request.uri_mut() = self.job.uri.clone();
-        *request.headers_mut() = self.gateway.dialect.dress(&self.job.headers, &dressing);
+        *request.headers_mut() = self.gateway.dialect.outgoing(&self.job.headers, &outgoing);
         Ok(request)
     }
 
