fleet: upstreams with older weights get nothing 3.5 s before the rollout's bound

Ruled out: hosts that had not heard of the weights; a holder's takeover, which was in time. Change: the bound for sending is the rollout's less 3.5 s, in place of nine tenths of it. The test of named versions failed first.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -47,8 +47,11 @@
 /// How long an upstream that turned a request away gets no other one while it lacks weights
 /// that were named.
 const ROLLING_REFUSAL: Duration = Duration::from_millis(1200);
-/// Part of the rollout bound after which upstreams with older weights get no more requests.
-const ROLLOUT_PART: f64 = 0.9;
+/// How long a request may wait at an upstream before it begins: upstreams with older weights
+/// get no more requests that much before the rollout's bound.
+const WAIT_MAX: Duration = Duration::from_millis(3500);
+/// Part of the contact bound after which a host that has started keeps to the weights named.
+const START_PART: f64 = 0.9;
 
 pub use crate::standing::{Entry, Outcome};
 
@@ -322,8 +325,8 @@
             // A host that has just started cannot know for how long they have been named. It
             // may go on for as long as it takes to be counted on again.
             let due = match since {
-                Some(since) => since + self.rollout.mul_f64(ROLLOUT_PART),
-                None => Instant::default() + self.contact.mul_f64(ROLLOUT_PART),
+                Some(since) => since + self.rollout.saturating_sub(WAIT_MAX),
+                None => Instant::default() + self.contact.mul_f64(START_PART),
             };
             self.named.entry(model).or_default().add(version, due);
         }
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -183,10 +183,11 @@
     fleet.weights_seen(&Upstream::new("engine0"), &model, 2);
     fleet.name_weights(Some(at(9000)), model.clone(), 3);
     assert_eq!(spread(&mut fleet, 9100, 1, 40).len(), 2);
-    // Version 2 is due 13.5 s after it was named, whatever was named since.
-    let counts = spread(&mut fleet, 13_600, 1, 40);
+    // Version 2 is due 15 s after it was named, whatever was named since, and a request may
+    // wait at an upstream for 3.5 s before it begins.
+    let counts = spread(&mut fleet, 11_600, 1, 40);
     assert_eq!(counts.keys().map(Upstream::as_str).collect::<Vec<_>>(), ["engine0"]);
-    assert!(choose(&mut fleet, at(22_600), 1, 100).is_err());
+    assert!(choose(&mut fleet, at(20_600), 1, 100).is_err());
 }
 
 #[test]
