lag: a cache store is slow only against requests that do not fetch from it

Ruled out: stores that are full (63 parts found no room); stores that do not answer. Change: waits are kept by store in a module of their own, fade with time, and are compared with those of requests that did not fetch from the store. Probes of a slow store are shared by all hosts.

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -10,7 +10,7 @@
     net::SocketAddr,
 };
 
-use crate::{deployment::StoreEntry, dialect::Part, prelude::*, rank};
+use crate::{deployment::StoreEntry, dialect::Part, lag::Lags, prelude::*, rank};
 
 /// How long a store's last answer vouches for what it holds: shorter than a store needs to
 /// come back from a restart.
@@ -23,12 +23,6 @@
 const PART_MIN: u32 = 1;
 /// Part of a store's room that is used.
 const FULL: f64 = 0.97;
-/// Weight of the newest time in a store's mean time to the first token.
-const DELAY_WEIGHT: f64 = 0.3;
-/// Mean time, in seconds, by which a store holds requests up from which it counts as slow.
-const SLOW: f64 = 0.25;
-/// How often a fetch is made from a slow store to see whether it is fast again.
-const PROBE: Duration = Duration::from_millis(120);
 /// Fetches shorter than this say nothing of a store's speed.
 const TELLING: u32 = 1000;
 /// How much more a store in the engine's own zone is preferred for a part than its room says.
@@ -123,9 +117,6 @@
     log: VecDeque<(u64, Held)>,
     /// Up to where changes are no longer in the log.
     forgotten: u64,
-    /// Mean time by which requests that fetched from it were held up, in seconds.
-    held_up: f64,
-    probed: Instant,
 }
 
 /// The request that a plan is for.
@@ -146,6 +137,7 @@
 pub struct Cache {
     stores: Vec<Store>,
     saving: HashMap<u64, Instant>,
+    lags: Lags,
 }
 
 impl Cache {
@@ -161,6 +153,11 @@
         }
     }
 
+    /// Takes the number of hosts, which share the probes of slow stores.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.lags.set_hosts(hosts);
+    }
+
     /// Returns where the changes of a store are to be read from.
     pub fn next(&self, address: SocketAddr) -> u64 {
         self.store(address).map_or(0, |it| it.next)
@@ -239,24 +236,14 @@
             store.forget();
             store.boot = None;
             store.next = 0;
-            store.held_up = 0.0;
+            self.lags.forget(address);
         }
     }
 
     /// Takes when the first token of a planned request came, and how long that takes at its
     /// engine on the whole: an engine that is slow for all says nothing of the store.
-    pub fn arrived(&mut self, plan: &Plan, first: Duration, usual: Duration) {
-        let held_up = first.saturating_sub(usual).as_secs_f64();
-        let stores = self.stores.iter_mut();
-        for store in stores.filter(|it| plan.telling.contains(&it.entry.address)) {
-            let before = store.held_up;
-            store.held_up += DELAY_WEIGHT * (held_up - before);
-            if (before < SLOW) != (store.held_up < SLOW) {
-                log::info!(store = store.entry.address.to_string().as_str(),
-                    held_up_ms = (store.held_up * 1000.0) as u64, slow = before < SLOW;
-                    "cache store turned slow or fast");
-            }
-        }
+    pub fn arrived(&mut self, now: Instant, plan: &Plan, first: Duration, usual: Duration) {
+        self.lags.take(now, &plan.telling, first.saturating_sub(usual));
     }
 
     /// Plans a request whose parts, but the last one, others share.
@@ -275,16 +262,15 @@
             }
             let key = key(salt, &part.id);
             plan.fetch[at] = need.origin;
-            match self.holder(now, key) {
-                Some(store) => {
-                    if store.is_slow(now) {
+            match self.holder(now, key).map(|it| (it.entry.address, it.until())) {
+                Some((address, until)) => {
+                    if self.lags.is_passed_over(now, address) {
                         continue;
                     }
-                    plan.fetch[at] = Some(store.entry.address);
-                    let until = store.until();
+                    plan.fetch[at] = Some(address);
                     plan.until = Some(plan.until.map_or(until, |it: u64| it.min(until)));
                     if part.tokens >= TELLING {
-                        plan.telling.push(store.entry.address);
+                        plan.telling.push(address);
                     }
                 }
                 None => plan.save[at] = self.home(now, key, part.tokens, need),
@@ -294,7 +280,7 @@
     }
 
     /// Returns the zone of the store that holds the longest of the shared parts.
-    pub fn zone(&mut self, now: Instant, salt: &str, parts: &[Part]) -> Option<Zone> {
+    pub fn zone(&self, now: Instant, salt: &str, parts: &[Part]) -> Option<Zone> {
         let shared = &parts[..parts.len().saturating_sub(1)];
         let longest = shared.iter().max_by_key(|it| it.tokens)?;
         let store = self.holder(now, key(salt, &longest.id))?;
@@ -311,8 +297,8 @@
     }
 
     /// Finds the fastest store that holds all of a part.
-    fn holder(&mut self, now: Instant, key: u64) -> Option<&mut Store> {
-        let stores = self.stores.iter_mut();
+    fn holder(&self, now: Instant, key: u64) -> Option<&Store> {
+        let stores = self.stores.iter();
         let holders = stores.filter(|it| it.vouches(now) && it.parts.contains_key(&key));
         holders.min_by_key(|it| it.entry.first_byte)
     }
@@ -351,22 +337,7 @@
             tokens: 0,
             log: VecDeque::new(),
             forgotten: 0,
-            held_up: 0.0,
-            probed: Instant::default(),
-        }
-    }
-
-    /// Tells whether fetches from the store hold requests up; false now and then, to see
-    /// whether they still do.
-    fn is_slow(&mut self, now: Instant) -> bool {
-        if self.held_up < SLOW {
-            return false;
-        }
-        if now.since(self.probed) < PROBE {
-            return true;
         }
-        self.probed = now;
-        false
     }
 
     fn hash(&self) -> u64 {
--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -205,6 +205,7 @@
                 let hosts: Vec<_> = replica.rows().map(|it| Host::new(it.key.clone())).collect();
                 drop(replica);
                 log::info!(hosts = hosts.len(); "hosts changed");
+                self.gateway.cache().set_hosts(hosts.len());
                 self.gateway.fleet().set_hosts(hosts);
             }
             Table::Hosts | Table::Leases => {}
--- /dev/null
+++ b/lib/src/lag.rs
@@ -0,0 +1,107 @@
+//! Which stores of KV cache hold up the requests that fetch from them. No I/O.
+//!
+//! A late first token may be the engine's doing as well as the store's. So a store counts as slow
+//! only when requests that fetch from it wait clearly longer than those that do not.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use crate::prelude::*;
+
+/// Weight of the newest wait in a mean.
+const WEIGHT: f64 = 0.3;
+/// Wait, in seconds beyond twice that of other requests, up from which a store counts as slow:
+/// reading a long prompt again takes about as long.
+const SLOW: f64 = 0.25;
+/// Time in which half of a mean is forgotten. Slow phases of a store last for some seconds.
+const HALF_LIFE: Duration = Duration::from_millis(1500);
+/// How often one of all hosts makes a fetch from a slow store to see whether it is fast again.
+const PROBE: Duration = Duration::from_millis(15);
+
+/// Mean of waits, in seconds; what is old fades.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    wait: f64,
+    at: Instant,
+}
+
+impl Mean {
+    fn at(&self, now: Instant) -> f64 {
+        let halvings = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.wait * 0.5_f64.powf(halvings)
+    }
+
+    fn take(&mut self, now: Instant, wait: Duration) {
+        let mean = self.at(now);
+        self.wait = mean + WEIGHT * (wait.as_secs_f64() - mean);
+        self.at = now;
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Standing {
+    mean: Mean,
+    probed: Instant,
+    slow: bool,
+}
+
+/// The waits of requests by the store that they fetched from.
+#[derive(Clone, Debug, Default)]
+pub struct Lags {
+    stores: HashMap<SocketAddr, Standing>,
+    /// Of requests that fetched nothing to speak of.
+    none: Mean,
+    hosts: u32,
+}
+
+impl Lags {
+    /// Takes how much later than usual the first token of a request came, and the stores that
+    /// it fetched from.
+    pub fn take(&mut self, now: Instant, stores: &[SocketAddr], wait: Duration) {
+        if stores.is_empty() {
+            self.none.take(now, wait);
+        }
+        for address in stores {
+            self.stores.entry(*address).or_default().mean.take(now, wait);
+        }
+    }
+
+    /// Takes the number of hosts, which share the probes of slow stores.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    }
+
+    /// Forgets a store that may have restarted.
+    pub fn forget(&mut self, address: SocketAddr) {
+        self.stores.remove(&address);
+    }
+
+    /// Tells whether a store is to be passed over; false now and then for a slow one, to see
+    /// whether it still is.
+    pub fn is_passed_over(&mut self, now: Instant, address: SocketAddr) -> bool {
+        let others = self.others(now, address);
+        let probe = PROBE.saturating_mul(self.hosts.max(1));
+        let Some(store) = self.stores.get_mut(&address) else { return false };
+        let wait = store.mean.at(now);
+        let slow = wait > 2.0 * others + SLOW;
+        if slow != store.slow {
+            store.slow = slow;
+            log::info!(store = address.to_string().as_str(), wait_ms = (wait * 1000.0) as u64,
+                others_ms = (others * 1000.0) as u64, slow = slow;
+                "cache store turned slow or fast");
+        }
+        if !slow || now.since(store.probed) >= probe {
+            store.probed = now;
+            return false;
+        }
+        true
+    }
+
+    /// Returns the mean wait of requests that did not fetch from a store.
+    fn others(&self, now: Instant, address: SocketAddr) -> f64 {
+        let others = self.stores.iter().filter(|it| *it.0 != address);
+        let (count, sum) = others
+            .map(|it| it.1.mean.at(now))
+            .fold((1, self.none.at(now)), |(count, sum), it| (count + 1, sum + it));
+        sum / f64::from(count)
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod inflight;
 pub mod invariant;
 pub mod key;
+pub mod lag;
 pub mod lease;
 pub mod ledger;
 pub mod link;
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -90,7 +90,7 @@
                 first = Some(elapsed);
                 if let Some(plan) = &self.plan {
                     let usual = self.gateway.fleet().delay(&placement.choice.id);
-                    self.gateway.cache().arrived(plan, elapsed, usual);
+                    self.gateway.cache().arrived(self.gateway.now(), plan, elapsed, usual);
                 }
             }
             if pieces.send(Ok(events)).await.is_err() {
--- a/lib/tests/test_cache.rs
+++ b/lib/tests/test_cache.rs
@@ -122,24 +122,27 @@
     let (mut cache, address) = cache();
     cache.take(at(0), address, &answer(1, 1, vec![change(true, "session")]));
     let usual = Duration::from_millis(100);
-    for _ in 0..3 {
-        let plan = plan(&mut cache, at(10), SALT);
-        cache.arrived(&plan, Duration::from_millis(1500), usual);
+    cache.set_hosts(8);
+    let under_way = [(); 3].map(|()| plan(&mut cache, at(10), SALT));
+    for plan in &under_way {
+        cache.arrived(at(10), plan, Duration::from_millis(1500), usual);
     }
     let probes = (0..10).filter(|it| plan(&mut cache, at(500 + it * 20), SALT).fetch[1].is_some());
     assert_eq!(probes.count(), 2);
     // Fast answers to probes bring it back.
     for step in 0..12 {
-        let plan = plan(&mut cache, at(700 + step * 5), SALT);
+        let now = at(700 + step * 5);
+        let plan = plan(&mut cache, now, SALT);
         if plan.fetch[1].is_some() {
-            cache.arrived(&plan, usual, usual);
+            cache.arrived(now, &plan, usual, usual);
         }
     }
     cache.take(at(900), address, &answer(1, 1, Vec::new()));
     for step in 0..40 {
-        let plan = plan(&mut cache, at(900 + step * 20), SALT);
+        let now = at(900 + step * 20);
+        let plan = plan(&mut cache, now, SALT);
         if plan.fetch[1].is_some() {
-            cache.arrived(&plan, usual, usual);
+            cache.arrived(now, &plan, usual, usual);
         }
     }
     assert!((0..5).all(|it| plan(&mut cache, at(1700 + it), SALT).fetch[1].is_some()));
@@ -152,11 +155,66 @@
     for _ in 0..20 {
         let plan = plan(&mut cache, at(10), SALT);
         let slow = Duration::from_millis(1500);
-        cache.arrived(&plan, slow, slow);
+        cache.arrived(at(10), &plan, slow, slow);
     }
     assert!((0..5).all(|it| plan(&mut cache, at(20 + it), SALT).fetch[1].is_some()));
 }
 
+/// Waits of a loaded fleet, in milliseconds: most are short, some are seconds.
+fn loaded(step: u64) -> Duration {
+    let chance = mothvale_lib::rank::mix(step) % 100;
+    Duration::from_millis(if chance < 60 { chance * 10 } else { chance * 30 })
+}
+
+/// Pattern: a quarter of the engines is lost, and first tokens are late at all that are left,
+/// whatever their requests fetch. What is not fetched then would be read by the same engines.
+#[test]
+fn stores_are_fetched_from_while_all_engines_are_late() {
+    let stores = [store(1, 1_000_000), store(2, 1_000_000), store(3, 1_000_000)];
+    let mut cache = Cache::default();
+    cache.set_stores(&stores);
+    cache.set_hosts(40);
+    let usual = Duration::from_millis(100);
+    let mut fetched = 0;
+    for step in 0..300 {
+        let now = at(step * 70);
+        let holder = &stores[step as usize % 3];
+        for it in &stores {
+            let held = if it == holder { vec![change(true, "session")] } else { Vec::new() };
+            cache.take(now, it.address, &answer(step, 1, held));
+        }
+        let planned = plan(&mut cache, now, SALT);
+        fetched += u32::from(planned.fetch[1].is_some());
+        cache.arrived(now, &planned, loaded(step), usual);
+    }
+    assert!(fetched > 270, "{fetched} of 300 prompts were fetched");
+}
+
+/// Pattern: one store of several turns slow while all engines are late.
+#[test]
+fn slow_store_is_told_from_late_engines() {
+    let stores = [store(1, 1_000_000), store(2, 1_000_000), store(3, 1_000_000)];
+    let mut cache = Cache::default();
+    cache.set_stores(&stores);
+    cache.set_hosts(40);
+    let usual = Duration::from_millis(100);
+    let mut fetched = [0; 3];
+    for step in 0..300 {
+        let now = at(step * 70);
+        let turn = step as usize % 3;
+        for (index, it) in stores.iter().enumerate() {
+            let held = if index == turn { vec![change(true, "session")] } else { Vec::new() };
+            cache.take(now, it.address, &answer(step, 1, held));
+        }
+        let planned = plan(&mut cache, now, SALT);
+        let slow = turn == 0 && planned.fetch[1].is_some();
+        fetched[turn] += u32::from(planned.fetch[1].is_some());
+        let wait = if slow { Duration::from_secs(4) } else { Duration::ZERO };
+        cache.arrived(now, &planned, loaded(step) / 2 + wait, usual);
+    }
+    assert!(fetched[0] < 60 && fetched[1] + fetched[2] > 170, "{fetched:?}");
+}
+
 /// The keeper lost the store and found the same start again; what the other host knew from
 /// before then was not taken back.
 #[test]
