admission: a loaded service of engines refuses part of its requests at once

Change: part of the requests is refused at once as the mean load of the engines grows, the least urgent first, in a module without I/O; an engine's own bound is only the last one now.

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -102,6 +102,34 @@
     pub until: Option<u64>,
     /// Stores whose speed shows in the time to the first token.
     telling: SmallVec<[SocketAddr; 4]>,
+    /// How each part is found, for the log.
+    found: SmallVec<[Found; 4]>,
+}
+
+/// How a part of a prompt is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// In a store.
+    Stored,
+    /// In a store that is passed over, as it is slow.
+    PassedOver,
+    /// Nowhere; it is to be saved.
+    Saved,
+    /// Nowhere; another request saves it, or no store takes it.
+    Missing,
+}
+
+impl Plan {
+    /// Returns how each part is found, one letter a part.
+    pub fn summary(&self) -> String {
+        let letter = |it: &Found| match it {
+            Found::Stored => 'f',
+            Found::PassedOver => 'p',
+            Found::Saved => 's',
+            Found::Missing => '-',
+        };
+        self.found.iter().map(letter).collect()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -265,15 +293,21 @@
             match self.holder(now, key).map(|it| (it.entry.address, it.until())) {
                 Some((address, until)) => {
                     if self.lags.is_passed_over(now, address) {
+                        plan.found.push(Found::PassedOver);
                         continue;
                     }
+                    plan.found.push(Found::Stored);
                     plan.fetch[at] = Some(address);
                     plan.until = Some(plan.until.map_or(until, |it: u64| it.min(until)));
                     if part.tokens >= TELLING {
                         plan.telling.push(address);
                     }
                 }
-                None => plan.save[at] = self.home(now, key, part.tokens, need),
+                None => {
+                    plan.save[at] = self.home(now, key, part.tokens, need);
+                    let saved = plan.save[at].is_some();
+                    plan.found.push(if saved { Found::Saved } else { Found::Missing });
+                }
             }
         }
         plan
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -8,7 +8,8 @@
 };
 
 use crate::{
-    deployment::{Deployment, ServiceEntry},
+    admission::Pressure,
+    deployment::{Deployment, EngineEntry, ServiceEntry},
     prelude::*,
     share,
     standing::{COLD_SPAN, REFUSAL, REFUSAL_MAX, Standing},
@@ -34,9 +35,9 @@
 const TOKENS_FREE: f64 = 0.15;
 /// The same while only some upstreams have the newest weights, and nothing is cached there.
 const TOKENS_ROLLING: f64 = 0.15;
-/// Part of an engine's memory that requests fill; beyond that, runs would only put each other
-/// back.
-const TOKENS_MAX: f64 = 1.2;
+/// Part of an engine's memory that requests fill at most; beyond that, runs would only put each
+/// other back. What all engines bear together is for `admission`.
+const TOKENS_MAX: f64 = 1.6;
 /// How long an upstream gets no requests after the holder of the lease has told that it takes
 /// new weights; told again several times meanwhile.
 const LOADING: Duration = Duration::from_millis(350);
@@ -100,6 +101,10 @@
     pub near: Option<&'a Zone>,
     /// Tokens of its prompt and of its longest answer.
     pub tokens: u32,
+    /// Rank among the requests of the service, 0 first.
+    pub priority: u8,
+    /// A hash that differs from request to request.
+    pub draw: u64,
     /// Upstreams that were tried.
     pub tried: &'a [Upstream],
 }
@@ -397,6 +402,11 @@
     ) -> Result<Choice, Denial> {
         let nothing = Denial::Nothing(REFUSAL_MAX);
         let service = deployment.services.get(query.service).ok_or(nothing)?.clone();
+        // What has begun elsewhere is not given up for load.
+        if let (Some(engine), true) = (&service.engine, query.tried.is_empty()) {
+            let pressure = self.pressure(now, engine, query);
+            pressure.admit(query.priority, query.draw).map_err(Denial::Full)?;
+        }
         let usable = self.usable(now, &service, query);
         if usable.is_empty() {
             return Err(self.denial(now, query));
@@ -459,6 +469,16 @@
         }
     }
 
+    /// Returns the mean load of the engines that a request may go to now or in a moment.
+    fn pressure(&self, now: Instant, engine: &EngineEntry, query: &Query<'_>) -> Pressure {
+        let states = self.by_service.get(query.service).into_iter().flatten();
+        let states = states.filter_map(|id| self.states.get(id)).filter(|it| {
+            let out = it.entry.draining || self.evacuated.contains(&it.entry.zone);
+            !out && it.ejected_until <= now
+        });
+        Pressure::new(engine, states.map(|it| (it.all_tokens(), it.all_requests())))
+    }
+
     fn usable(&mut self, now: Instant, service: &ServiceEntry, query: &Query<'_>) -> Vec<Upstream> {
         let Some(ids) = self.by_service.get(query.service) else { return Vec::new() };
         let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -1,6 +1,7 @@
 //! All logic of mothvale: decisions without I/O, and thin adapters around them.
 
 pub mod admin;
+pub mod admission;
 pub mod answer;
 pub mod backend;
 pub mod cache;
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -304,6 +304,8 @@
             session: self.session,
             near: near.as_ref(),
             tokens: job.ask.prompt_tokens.saturating_add(job.ask.answer_tokens),
+            priority: job.urgency().unwrap_or(job.route.priority),
+            draw: crate::rank::key(&["admission", &job.ask.id]),
             tried: &self.tried,
         };
         self.gateway.choose(&job.deployment, &query)
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -6,6 +6,7 @@
 use tokio::{sync::mpsc, time::timeout_at};
 
 use crate::{
+    cache::Plan,
     dialect::Dialect,
     event::Splitter,
     fleet::Outcome,
@@ -105,11 +106,12 @@
         let wait = self.job.received.elapsed();
         self.gateway.metrics.first_token.with_label_values(&[class]).observe(first.as_secs_f64());
         placement.settle(Outcome::Served(first));
-        let fetched = self.plan.iter().flat_map(|it| &it.fetch).flatten().count();
+        let parts = self.plan.as_ref().map(Plan::summary).unwrap_or_default();
         log::info!(request = self.job.ask.id.as_str(), route = self.job.route.name.as_str(),
             upstream = choice.id.as_str(), chosen = choice.reason,
             weights = choice.weights.unwrap_or_default(), tokens = choice.tokens,
-            fetched = fetched, runs = self.runs, first_ms = first.as_millis() as u64,
+            session = format!("{:x}", self.session.unwrap_or_default()).as_str(),
+            parts = parts.as_str(), origin = choice.origin.is_some(), runs = self.runs, first_ms = first.as_millis() as u64,
             total_ms = wait.as_millis() as u64; "stream ended");
         End::Done
     }
