--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -9,7 +9,7 @@
 
 /// Mean load, as a part of what engines have places for, at which the most urgent requests
 /// begin to be refused: a little waits at each engine then.
-const START: f64 = 1.0;
+const START: f64 = 0.75;
 /// How much earlier each rank of priority begins.
 const STEP: f64 = 0.08;
 /// Ranks below which requests are alike.
