admission: late first tokens refuse requests too

Ruled out: double counting when keepers change (all hosts refused alike). Change: mean waits for the first token by priority, as parts of what callers are promised, refuse beside the load; the load begins at a full engine. Means that fade are one type. The test that a full engine refuses counts exactly now: 7 requests, where 5 or 6 were allowed, as the bound for one engine moved.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -1,35 +1,89 @@
 //! Which requests a loaded service of model engines still takes. No I/O.
 //!
 //! An engine that is given more runs than it has places for makes all of them late, and what waits
-//! there until its caller leaves was taken for nothing. So part of the requests is refused at once
-//! as the mean load of the engines grows, the least urgent first. The mean changes slowly, and
-//! refusing a part and not all keeps hosts that know it a moment late from swinging together.
+//! there until its caller leaves was taken for nothing. So part of the requests is refused at once,
+//! the least urgent first, as the mean load of the engines grows or first tokens come late. Both
+//! change slowly, and refusing a part and not all keeps hosts that know it a moment late from
+//! swinging together.
 
-use crate::{deployment::EngineEntry, prelude::*, rank};
+use crate::{deployment::EngineEntry, mean::Mean, prelude::*, rank};
 
+/// Ranks of priority.
+const RANKS: usize = 10;
+/// Ranks from which on requests are alike.
+const RANKS_APART: usize = 4;
 /// Mean load, as a part of what engines have places for, at which the most urgent requests
 /// begin to be refused: a little waits at each engine then.
-const START: f64 = 0.75;
+const LOAD: f64 = 1.0;
 /// How much earlier each rank of priority begins.
-const STEP: f64 = 0.08;
-/// Ranks below which requests are alike.
-const RANKS: u8 = 4;
-/// Load beyond the start at which all are refused.
-const SPAN: f64 = 0.3;
+const LOAD_STEP: f64 = 0.08;
+/// Load beyond the beginning at which all are refused.
+const LOAD_SPAN: f64 = 0.3;
 /// Part of an engine's memory that makes a full load: a run does not yet need its answer's.
 const MEMORY: f64 = 1.1;
+/// Mean wait for the first token, as a part of what callers are promised, at which requests begin
+/// to be refused: waits scatter, and some are over the promise by then.
+const WAIT: f64 = 0.5;
+/// How much earlier each rank of priority begins.
+const WAIT_STEP: f64 = 0.05;
+/// Wait beyond the beginning at which all are refused.
+const WAIT_SPAN: f64 = 1.0;
+/// Longest wait that counts, as a part of the promise: one request is not to outweigh many.
+const WAIT_MAX: f64 = 4.0;
+/// Weight of the newest wait.
+const WAIT_WEIGHT: f64 = 0.08;
+/// Time in which half of the waits is forgotten, so that some requests are tried again.
+const WAIT_HALF_LIFE: Duration = Duration::from_millis(1500);
 /// Least and longest time after which a refused request is asked to come back; in between it
-/// grows with the load.
+/// grows with what there is too much.
 const RETRY: Duration = Duration::from_millis(300);
 const RETRY_MAX: Duration = Duration::from_secs(2);
 
-/// Mean load of a service's engines, as a part of what they have places for.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Pressure(f64);
+/// How long requests of a service waited for their first tokens, by priority.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    by_rank: [Mean; RANKS],
+}
+
+impl Default for Waits {
+    fn default() -> Self {
+        Waits { by_rank: [Mean::new(WAIT_WEIGHT, WAIT_HALF_LIFE); RANKS] }
+    }
+}
+
+impl Waits {
+    /// Takes how long a request has waited, and the wait that its caller is promised.
+    pub fn take(&mut self, now: Instant, priority: u8, waited: Duration, promised: Duration) {
+        let part = waited.as_secs_f64() / promised.as_secs_f64().max(f64::EPSILON);
+        self.by_rank[rank_of(priority)].take(now, part.min(WAIT_MAX));
+    }
+
+    /// Returns the longest mean wait of requests that are as urgent or more.
+    fn longest(&self, now: Instant, priority: u8) -> f64 {
+        let ranks = &self.by_rank[..=rank_of(priority)];
+        ranks.iter().map(|it| it.at(now)).fold(0.0, f64::max)
+    }
+}
+
+/// How much a service's engines have to do, as a request of some priority meets it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pressure {
+    /// Mean load of the engines, as a part of what they have places for.
+    pub load: f64,
+    /// Mean wait for the first token, as a part of the promise.
+    pub wait: f64,
+    priority: u8,
+}
 
 impl Pressure {
-    /// Takes the tokens and requests in flight at each engine.
-    pub fn new<I>(engine: &EngineEntry, loads: I) -> Self
+    /// Takes the tokens and requests in flight at each engine, and the waits.
+    pub fn new<I>(
+        now: Instant,
+        engine: &EngineEntry,
+        loads: I,
+        waits: Option<&Waits>,
+        priority: u8,
+    ) -> Self
     where
         I: Iterator<Item = (u64, u32)>,
     {
@@ -42,22 +96,28 @@
         let engines = f64::from(engines.max(1));
         let tokens = sum_tokens as f64 / (engine.cache_tokens.max(1) as f64 * MEMORY * engines);
         let requests = sum_requests as f64 / (f64::from(engine.slots.max(1)) * engines);
-        Pressure(tokens.max(requests))
+        let wait = waits.map_or(0.0, |it| it.longest(now, priority));
+        Pressure { load: tokens.max(requests), wait, priority }
     }
 
-    /// Returns the time after which a request is to come back that is refused now. `draw` is a
-    /// hash that differs from request to request.
+    /// Decides whether a request is taken. `draw` is a hash that differs from request to request.
     ///
     /// # Errors
     ///
-    /// Returns that time for a request that is not taken.
-    pub fn admit(self, priority: u8, draw: u64) -> Result<(), Duration> {
-        let start = START - STEP * f64::from(priority.min(RANKS));
-        let refused = (self.0 - start) / SPAN;
+    /// Returns the time after which a request that is not taken may come back.
+    pub fn admit(self, draw: u64) -> Result<(), Duration> {
+        let rank = rank_of(self.priority).min(RANKS_APART) as f64;
+        let load = (self.load - LOAD + LOAD_STEP * rank) / LOAD_SPAN;
+        let wait = (self.wait - WAIT + WAIT_STEP * rank) / WAIT_SPAN;
+        let refused = load.max(wait).clamp(0.0, 1.0);
         let chance = (rank::mix(draw) >> 11) as f64 / (1_u64 << 53) as f64;
         if chance >= refused {
             return Ok(());
         }
-        Err(RETRY + (RETRY_MAX - RETRY).mul_f64(refused.clamp(0.0, 1.0)))
+        Err(RETRY + (RETRY_MAX - RETRY).mul_f64(refused))
     }
 }
+
+fn rank_of(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -12,6 +12,9 @@
 pub struct Instant(u64);
 
 impl Instant {
+    /// The start.
+    pub const ZERO: Instant = Instant(0);
+
     /// Creates the point `nanos` nanoseconds after the start.
     pub fn from_nanos(nanos: u64) -> Self {
         Instant(nanos)
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    admission::Pressure,
+    admission::{Pressure, Waits},
     deployment::{Deployment, EngineEntry, ServiceEntry},
     prelude::*,
     share,
@@ -131,12 +131,14 @@
 }
 
 /// Why no upstream was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Denial {
     /// None is known to be of use; one may be after this time.
     Nothing(Duration),
     /// Those that are cannot take more for this time.
     Full(Duration),
+    /// All of them together have too much to do; it may come back after this time.
+    Loaded(Duration, Pressure),
 }
 
 /// The upstreams.
@@ -152,6 +154,7 @@
     states: HashMap<Upstream, Standing>,
     by_service: HashMap<Service, Vec<Upstream>>,
     evacuated: HashSet<Zone>,
+    waits: HashMap<Service, Waits>,
     /// Newest named weight version by model.
     named: HashMap<Model, Named>,
     /// After this, no request may begin on older weights than were named.
@@ -173,6 +176,7 @@
             states: HashMap::new(),
             by_service: HashMap::new(),
             evacuated: HashSet::new(),
+            waits: HashMap::new(),
             named: HashMap::new(),
             rollout: site.bounds.rollout,
             contact: site.bounds.contact,
@@ -405,7 +409,8 @@
         // What has begun elsewhere is not given up for load.
         if let (Some(engine), true) = (&service.engine, query.tried.is_empty()) {
             let pressure = self.pressure(now, engine, query);
-            pressure.admit(query.priority, query.draw).map_err(Denial::Full)?;
+            let admitted = pressure.admit(query.draw);
+            admitted.map_err(|retry| Denial::Loaded(retry, pressure))?;
         }
         let usable = self.usable(now, &service, query);
         if usable.is_empty() {
@@ -450,6 +455,19 @@
         state.settle(now, service, outcome, faulty_allowed);
     }
 
+    /// Takes how long a request has waited for its first token, and the wait that its caller
+    /// is promised.
+    pub fn waited(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        priority: u8,
+        waited: Duration,
+        promised: Duration,
+    ) {
+        self.waits.entry(service.clone()).or_default().take(now, priority, waited, promised);
+    }
+
     /// Tells whether an upstream has older weights than were named.
     fn is_rolling(&self, id: &Upstream) -> bool {
         let Some(state) = self.states.get(id) else { return false };
@@ -476,7 +494,8 @@
             let out = it.entry.draining || self.evacuated.contains(&it.entry.zone);
             !out && it.ejected_until <= now
         });
-        Pressure::new(engine, states.map(|it| (it.all_tokens(), it.all_requests())))
+        let loads = states.map(|it| (it.all_tokens(), it.all_requests()));
+        Pressure::new(now, engine, loads, self.waits.get(query.service), query.priority)
     }
 
     fn usable(&mut self, now: Instant, service: &ServiceEntry, query: &Query<'_>) -> Vec<Upstream> {
--- a/lib/src/lag.rs
+++ b/lib/src/lag.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use crate::prelude::*;
+use crate::{mean::Mean, prelude::*};
 
 /// Weight of the newest wait in a mean.
 const WEIGHT: f64 = 0.3;
@@ -17,35 +17,18 @@
 /// How often one of all hosts makes a fetch from a slow store to see whether it is fast again.
 const PROBE: Duration = Duration::from_millis(15);
 
-/// Mean of waits, in seconds; what is old fades.
-#[derive(Clone, Copy, Debug, Default)]
-struct Mean {
-    wait: f64,
-    at: Instant,
-}
-
-impl Mean {
-    fn at(&self, now: Instant) -> f64 {
-        let halvings = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.wait * 0.5_f64.powf(halvings)
-    }
+/// Mean wait before anything was measured, in seconds.
+const WAIT: Mean = Mean::new(WEIGHT, HALF_LIFE);
 
-    fn take(&mut self, now: Instant, wait: Duration) {
-        let mean = self.at(now);
-        self.wait = mean + WEIGHT * (wait.as_secs_f64() - mean);
-        self.at = now;
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Standing {
-    mean: Mean,
+    wait: Mean,
     probed: Instant,
     slow: bool,
 }
 
 /// The waits of requests by the store that they fetched from.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Lags {
     stores: HashMap<SocketAddr, Standing>,
     /// Of requests that fetched nothing to speak of.
@@ -53,15 +36,23 @@
     hosts: u32,
 }
 
+impl Default for Lags {
+    fn default() -> Self {
+        Lags { stores: HashMap::new(), none: WAIT, hosts: 1 }
+    }
+}
+
 impl Lags {
     /// Takes how much later than usual the first token of a request came, and the stores that
     /// it fetched from.
     pub fn take(&mut self, now: Instant, stores: &[SocketAddr], wait: Duration) {
+        let wait = wait.as_secs_f64();
         if stores.is_empty() {
             self.none.take(now, wait);
         }
         for address in stores {
-            self.stores.entry(*address).or_default().mean.take(now, wait);
+            let fresh = || Standing { wait: WAIT, probed: now, slow: false };
+            self.stores.entry(*address).or_insert_with(fresh).wait.take(now, wait);
         }
     }
 
@@ -81,7 +72,7 @@
         let others = self.others(now, address);
         let probe = PROBE.saturating_mul(self.hosts.max(1));
         let Some(store) = self.stores.get_mut(&address) else { return false };
-        let wait = store.mean.at(now);
+        let wait = store.wait.at(now);
         let slow = wait > 2.0 * others + SLOW;
         if slow != store.slow {
             store.slow = slow;
@@ -100,7 +91,7 @@
     fn others(&self, now: Instant, address: SocketAddr) -> f64 {
         let others = self.stores.iter().filter(|it| *it.0 != address);
         let (count, sum) = others
-            .map(|it| it.1.mean.at(now))
+            .map(|it| it.1.wait.at(now))
             .fold((1, self.none.at(now)), |(count, sum), it| (count + 1, sum + it));
         sum / f64::from(count)
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod link;
 pub mod listener;
 pub mod log_setup;
+pub mod mean;
 pub mod mesh;
 pub mod metric;
 pub mod name;
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    admission::Pressure,
     cache::{Need, Plan},
     deployment::{Deployment, Repeat, Route, Tenancy},
     dialect::{Ask, Dialect, Outgoing, Reply},
@@ -77,8 +78,12 @@
 
     fn urgency(&self) -> Option<u8> {
         self.ask.model.as_ref()?;
+        Some(self.priority())
+    }
+
+    fn priority(&self) -> u8 {
         let own = self.tenancy.as_ref().and_then(|it| it.priority);
-        Some(own.unwrap_or(self.route.priority))
+        own.unwrap_or(self.route.priority)
     }
 
     /// Names the cache parts that this request may use: of its model and weights, and of its
@@ -220,6 +225,22 @@
     pub(crate) failure: Option<Response<Body>>,
     /// Where the last attempt was to fetch and save parts of the prompt.
     pub(crate) plan: Option<Plan>,
+    /// Whether an upstream was chosen for it.
+    pub(crate) placed: bool,
+    /// Whether its wait for the first token has been told.
+    pub(crate) waited: bool,
+}
+
+impl<D> Drop for Passage<D>
+where
+    D: Dialect,
+{
+    fn drop(&mut self) {
+        // A caller that left before it had waited for long says nothing.
+        if self.placed && self.job.received.elapsed() > self.job.route.target {
+            self.tell_wait();
+        }
+    }
 }
 
 impl<D> Passage<D>
@@ -240,9 +261,22 @@
             unreachable: 0,
             failure: None,
             plan: None,
+            placed: false,
+            waited: false,
         }
     }
 
+    /// Tells how long the request has waited for its first token, once.
+    pub(crate) fn tell_wait(&mut self) {
+        if std::mem::replace(&mut self.waited, true) || self.job.ask.model.is_none() {
+            return;
+        }
+        let (job, now) = (&self.job, self.gateway.now());
+        let waited = job.received.elapsed();
+        let mut fleet = self.gateway.fleet();
+        fleet.waited(now, &job.service, job.priority(), waited, job.route.target);
+    }
+
     /// Sends the request until an answer comes that the caller is to get.
     ///
     /// # Errors
@@ -278,6 +312,7 @@
             }
             let choice = self.choose();
             let choice = choice.map_err(|denial| self.denied(denial))?;
+            self.placed = true;
             let placement = Placement {
                 gateway: self.gateway.clone(),
                 job: self.job.clone(),
@@ -304,7 +339,7 @@
             session: self.session,
             near: near.as_ref(),
             tokens: job.ask.prompt_tokens.saturating_add(job.ask.answer_tokens),
-            priority: job.urgency().unwrap_or(job.route.priority),
+            priority: job.priority(),
             draw: crate::rank::key(&["admission", &job.ask.id]),
             tried: &self.tried,
         };
@@ -547,6 +582,11 @@
         match denial {
             Denial::Nothing(wait) => self.refused(Kind::NoUpstream, wait),
             Denial::Full(wait) => self.refused(Kind::Overloaded, wait),
+            Denial::Loaded(wait, Pressure { load, wait: late, .. }) => {
+                log::debug!(request = self.job.ask.id.as_str(), load = load, wait = late;
+                    "engines have too much to do");
+                self.refused(Kind::Overloaded, wait)
+            }
         }
     }
 
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -89,6 +89,7 @@
             if first.is_none() {
                 let elapsed = started.elapsed();
                 first = Some(elapsed);
+                self.tell_wait();
                 if let Some(plan) = &self.plan {
                     let usual = self.gateway.fleet().delay(&placement.choice.id);
                     self.gateway.cache().arrived(self.gateway.now(), plan, elapsed, usual);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Runs all tests of the library in one program.
 
 mod test_adapters;
+mod test_admission;
 mod test_answer;
 mod test_bad_input;
 mod test_cache;
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -15,6 +15,8 @@
         session: Some(session),
         near: None,
         tokens,
+        priority: 0,
+        draw: session,
         tried: &[],
     };
     fleet.choose(now, &deployment(), &query)
@@ -85,8 +87,9 @@
             Err(denial) => break denial,
         }
     };
-    assert!((5..=6).contains(&taken), "{taken}");
-    assert!(matches!(denial, Denial::Full(wait) if wait > Duration::ZERO));
+    // 140,000 of 100,000 tokens: the draws let the last one by at 1.1 times a full load.
+    assert_eq!(taken, 7);
+    assert!(matches!(denial, Denial::Loaded(wait, _) if wait > Duration::ZERO));
 }
 
 /// Pattern: a burst of requests that would open more connections than an upstream accepts.
