rollout, lease: the lease's row keeps when weights were named

Ruled out: a row of its own, which every host would have to write; the holder writes the lease's anyway. Change: the holder adds what it has seen named, with the store's clock; a host that finds weights named when it starts, and engines without them, reads that row once and keeps to what is left. Tests of both sides, and of a naming whose time is over.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -63,28 +63,26 @@
 #[derive(Clone, Debug, Default)]
 struct Named {
     version: u32,
-    /// Versions whose bound has not run out, with the time at which it does.
-    due: SmallVec<[(u32, Instant); 2]>,
-    /// The newest version whose bound has run out.
-    required: u32,
+    /// Versions with the time up to which requests may begin on older ones, where it is known
+    /// when they were named.
+    namings: SmallVec<[(u32, Option<Instant>); 4]>,
 }
 
 impl Named {
-    /// Takes a version whose bound runs out at `due`.
-    fn add(&mut self, version: u32, due: Instant) {
+    /// Takes a version and when it is due; a time that is known stays.
+    fn add(&mut self, version: u32, due: Option<Instant>) {
         self.version = self.version.max(version);
-        self.due.push((version, due));
+        match self.namings.iter_mut().find(|it| it.0 == version) {
+            Some((_, known)) => *known = known.or(due),
+            None => self.namings.push((version, due)),
+        }
     }
 
-    /// Returns the version below which no request may begin.
-    fn required(&mut self, now: Instant) -> u32 {
-        for (version, due) in &self.due {
-            if *due <= now {
-                self.required = self.required.max(*version);
-            }
-        }
-        self.due.retain(|it| it.1 > now);
-        self.required
+    /// Returns the version below which no request may begin. Those of which it is not known
+    /// when they were named are due at `unknown`.
+    fn required(&self, now: Instant, unknown: Instant) -> u32 {
+        let due = self.namings.iter().filter(|it| it.1.unwrap_or(unknown) <= now);
+        due.map(|it| it.0).max().unwrap_or(0)
     }
 }
 
@@ -331,16 +329,48 @@
         let known = self.named.get(&model).map_or(0, |it| it.version);
         if version > known {
             log::info!(model = model.as_str(), version = version; "weights are named");
-            // A host that has just started cannot know for how long they have been named. It
-            // may go on for as long as it takes to be counted on again.
-            let due = match since {
-                Some(since) => since + self.rollout.saturating_sub(WAIT_MAX),
-                None => Instant::default() + self.contact.mul_f64(START_PART),
-            };
+            let due = since.map(|it| it + self.rollout_bound());
             self.named.entry(model).or_default().add(version, due);
         }
     }
 
+    /// Takes for how long a version has been named that this host found when it started, or an
+    /// older one whose bound may still run.
+    pub fn recall_weights(&mut self, now: Instant, model: &Model, version: u32, age: Duration) {
+        let left = self.rollout_bound().saturating_sub(age);
+        if let Some(named) = self.named.get_mut(model)
+            && version <= named.version
+        {
+            log::info!(model = model.as_str(), version = version, age_ms = age.as_millis() as u64,
+                left_ms = left.as_millis() as u64; "time of the naming is known");
+            named.add(version, Some(now + left));
+        }
+    }
+
+    /// Returns how long after a version was named requests may be sent to older ones.
+    fn rollout_bound(&self) -> Duration {
+        self.rollout.saturating_sub(WAIT_MAX)
+    }
+
+    /// Returns the weights whose naming this host has seen, with the time.
+    pub fn namings(&self) -> Vec<(Model, u32, Instant)> {
+        let bound = self.rollout_bound();
+        let named = self.named.iter();
+        let namings = named.flat_map(|(model, it)| it.namings.iter().map(move |at| (model, at)));
+        let seen = namings.filter_map(|(model, (version, due))| {
+            Some((model.clone(), *version, (*due)?.before(bound)))
+        });
+        seen.collect()
+    }
+
+    /// Tells whether this host does not know when weights were named that upstreams lack.
+    pub fn is_naming_unknown(&self) -> bool {
+        let unknown = |it: &Named| {
+            it.namings.iter().any(|naming| naming.0 == it.version && naming.1.is_none())
+        };
+        self.named.values().any(unknown)
+    }
+
     /// Takes the weight version that an answer showed.
     pub fn weights_seen(&mut self, id: &Upstream, model: &Model, version: u32) {
         let Some(state) = self.states.get_mut(id) else { return };
@@ -505,8 +535,11 @@
             0 => u32::MAX,
             most => (f64::from(most) * CONNECTIONS_PART / self.hosts.len() as f64).max(1.0) as u32,
         };
-        let expired =
-            query.model.and_then(|model| Some((model, self.named.get_mut(model)?.required(now))));
+        // A host that has just started may not know for how long weights have been named. It may
+        // go on for as long as it takes to be counted on again.
+        let unknown = Instant::ZERO + self.contact.mul_f64(START_PART);
+        let required = |model| Some((model, self.named.get(model)?.required(now, unknown)));
+        let expired = query.model.and_then(required);
         let most = service
             .engine
             .as_ref()
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -14,6 +14,20 @@
 /// Taken off the holder's own time for what lies between a check and what it allows.
 const MARGIN: Duration = Duration::from_millis(200);
 
+/// Namings of weights that a row keeps: those whose bounds may still run.
+const NAMINGS: usize = 8;
+
+/// When operators named a weight version, for hosts that start later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Naming {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u32,
+    /// The time, in milliseconds of the store's clock.
+    pub since_ms: u64,
+}
+
 /// The row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -25,6 +39,9 @@
     pub fence: u64,
     /// When it ends, in milliseconds of the store's clock.
     pub until_ms: u64,
+    /// The weights that were named last.
+    #[serde(default)]
+    pub namings: Vec<Naming>,
 }
 
 /// What is to be done about the lease.
@@ -53,6 +70,7 @@
     /// How long a former holder must have been silent.
     pause: Duration,
     held: Option<Held>,
+    namings: Vec<Naming>,
 }
 
 #[derive(Clone, Debug)]
@@ -70,7 +88,7 @@
     /// Creates the side of a host that holds nothing. `boot` identifies its start, `pause` is
     /// how long a former holder must have been silent before the next one acts.
     pub fn new(me: Host, boot: u64, pause: Duration) -> Self {
-        Lease { me, boot, pause, held: None }
+        Lease { me, boot, pause, held: None, namings: Vec::new() }
     }
 
     /// Returns the fencing number while this host may act.
@@ -86,10 +104,19 @@
 
     /// Decides on the row as the store has it. `asked` is the time before it was asked for,
     /// `clock` the store's clock in the answer.
-    pub fn read(&self, asked: Instant, clock: Duration, row: Option<(Row, u64)>) -> Step {
+    pub fn read(&mut self, asked: Instant, clock: Duration, row: Option<(Row, u64)>) -> Step {
+        if let Some((row, _)) = &row {
+            self.name(row.namings.clone());
+        }
         let now_ms = millis(clock);
         let until_ms = now_ms + millis(TERM);
-        let own = |fence| Row { holder: self.me.to_string(), boot: self.boot, fence, until_ms };
+        let own = |fence| Row {
+            holder: self.me.to_string(),
+            boot: self.boot,
+            fence,
+            until_ms,
+            namings: self.namings.clone(),
+        };
         let until = asked + TERM;
         match row {
             None => Step::Write { row: own(1), expected: 0, until },
@@ -133,12 +160,33 @@
         }
         // The store's clock shows at most this: its answer was read after `asked`.
         let most = held.clock + now.since(held.asked);
-        let row = Row { until_ms: millis(most + TERM), ..held.row.clone() };
+        let until_ms = millis(most + TERM);
+        let row = Row { until_ms, namings: self.namings.clone(), ..held.row.clone() };
         // The row's time may run ahead of the store's by the time of one call; the holder's
         // own time does not.
         Some(Step::Write { row, expected: held.version, until: now + TERM })
     }
 
+    /// Returns the store's clock at a time, at most; none while the lease is not held.
+    pub fn clock(&self, now: Instant) -> Option<Duration> {
+        let held = self.held.as_ref()?;
+        Some(held.clock + now.since(held.asked))
+    }
+
+    /// Takes when weights were named; what is known already stays.
+    pub fn name(&mut self, namings: Vec<Naming>) {
+        for naming in namings {
+            let known =
+                |it: &Naming| (it.model == naming.model, it.version) == (true, naming.version);
+            if !self.namings.iter().any(known) {
+                self.namings.push(naming);
+            }
+        }
+        self.namings.sort_by_key(|it| it.since_ms);
+        let old = self.namings.len().saturating_sub(NAMINGS);
+        self.namings.drain(..old);
+    }
+
     /// Takes that it is not known, or not so, that this host holds the lease.
     pub fn lost(&mut self) {
         self.held = None;
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -12,8 +12,8 @@
     dialect::{Dialect, Order, Report, Verdict},
     fleet::Entry,
     gateway::{Gateway, Rollout},
-    lease::{Lease, Row, Step},
-    ledger::{Ledger, Table, Write, Written},
+    lease::{Lease, Naming, Row, Step},
+    ledger::{Ledger, Page, Table, Write, Written},
     link::Link,
     prelude::*,
     rank,
@@ -44,6 +44,8 @@
 /// Longest wait for an upstream's answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 const ANSWER_BYTES: usize = 256 << 10;
+/// Times that a host asks for the namings before it started.
+const RECALLS: u32 = 4;
 /// Key of the lease's row.
 const LEASE_KEY: &str = "weights";
 
@@ -133,6 +135,7 @@
     let mut holder = Holder { gateway: gateway.clone(), ledger, lease, plan: Plan::default() };
     loop {
         gateway.outdated.notified().await;
+        holder.recall().await;
         while !gateway.fleet().outdated().is_empty() && !gateway.draining.is_cancelled() {
             holder.session().await;
         }
@@ -171,6 +174,7 @@
             if self.gateway.draining.is_cancelled() {
                 return;
             }
+            self.name();
             if let Some(step) = self.lease.renewal(self.gateway.now()) {
                 self.write_step(step, "").await;
             }
@@ -190,6 +194,49 @@
         }
     }
 
+    /// Learns from the lease's row when weights were named, where this host started later.
+    async fn recall(&mut self) {
+        let unknown = || {
+            let fleet = self.gateway.fleet();
+            fleet.is_naming_unknown() && !fleet.outdated().is_empty()
+        };
+        for _ in 0..RECALLS {
+            if !unknown() {
+                return;
+            }
+            let asked = self.gateway.now();
+            match self.ledger.all(Table::Leases).await {
+                Ok(page) => {
+                    let row = lease_row(&page);
+                    let namings = row.map(|it| it.0.namings).unwrap_or_default();
+                    for it in namings {
+                        let age = page.clock.saturating_sub(Duration::from_millis(it.since_ms));
+                        let model = Model::new(it.model);
+                        self.gateway.fleet().recall_weights(asked, &model, it.version, age);
+                    }
+                    return;
+                }
+                Err(err) => {
+                    log::warn!(error = err.to_string().as_str(); "namings cannot be read");
+                    sleep(AGAIN).await;
+                }
+            }
+        }
+    }
+
+    /// Takes the namings that this host has seen into the lease's row.
+    fn name(&mut self) {
+        let now = self.gateway.now();
+        let Some(clock) = self.lease.clock(now) else { return };
+        let namings = self.gateway.fleet().namings().into_iter();
+        let naming = |(model, version, since): (Model, u32, Instant)| Naming {
+            model: model.to_string(),
+            version,
+            since_ms: clock.saturating_sub(now.since(since)).as_millis() as u64,
+        };
+        self.lease.name(namings.map(naming).collect());
+    }
+
     /// Returns how long this host leaves the work to others.
     fn pause(&self) -> Duration {
         let fleet = self.gateway.fleet();
@@ -210,11 +257,7 @@
                 return;
             }
         };
-        let row = page.rows.iter().find(|it| it.key == LEASE_KEY);
-        let row = row.and_then(|it| {
-            let value = it.value.as_deref()?;
-            Some((serde_json::from_slice::<Row>(value).ok()?, it.version))
-        });
+        let row = lease_row(&page);
         let former = row.as_ref().map(|it| it.0.holder.clone()).unwrap_or_default();
         match self.lease.read(asked, page.clock, row) {
             Step::Hold => {}
@@ -298,6 +341,19 @@
     }
 }
 
+/// Returns the lease's row and its version.
+fn lease_row(page: &Page) -> Option<(Row, u64)> {
+    let row = page.rows.iter().find(|it| it.key == LEASE_KEY)?;
+    match serde_json::from_slice(row.value.as_deref()?) {
+        Ok(value) => Some((value, row.version)),
+        Err(err) => {
+            log::warn!(version = row.version, error = err.to_string().as_str();
+                "lease's row cannot be read");
+            None
+        }
+    }
+}
+
 /// Carries out a task; false when the upstream has not taken the order.
 async fn carry_out<D>(gateway: &Gateway<D>, lease: &Lease, task: Task) -> (Upstream, bool)
 where
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -201,6 +201,36 @@
     assert!(choose(&mut fleet, at(2800), 2, 100).is_err());
 }
 
+/// Pattern: all hosts lose power while weights change. Those that come back know from the
+/// lease's row when each version was named, and keep to what is left of its time.
+#[test]
+fn host_that_starts_goes_on_with_what_is_left_of_a_naming() {
+    let mut fleet = fleet(2);
+    let model = Model::new("demo");
+    fleet.name_weights(None, model.clone(), 3);
+    fleet.weights_seen(&Upstream::new("engine0"), &model, 2);
+    assert!(fleet.is_naming_unknown());
+    let age = Duration::from_secs;
+    fleet.recall_weights(at(500), &model, 2, age(8));
+    fleet.recall_weights(at(500), &model, 3, age(4));
+    assert!(!fleet.is_naming_unknown());
+    // 15 s less 3.5 s less 8 s are left of version 2.
+    assert_eq!(spread(&mut fleet, 3900, 1, 40).len(), 2);
+    let counts = spread(&mut fleet, 4100, 1, 40);
+    assert_eq!(counts.keys().map(Upstream::as_str).collect::<Vec<_>>(), ["engine0"]);
+    assert!(choose(&mut fleet, at(8100), 1, 100).is_err());
+}
+
+/// Pattern: a naming whose time ran out while no host was there.
+#[test]
+fn naming_whose_time_is_over_holds_at_once() {
+    let mut fleet = fleet(1);
+    let model = Model::new("demo");
+    fleet.name_weights(None, model.clone(), 2);
+    fleet.recall_weights(at(500), &model, 2, Duration::from_secs(60));
+    assert!(choose(&mut fleet, at(501), 1, 100).is_err());
+}
+
 /// Pattern: a third of the upstreams take new weights and turn requests away meanwhile.
 #[test]
 fn upstreams_that_take_weights_are_left_alone() {
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mothvale_lib::{
-    lease::{Lease, Row, Step},
+    lease::{Lease, Naming, Row, Step},
     prelude::*,
 };
 use mothvale_testutils::gateway::at;
@@ -53,6 +53,30 @@
     }
 }
 
+fn naming(version: u32, since_ms: u64) -> Naming {
+    Naming { model: "demo".into(), version, since_ms }
+}
+
+/// Pattern: the holder is lost with the others, and the next one knows nothing of namings.
+#[test]
+fn namings_stay_in_the_row_over_its_holders() {
+    let (mut lost, mut next, mut store) = (lease("host0"), lease("host1"), Store::default());
+    lost.name(vec![naming(2, 100)]);
+    assert!(take(&mut lost, &mut store, 0));
+    lost.name(vec![naming(2, 140), naming(3, 700)]);
+    assert!(take(&mut lost, &mut store, 900));
+    assert!(take(&mut next, &mut store, 9000));
+    assert_eq!(store.row.unwrap().0.namings, [naming(2, 100), naming(3, 700)]);
+}
+
+#[test]
+fn row_keeps_the_last_namings_only() {
+    let mut lease = lease("host0");
+    lease.name((0..50).map(|it| naming(it, u64::from(it))).collect());
+    let Step::Write { row, .. } = lease.read(at(0), Duration::ZERO, None) else { panic!() };
+    assert_eq!(row.namings.first(), Some(&naming(42, 42)));
+}
+
 #[test]
 fn first_host_takes_the_lease_and_renews_it() {
     let (mut lease, mut store) = (lease("host0"), Store::default());
