retire: parts of former weights are freed in the stores

Ruled out: freeing at once when weights are named (engines still fetch), agreement of all hosts by message (rows of hosts that are gone would hold it up for ever). Change: a host lets fetch older weights only by fresh rows that show an engine with them, and never again once rows showed none; the first host by rank lists and frees them after all rows showed newer weights for as long as a host may take to read them and a fetch to end.

--- a/lib/src/cache.rs
+++ b/lib/src/cache.rs
@@ -16,7 +16,7 @@
 /// come back from a restart.
 const VOUCHED: Duration = Duration::from_millis(1100);
 /// By then a fetch has ended or is thrown away, counted from the store's last answer.
-const FETCH_LIMIT: Duration = Duration::from_millis(1900);
+pub const FETCH_LIMIT: Duration = Duration::from_millis(1900);
 /// How long a part that was to be saved is not saved again.
 const SAVING: Duration = Duration::from_secs(4);
 /// Parts shorter than this are read faster than they are moved.
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -7,6 +7,7 @@
     deployment::Deployment,
     fleet::Entry,
     prelude::*,
+    retire::Listing,
 };
 
 /// What a caller's request says of itself.
@@ -150,6 +151,10 @@
     const REPORT: &'static str;
     /// Path for orders to an upstream.
     const ORDER: &'static str;
+    /// Path of the list of all parts in a store of KV cache.
+    const CACHE_LIST: &'static str;
+    /// Path for freeing parts in a store of KV cache.
+    const CACHE_FREE: &'static str;
 
     /// Reads the head of a caller's request.
     fn ask(&self, headers: &HeaderMap) -> Ask;
@@ -191,6 +196,16 @@
     /// Returns what cannot be read.
     fn cache_changes_read(&self, body: &[u8]) -> Result<Changes, Self::Error>;
 
+    /// Reads the list of all parts in a store of KV cache.
+    ///
+    /// # Errors
+    ///
+    /// Returns what cannot be read.
+    fn cache_list_read(&self, body: &[u8]) -> Result<Listing, Self::Error>;
+
+    /// Writes a call to free parts, in the start of the store that listed them.
+    fn cache_free(&self, listing: &Listing) -> Bytes;
+
     /// Writes an order's body.
     fn order(&self, order: &Order<'_>) -> Bytes;
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -11,7 +11,7 @@
     admission::{Pressure, Waits},
     deployment::{Deployment, EngineEntry, ServiceEntry},
     prelude::*,
-    share,
+    rank, share,
     standing::{COLD_SPAN, REFUSAL, REFUSAL_MAX, Standing},
 };
 
@@ -66,6 +66,8 @@
     /// Versions with the time up to which requests may begin on older ones, where it is known
     /// when they were named.
     namings: SmallVec<[(u32, Option<Instant>); 4]>,
+    /// Whether this host found the newest one when it started, or missed rows since.
+    found: bool,
 }
 
 impl Named {
@@ -157,6 +159,12 @@
     named: HashMap<Model, Named>,
     /// After this, no request may begin on older weights than were named.
     rollout: Duration,
+    /// Oldest weights of each model that upstreams had when rows were read; never goes back.
+    floors: HashMap<Model, u32>,
+    /// When the upstreams' rows were as they are known.
+    read: Instant,
+    /// How soon a host knows of a row that has changed.
+    drain: Duration,
     /// After this, a host that has started is counted on again.
     contact: Duration,
 }
@@ -177,6 +185,9 @@
             waits: HashMap::new(),
             named: HashMap::new(),
             rollout: site.bounds.rollout,
+            floors: HashMap::new(),
+            read: Instant::ZERO,
+            drain: site.bounds.drain,
             contact: site.bounds.contact,
         }
     }
@@ -190,9 +201,51 @@
         self.hosts = hosts;
     }
 
-    /// Returns the names of all hosts, this one included.
-    pub fn host_names(&self) -> &[Host] {
-        &self.hosts
+    /// Returns how many hosts come before this one in the ranking for a task.
+    pub fn hosts_ahead(&self, task: &str) -> usize {
+        let key = rank::key(&[task]);
+        let me = rank::weight(key, self.me.as_str());
+        self.hosts.iter().filter(|it| rank::weight(key, it.as_str()) > me).count()
+    }
+
+    /// Tells whether this host ranks first for a task.
+    pub fn is_first(&self, task: &str) -> bool {
+        self.hosts_ahead(task) == 0
+    }
+
+    /// Takes that the upstreams' rows are known as they were at a time.
+    pub fn read_at(&mut self, at: Instant) {
+        if at.since(self.read) > self.drain {
+            // What upstreams had in between is not known, as after a start.
+            self.named.values_mut().for_each(|it| it.found = true);
+        }
+        self.read = self.read.max(at);
+        for (model, oldest) in self.oldest_weights() {
+            let floor = self.floors.entry(model).or_default();
+            *floor = oldest.max(*floor);
+        }
+    }
+
+    /// Returns the oldest weights that an upstream has of each model.
+    pub fn oldest_weights(&self) -> Vec<(Model, u32)> {
+        let mut oldest: SmallVec<[(Model, u32); 4]> = SmallVec::new();
+        for (model, version) in self.states.values().flat_map(|it| &it.entry.models) {
+            match oldest.iter_mut().find(|it| it.0 == *model) {
+                Some(it) => it.1 = it.1.min(*version),
+                None => oldest.push((model.clone(), *version)),
+            }
+        }
+        oldest.into_vec()
+    }
+
+    /// Tells whether what stores hold for a model's weights may be used: another host frees it
+    /// once fresh rows show that no upstream has them any more.
+    pub fn may_use_stores(&self, now: Instant, model: &Model, weights: u32) -> bool {
+        if self.floors.get(model).is_some_and(|it| weights < *it) {
+            return false;
+        }
+        let Some(named) = self.named.get(model) else { return true };
+        weights >= named.version || (!named.found && now.since(self.read) < self.drain)
     }
 
     /// Returns the newest weight version of a model that was named, or else one that an
@@ -330,7 +383,9 @@
         if version > known {
             log::info!(model = model.as_str(), version = version; "weights are named");
             let due = since.map(|it| it + self.rollout_bound());
-            self.named.entry(model).or_default().add(version, due);
+            let named = self.named.entry(model).or_default();
+            named.add(version, due);
+            named.found = since.is_none();
         }
     }
 
--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -161,6 +161,7 @@
                     self.take(table, page.rows, page.version, asked_whole);
                     if table == Table::Upstreams {
                         self.replicas.read_upstreams(asked);
+                        self.gateway.fleet().read_at(asked);
                     }
                     sleep(if whole { RETRY } else { pace }).await;
                 }
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -524,6 +524,7 @@
             self.take(host, others);
         }
         self.follower.replicas.read_upstreams(asked.before(age));
+        gateway.fleet().read_at(asked.before(age));
         for store in pulled.stores {
             let Ok(address) = store.address.parse() else { continue };
             let held = |it: peer::StorePart| Held { key: it.key, tokens: it.tokens };
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -24,7 +24,7 @@
     mesh::Mesh,
     pin::{Identity, PinError},
     prelude::*,
-    rollout, serve,
+    retire, rollout, serve,
     site::Site,
 };
 
@@ -153,8 +153,9 @@
     tokio::join!(
         follower.run(),
         mesh.run(),
-        cache_watch::run(gateway.clone(), replicas),
+        cache_watch::run(gateway.clone(), replicas.clone()),
         rollout::run(gateway.clone(), ledger.clone()),
+        retire::run(gateway.clone(), replicas.clone()),
         register(&gateway, &ledger, &row, &registered),
         unregister(&gateway, &ledger, &registered),
     );
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -26,6 +26,7 @@
     hop,
     link::{self, Link},
     prelude::*,
+    salt,
     suspect::Fingerprint,
 };
 
@@ -90,12 +91,8 @@
     /// workspace alone where that is isolated.
     fn salt(&self, weights: Option<u32>) -> Option<String> {
         let model = self.ask.model.as_ref()?;
-        let mut salt = format!("{model}:{}", weights?);
-        if let Some(tenancy) = self.tenancy.as_ref().filter(|it| it.isolated) {
-            salt.push(':');
-            salt.push_str(tenancy.workspace.as_str());
-        }
-        Some(salt)
+        let isolated = self.tenancy.as_ref().filter(|it| it.isolated);
+        Some(salt::write(model, weights?, isolated.map(|it| &it.workspace)))
     }
 
     /// Returns the key of the session: of the last part that other requests share.
@@ -535,9 +532,12 @@
     /// Plans where the parts of the prompt come from and go to.
     fn plan(&self, choice: &Choice, salt: &str) -> Option<Plan> {
         self.job.deployment.services.get(&self.job.service)?.engine.as_ref()?;
+        let (model, weights) = (self.job.ask.model.as_ref()?, choice.weights?);
+        let now = self.gateway.now();
+        self.gateway.fleet().may_use_stores(now, model, weights).then_some(())?;
         let need =
             Need { salt, parts: &self.job.ask.parts, zone: &choice.zone, origin: choice.origin };
-        Some(self.gateway.cache().plan(self.gateway.now(), &need))
+        Some(self.gateway.cache().plan(now, &need))
     }
 
     fn learn(&self, choice: &Choice, reply: &Reply) {
--- /dev/null
+++ b/lib/src/retire.rs
@@ -0,0 +1,184 @@
+//! Frees what stores of KV cache hold of weights that no engine has any more.
+//!
+//! A part must not be freed while an engine fetches it. Engines fetch what hosts tell them to, and a
+//! host tells an engine to fetch parts of older weights only while it knows from fresh rows that some
+//! engine still has them (`fleet`). So the parts of older weights are free once all rows have shown
+//! newer ones for as long as a host may take to read them, and a fetch to end.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use http::{HeaderMap, HeaderValue, Method, Request, header};
+use http_body_util::Full;
+use tokio::time::sleep;
+
+use crate::{
+    cache::FETCH_LIMIT, dialect::Dialect, follow::Replicas, gateway::Gateway, link::Link,
+    prelude::*, salt,
+};
+
+/// Added to what hosts and fetches may take, for what lies between a check and what it allows.
+const MARGIN: Duration = Duration::from_millis(500);
+/// How often a host looks whether there is something to free.
+const ROUND: Duration = Duration::from_millis(400);
+/// Pause between two stores: each listing holds a store up.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a round in which some store could not be cleared.
+const AGAIN: Duration = Duration::from_secs(2);
+/// Longest wait for an answer of a store.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// A part in a store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// The salt under which it is found.
+    pub salt: FastStr,
+    /// The part's id.
+    pub id: FastStr,
+}
+
+/// All parts in a store, complete or not.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Identifies the store's present start.
+    pub boot: u64,
+    /// The parts.
+    pub parts: Vec<Part>,
+}
+
+/// Decides from when on parts of older weights may be freed. No I/O.
+#[derive(Debug)]
+pub struct Plan {
+    /// How long all rows must have shown newer weights.
+    settle: Duration,
+    /// By model: the oldest weights that an engine has, and since when.
+    oldest: HashMap<Model, (u32, Instant)>,
+}
+
+impl Plan {
+    /// Creates a plan; `freshness` is how old the rows may be by which a host lets fetch older weights.
+    pub fn new(freshness: Duration) -> Self {
+        Plan { settle: freshness + FETCH_LIMIT + MARGIN, oldest: HashMap::new() }
+    }
+
+    /// Takes the oldest weights that an engine has of each model, by rows that were read at
+    /// `read`; returns those of which everything older may be freed.
+    pub fn observe(&mut self, read: Instant, oldest: &[(Model, u32)]) -> Vec<(Model, u32)> {
+        for (model, version) in oldest {
+            let known = self.oldest.entry(model.clone()).or_insert((*version, read));
+            if known.0 != *version {
+                *known = (*version, read);
+            }
+        }
+        let settled = self.oldest.iter().filter(|it| read.since(it.1.1) >= self.settle);
+        settled.map(|(model, (version, _))| (model.clone(), *version)).collect()
+    }
+}
+
+/// Frees parts of former weights whenever there are any, until the process ends. Only the host
+/// that ranks first does; it does no harm if two do.
+pub async fn run<D>(gateway: Arc<Gateway<D>>, replicas: Arc<Replicas>)
+where
+    D: Dialect,
+{
+    let mut plan = Plan::new(gateway.site.bounds.drain);
+    let mut freed: HashMap<Model, u32> = HashMap::new();
+    loop {
+        sleep(ROUND).await;
+        let oldest = gateway.fleet().oldest_weights();
+        let settled = plan.observe(replicas.upstreams_read(), &oldest);
+        let due = |it: &(Model, u32)| freed.get(&it.0).is_none_or(|version| *version < it.1);
+        let settled: Vec<_> = settled.into_iter().filter(|it| it.1 > 1 && due(it)).collect();
+        if settled.is_empty() || !gateway.fleet().is_first("retire") {
+            continue;
+        }
+        if clear(&gateway, &settled).await {
+            freed.extend(settled);
+        } else {
+            sleep(AGAIN).await;
+        }
+    }
+}
+
+/// Clears all stores; false when one of them could not be cleared.
+async fn clear<D>(gateway: &Gateway<D>, settled: &[(Model, u32)]) -> bool
+where
+    D: Dialect,
+{
+    let stores = gateway.deployment().map(|it| it.stores.clone()).unwrap_or_default();
+    let mut all = true;
+    for store in stores {
+        match clear_store(gateway, store.address, settled).await {
+            Ok(parts) => log::info!(store = store.address.to_string().as_str(), parts = parts;
+                "parts of former weights are freed"),
+            Err(reason) => {
+                all = false;
+                log::warn!(store = store.address.to_string().as_str(), reason = reason;
+                    "parts of former weights cannot be freed yet");
+            }
+        }
+        sleep(PAUSE).await;
+    }
+    all
+}
+
+async fn clear_store<D>(
+    gateway: &Gateway<D>,
+    address: SocketAddr,
+    settled: &[(Model, u32)],
+) -> Result<usize, &'static str>
+where
+    D: Dialect,
+{
+    let mut link = Link::dial(address).await.map_err(|_| "unreachable")?;
+    let request = request(address, Method::GET, D::CACHE_LIST, Bytes::new())?;
+    let answer = link.call(request, CALL_TIMEOUT, ANSWER_BYTES).await.map_err(|_| "no answer")?;
+    if !answer.status().is_success() {
+        return Err("listing is refused");
+    }
+    let listing = gateway.dialect.cache_list_read(answer.body()).map_err(|err| {
+        log::warn!(store = address.to_string().as_str(), error = err.to_string().as_str();
+            "cache store's listing cannot be read");
+        "unreadable"
+    })?;
+    let former = former(listing, settled);
+    if former.parts.is_empty() {
+        return Ok(0);
+    }
+    let body = gateway.dialect.cache_free(&former);
+    let request = self::request(address, Method::POST, D::CACHE_FREE, body)?;
+    let answer = link.call(request, CALL_TIMEOUT, ANSWER_BYTES).await.map_err(|_| "no answer")?;
+    if !answer.status().is_success() {
+        return Err("freeing is refused");
+    }
+    Ok(former.parts.len())
+}
+
+/// Returns what a store holds of weights that are older than those named.
+pub fn former(mut listing: Listing, settled: &[(Model, u32)]) -> Listing {
+    let is_former = |it: &Part| {
+        let older = |(model, version): &(Model, u32)| {
+            salt::weights(&it.salt, model).is_some_and(|weights| weights < *version)
+        };
+        settled.iter().any(older)
+    };
+    listing.parts.retain(is_former);
+    listing
+}
+
+fn request(
+    address: SocketAddr,
+    method: Method,
+    path: &'static str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, &'static str> {
+    let mut headers = HeaderMap::new();
+    let host = HeaderValue::try_from(address.to_string()).map_err(|_| "address")?;
+    headers.insert(header::HOST, host);
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = http::Uri::from_static(path);
+    *request.headers_mut() = headers;
+    Ok(request)
+}
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -16,7 +16,6 @@
     ledger::{Ledger, Page, Table, Write, Written},
     link::Link,
     prelude::*,
-    rank,
 };
 
 /// Upstreams of a model for each one that loads weights: the weight store serves about so
@@ -239,11 +238,8 @@
 
     /// Returns how long this host leaves the work to others.
     fn pause(&self) -> Duration {
-        let fleet = self.gateway.fleet();
-        let key = rank::key(&["weights"]);
-        let me = rank::weight(key, self.gateway.site.host.as_str());
-        let ahead = fleet.host_names().iter().filter(|it| rank::weight(key, it.as_str()) > me);
-        RANK_PAUSE.saturating_mul(ahead.count() as u32).min(RANK_PAUSE_MAX)
+        let ahead = self.gateway.fleet().hosts_ahead("weights");
+        RANK_PAUSE.saturating_mul(ahead as u32).min(RANK_PAUSE_MAX)
     }
 
     /// Reads the lease's row and takes the lease where that is allowed.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_lease;
 mod test_log;
 mod test_path;
+mod test_retire;
 mod test_route;
 mod test_settings;
 mod test_streams;
