rollout: an engine that took older weights meanwhile is ordered again at once

Newer weights were named at 28 s while three engines took the ones before; each look found them with older weights than wanted and waited for the order's timeout of 6 s, and three places of three were taken. The same when an engine was busy with an order whose answer was lost. Ruled out: the lease, which was held all the while. Change: each look reads the report alike: has them, is busy, or needs an order. A fifth of the engines loads at once, as the sheets of all four deployments say. Admission by waits from 0.35 on. The test failed first.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -23,11 +23,11 @@
 const MEMORY: f64 = 1.1;
 /// Mean wait for the first token, as a part of what callers are promised, at which requests begin
 /// to be refused: waits scatter, and some are over the promise by then.
-const WAIT: f64 = 0.5;
+const WAIT: f64 = 0.35;
 /// How much earlier each rank of priority begins.
 const WAIT_STEP: f64 = 0.05;
 /// Wait beyond the beginning at which all are refused.
-const WAIT_SPAN: f64 = 1.0;
+const WAIT_SPAN: f64 = 0.7;
 /// Longest wait that counts, as a part of the promise: one request is not to outweigh many.
 const WAIT_MAX: f64 = 4.0;
 /// Weight of the newest wait.
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -18,9 +18,9 @@
     prelude::*,
 };
 
-/// Upstreams of a model for each one that loads weights: the weight store serves about so
-/// many at full speed.
-const PER_LOAD: usize = 6;
+/// Upstreams of a model for each one that loads weights. The deployments' sheets name 3 of 18, 2 of
+/// 9, 18 of 90 and 12 of 60 as what the weight store serves at full speed.
+const PER_LOAD: usize = 5;
 /// Hosts look for work in the order of their ranks, so that one of them takes the lease.
 const RANK_PAUSE: Duration = Duration::from_millis(250);
 /// Longest such pause.
@@ -51,21 +51,56 @@
 /// What the holder knows of one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
-    /// An order was taken at this time; the next look is due then.
+    /// An order was given at the first time; the next look is due at the second one.
     Loading(Instant, Instant),
     /// Nothing is done before this time.
     Paused(Instant),
 }
 
-/// What is to be done next for an upstream.
+/// What is to be done next for an upstream: read its report, and order the weights if it lacks
+/// them and is not busy.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Task {
-    /// Read its report, and order the weights if it lacks them.
+    /// It begins to take weights.
     Order(Entry, Model, u32),
-    /// Read its report to see whether it has the weights.
+    /// It was given an order. Newer weights may have been named since.
     Look(Entry, Model, u32),
 }
 
+/// What an upstream's report asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// It has the weights.
+    Nothing,
+    /// It carries out an order.
+    Time,
+    /// It is to be given an order.
+    Order,
+}
+
+impl Need {
+    /// Reads a report for weights that an upstream is to have.
+    pub fn new(report: &Report, model: &Model, version: u32) -> Self {
+        let has = report.models.iter().find(|it| it.0 == *model).map(|it| it.1);
+        match (has, report.busy) {
+            (Some(has), _) if has >= version => Need::Nothing,
+            (_, true) => Need::Time,
+            (_, false) => Need::Order,
+        }
+    }
+}
+
+/// How far a task came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reached {
+    /// The upstream took an order.
+    Ordered,
+    /// It refused one, gave no answer, or cannot be asked.
+    Refused,
+    /// No order was due.
+    Seen,
+}
+
 /// Order of work of the holder of the lease. No I/O.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
@@ -82,7 +117,7 @@
         all: usize,
     ) -> Vec<Task> {
         self.progress.retain(|id, _| outdated.iter().any(|it| it.0.id == *id));
-        let at_once = all.div_ceil(PER_LOAD).max(1);
+        let at_once = ((all + 1) / PER_LOAD).max(1);
         let loading = |it: &Progress| matches!(it, Progress::Loading(at, _) if now.since(*at) < ORDER_TIMEOUT);
         let mut free =
             at_once.saturating_sub(self.progress.values().filter(|it| loading(it)).count());
@@ -117,6 +152,11 @@
         self.progress.iter().filter(|it| loading(it.1)).map(|it| it.0.clone()).collect()
     }
 
+    /// Takes that an order was taken.
+    pub fn ordered(&mut self, now: Instant, id: &Upstream) {
+        self.progress.insert(id.clone(), Progress::Loading(now, now + FIRST_LOOK));
+    }
+
     /// Takes that an order was not taken.
     pub fn refused(&mut self, now: Instant, id: &Upstream) {
         self.progress.insert(id.clone(), Progress::Paused(now + AGAIN));
@@ -321,17 +361,17 @@
         let calls = tasks.into_iter().map(|task| {
             let gateway = self.gateway.clone();
             let lease = self.lease.clone();
-            tokio::spawn(async move {
-                let (entry, taken) = carry_out(&gateway, &lease, task).await;
-                (entry, taken)
-            })
+            tokio::spawn(async move { carry_out(&gateway, &lease, task).await })
         });
         let calls: Vec<_> = calls.collect();
         for call in calls {
             // A task that panicked is seen by its upstream staying outdated.
-            let Ok((id, taken)) = call.await else { continue };
-            if !taken {
-                self.plan.refused(self.gateway.now(), &id);
+            let Ok((id, reached)) = call.await else { continue };
+            let now = self.gateway.now();
+            match reached {
+                Reached::Ordered => self.plan.ordered(now, &id),
+                Reached::Refused => self.plan.refused(now, &id),
+                Reached::Seen => {}
             }
         }
     }
@@ -350,21 +390,22 @@
     }
 }
 
-/// Carries out a task; false when the upstream has not taken the order.
-async fn carry_out<D>(gateway: &Gateway<D>, lease: &Lease, task: Task) -> (Upstream, bool)
+/// Carries out a task.
+async fn carry_out<D>(gateway: &Gateway<D>, lease: &Lease, task: Task) -> (Upstream, Reached)
 where
     D: Dialect,
 {
-    let (order, entry, model, version) = match task {
-        Task::Order(entry, model, version) => (true, entry, model, version),
-        Task::Look(entry, model, version) => (false, entry, model, version),
+    let (unknown, entry, model, version) = match task {
+        Task::Order(entry, model, version) => (Reached::Refused, entry, model, version),
+        // The former order may still be carried out.
+        Task::Look(entry, model, version) => (Reached::Seen, entry, model, version),
     };
     let id = entry.id.clone();
     let Ok(Ok(mut link)) = timeout(CALL_TIMEOUT, Link::dial(entry.address)).await else {
         log::info!(upstream = id.as_str(); "upstream cannot be asked for its weights");
-        return (id, !order);
+        return (id, unknown);
     };
-    let Some(report) = report(gateway, &mut link, &entry).await else { return (id, !order) };
+    let Some(report) = report(gateway, &mut link, &entry).await else { return (id, unknown) };
     let has = report.models.iter().find(|it| it.0 == model).map(|it| it.1);
     if let Some(has) = has {
         gateway.fleet().weights_seen(&id, &model, has);
@@ -375,13 +416,10 @@
         rollout.loaded.retain(|it| it.0 != id);
         rollout.loaded.push((id.clone(), model.clone(), has));
     }
-    if has.is_some_and(|it| it >= version) || !order {
-        return (id, true);
-    }
-    if report.busy {
-        return (id, true);
+    if Need::new(&report, &model, version) != Need::Order {
+        return (id, Reached::Seen);
     }
-    let Some(fence) = lease.fence(gateway.now()) else { return (id, false) };
+    let Some(fence) = lease.fence(gateway.now()) else { return (id, Reached::Refused) };
     let order = Order {
         model: model.as_str(),
         version,
@@ -395,8 +433,10 @@
     let verdict = answer.as_ref().ok().map(|it| gateway.dialect.verdict(it.status()));
     log::info!(upstream = id.as_str(), model = model.as_str(), version = version, fence = fence,
         orders = report.orders, verdict = format!("{verdict:?}").as_str(); "weights are ordered");
-    let taken = matches!(verdict, Some(Verdict::Taken | Verdict::Holds));
-    (id, taken)
+    match verdict {
+        Some(Verdict::Taken | Verdict::Holds) => (id, Reached::Ordered),
+        _ => (id, Reached::Refused),
+    }
 }
 
 async fn report<D>(gateway: &Gateway<D>, link: &mut Link, entry: &Entry) -> Option<Report>
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -4,11 +4,12 @@
 
 use http::{HeaderMap, HeaderValue};
 use mothvale_lib::{
+    dialect::Report,
     event::Splitter,
     hop,
     prelude::*,
     replica::{Replica, Row},
-    rollout::{Plan, Task},
+    rollout::{Need, Plan, Task},
     share,
     suspect::{Crash, Fingerprint, Suspects},
     window::Quota,
@@ -173,6 +174,30 @@
     assert_eq!(orders(&plan.tasks(at(6100), &outdated, 18)), 2);
 }
 
+/// Pattern: newer weights are named while upstreams take the ones before. An upstream that has
+/// taken those needs another order at once.
+#[test]
+fn upstream_is_ordered_again_when_newer_weights_were_named_meanwhile() {
+    let report = |busy, version| Report {
+        busy,
+        orders: 1,
+        models: SmallVec::from_iter([(Model::new("demo"), version)]),
+    };
+    let need = |busy, version| Need::new(&report(busy, version), &Model::new("demo"), 3);
+    assert_eq!(need(true, 1), Need::Time);
+    assert_eq!(need(true, 2), Need::Time);
+    assert_eq!(need(false, 2), Need::Order);
+    assert_eq!(need(false, 3), Need::Nothing);
+    let outdated = [(engine("engine0", "hobart"), Model::new("demo"), 3)];
+    let mut plan = Plan::default();
+    plan.ordered(at(0), &Upstream::new("engine0"));
+    assert!(matches!(plan.tasks(at(1000), &outdated, 9)[..], [Task::Look(..)]));
+    // It took the second order, which has all of its time.
+    plan.ordered(at(1000), &Upstream::new("engine0"));
+    assert!(plan.tasks(at(1800), &outdated, 9).is_empty());
+    assert!(matches!(plan.tasks(at(6500), &outdated, 9)[..], [Task::Look(..)]));
+}
+
 #[test]
 fn refused_order_is_given_again_after_a_pause() {
     let outdated = [(engine("engine0", "hobart"), Model::new("demo"), 2)];
