lease: a holder that gave no order leaves no pause of its own

Change: a host that leaves takes no lease; the row of one that is given up ends when a holder last acted. The random runs give up leases, too. Conclusion: the pause still lies between any two orders of two holders.

--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -71,6 +71,9 @@
     pause: Duration,
     held: Option<Held>,
     namings: Vec<Naming>,
+    /// When this host may last have acted, or a former holder if this one has not; in
+    /// milliseconds of the store's clock.
+    acted_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -88,7 +91,7 @@
     /// Creates the side of a host that holds nothing. `boot` identifies its start, `pause` is
     /// how long a former holder must have been silent before the next one acts.
     pub fn new(me: Host, boot: u64, pause: Duration) -> Self {
-        Lease { me, boot, pause, held: None, namings: Vec::new() }
+        Lease { me, boot, pause, held: None, namings: Vec::new(), acted_ms: 0 }
     }
 
     /// Returns the fencing number while this host may act.
@@ -132,6 +135,7 @@
                 if now_ms < free_ms {
                     return Step::Wait(Duration::from_millis(free_ms - now_ms));
                 }
+                self.acted_ms = row.until_ms;
                 Step::Write { row: own(row.fence + 1), expected: version, until }
             }
         }
@@ -192,10 +196,18 @@
         self.held = None;
     }
 
-    /// Gives the lease up: returns the row that ends it now, and the version it must have.
-    pub fn release(&mut self, clock: Duration) -> Option<(Row, u64)> {
+    /// Takes that this host may act until now.
+    pub fn act(&mut self, now: Instant) {
+        if let Some(clock) = self.clock(now) {
+            self.acted_ms = self.acted_ms.max(millis(clock));
+        }
+    }
+
+    /// Gives the lease up: returns the row that ends it when a holder last acted, so that the
+    /// next one need not wait for longer than that asks for, and the version it must have.
+    pub fn release(&mut self) -> Option<(Row, u64)> {
         let held = self.held.take()?;
-        let until_ms = held.row.until_ms.min(millis(clock));
+        let until_ms = held.row.until_ms.min(self.acted_ms);
         Some((Row { until_ms, ..held.row }, held.version))
     }
 
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -204,7 +204,7 @@
     async fn work_while_held(&mut self) {
         if self.lease.fence(self.gateway.now()).is_none() {
             sleep(self.pause()).await;
-            if self.gateway.fleet().outdated().is_empty() {
+            if self.gateway.fleet().outdated().is_empty() || self.gateway.draining.is_cancelled() {
                 return;
             }
             self.take().await;
@@ -331,8 +331,7 @@
 
     async fn release(&mut self) {
         *self.gateway.rollout() = Rollout::default();
-        // The time in the row is only brought forward; a rough clock does.
-        let Some((row, version)) = self.lease.release(Duration::MAX) else { return };
+        let Some((row, version)) = self.lease.release() else { return };
         let fence = row.fence;
         if self.write(&row, version).await.is_some() {
             log::info!(fence = fence; "lease is given up");
@@ -364,6 +363,9 @@
             tokio::spawn(async move { carry_out(&gateway, &lease, task).await })
         });
         let calls: Vec<_> = calls.collect();
+        if calls.is_empty() {
+            return;
+        }
         for call in calls {
             // A task that panicked is seen by its upstream staying outdated.
             let Ok((id, reached)) = call.await else { continue };
@@ -374,6 +376,7 @@
                 Reached::Seen => {}
             }
         }
+        self.lease.act(self.gateway.now());
     }
 }
 
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -116,13 +116,29 @@
     let (mut first, mut second) = (lease("host0"), lease("host1"));
     let mut store = Store::default();
     assert!(take(&mut first, &mut store, 0));
-    let (row, version) = first.release(Duration::from_millis(400)).unwrap();
+    first.act(at(400));
+    let (row, version) = first.release().unwrap();
     store.write(row, version).unwrap();
     assert_eq!(first.fence(at(450)), None);
     assert!(!take(&mut second, &mut store, 3300));
     assert!(take(&mut second, &mut store, 3400));
 }
 
+/// Pattern: a host takes the lease just as it is stopped, and gives it up without an order.
+#[test]
+fn holder_that_did_not_act_leaves_no_pause_of_its_own() {
+    let [mut first, mut second, mut third] = ["host0", "host1", "host2"].map(lease);
+    let mut store = Store::default();
+    assert!(take(&mut first, &mut store, 0));
+    first.act(at(900));
+    assert!(take(&mut second, &mut store, 4300));
+    let (row, version) = second.release().unwrap();
+    store.write(row, version).unwrap();
+    // The first holder's lease ended at 1,300; it might have acted until then.
+    assert!(take(&mut third, &mut store, 4310));
+    assert_eq!(third.fence(at(4320)), Some(3));
+}
+
 proptest! {
     /// Hosts that act at any time, whose writes may be lost before or after they are done:
     /// a number has one holder, numbers only grow, and two holders' orders are never closer
@@ -165,7 +181,17 @@
                         prop_assert!(now - time >= PAUSE.as_millis() as u64);
                     }
                 }
-                last = Some((host, fence, now));
+                // Most holders act; some give the lease up, and that may be lost.
+                if fault < 8 {
+                    lease.act(at(now));
+                    last = Some((host, fence, now));
+                }
+                if fault % 3 == 0
+                    && let Some((row, version)) = lease.release()
+                    && pass % 2 == 0
+                {
+                    store.write(row, version);
+                }
             }
         }
     }
