--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -101,6 +101,8 @@
     pub near: Option<&'a Zone>,
     /// Tokens of its prompt and of its longest answer.
     pub tokens: u32,
+    /// Whether an upstream was chosen for it before.
+    pub admitted: bool,
     /// Rank among the requests of the service, 0 first.
     pub priority: u8,
     /// A hash that differs from request to request.
@@ -491,8 +493,8 @@
     ) -> Result<Choice, Denial> {
         let nothing = Denial::Nothing(REFUSAL_MAX);
         let service = deployment.services.get(query.service).ok_or(nothing)?.clone();
-        // What has begun elsewhere is not given up for load.
-        if let (Some(engine), true) = (&service.engine, query.tried.is_empty()) {
+        // What has begun is not given up for load.
+        if let (Some(engine), false) = (&service.engine, query.admitted) {
             let pressure = self.pressure(now, engine, query);
             let admitted = pressure.admit(query.draw);
             admitted.map_err(|retry| Denial::Loaded(retry, pressure))?;
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -336,6 +336,7 @@
             session: self.session,
             near: near.as_ref(),
             tokens: job.ask.prompt_tokens.saturating_add(job.ask.answer_tokens),
+            admitted: self.placed,
             priority: job.priority(),
             draw: crate::rank::key(&["admission", &job.ask.id]),
             tried: &self.tried,
@@ -582,10 +583,12 @@
         match denial {
             Denial::Nothing(wait) => self.refused(Kind::NoUpstream, wait),
             Denial::Full(wait) => self.refused(Kind::Overloaded, wait),
-            Denial::Loaded(wait, Pressure { load, wait: late, .. }) => {
-                log::debug!(request = self.job.ask.id.as_str(), load = load, wait = late;
-                    "engines have too much to do");
-                self.refused(Kind::Overloaded, wait)
+            Denial::Loaded(retry, Pressure { load, wait, .. }) => {
+                let message = format!(
+                    "engines have too much to do: load {load:.2}, first tokens after {wait:.2} of \
+                     the promised time"
+                );
+                Error::new(Kind::Overloaded, message).retry_after(retry)
             }
         }
     }
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -15,6 +15,7 @@
         session: Some(session),
         near: None,
         tokens,
+        admitted: false,
         priority: 0,
         draw: session,
         tried: &[],
