naming: what is known of named weights has a module of its own

Ruled out: changing any decision; names moved only. Change: Namings holds what was named, what is due, and which weights the stores may be used for.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::{
     admission::{Pressure, Waits},
     deployment::{Deployment, EngineEntry, ServiceEntry},
+    naming::Namings,
     prelude::*,
     rank, share,
     standing::{COLD_SPAN, REFUSAL, REFUSAL_MAX, Standing},
@@ -48,46 +49,11 @@
 /// How long an upstream that turned a request away gets no other one while it lacks weights
 /// that were named.
 const ROLLING_REFUSAL: Duration = Duration::from_millis(1200);
-/// How long a request may wait at an upstream before it begins: upstreams with older weights
-/// get no more requests that much before the rollout's bound.
-const WAIT_MAX: Duration = Duration::from_millis(3500);
-/// Part of the contact bound after which a host that has started keeps to the weights named.
-const START_PART: f64 = 0.9;
-
 pub use crate::standing::{Entry, Outcome};
 
 /// Tokens and requests in flight by a short hash of the upstream's id.
 pub type Loads = HashMap<u32, (u64, u32)>;
 
-/// Weights that operators have named for one model.
-#[derive(Clone, Debug, Default)]
-struct Named {
-    version: u32,
-    /// Versions with the time up to which requests may begin on older ones, where it is known
-    /// when they were named.
-    namings: SmallVec<[(u32, Option<Instant>); 4]>,
-    /// Whether this host found the newest one when it started, or missed rows since.
-    found: bool,
-}
-
-impl Named {
-    /// Takes a version and when it is due; a time that is known stays.
-    fn add(&mut self, version: u32, due: Option<Instant>) {
-        self.version = self.version.max(version);
-        match self.namings.iter_mut().find(|it| it.0 == version) {
-            Some((_, known)) => *known = known.or(due),
-            None => self.namings.push((version, due)),
-        }
-    }
-
-    /// Returns the version below which no request may begin. Those of which it is not known
-    /// when they were named are due at `unknown`.
-    fn required(&self, now: Instant, unknown: Instant) -> u32 {
-        let due = self.namings.iter().filter(|it| it.1.unwrap_or(unknown) <= now);
-        due.map(|it| it.0).max().unwrap_or(0)
-    }
-}
-
 /// What a request asks of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -157,18 +123,8 @@
     by_service: HashMap<Service, Vec<Upstream>>,
     evacuated: HashSet<Zone>,
     waits: HashMap<Service, Waits>,
-    /// Newest named weight version by model.
-    named: HashMap<Model, Named>,
-    /// After this, no request may begin on older weights than were named.
-    rollout: Duration,
-    /// Oldest weights of each model that upstreams had when rows were read; never goes back.
-    floors: HashMap<Model, u32>,
-    /// When the upstreams' rows were as they are known.
-    read: Instant,
-    /// How soon a host knows of a row that has changed.
-    drain: Duration,
-    /// After this, a host that has started is counted on again.
-    contact: Duration,
+    /// The weights that operators have named.
+    pub namings: Namings,
 }
 
 impl Fleet {
@@ -185,12 +141,7 @@
             by_service: HashMap::new(),
             evacuated: HashSet::new(),
             waits: HashMap::new(),
-            named: HashMap::new(),
-            rollout: site.bounds.rollout,
-            floors: HashMap::new(),
-            read: Instant::ZERO,
-            drain: site.bounds.drain,
-            contact: site.bounds.contact,
+            namings: Namings::new(site.bounds),
         }
     }
 
@@ -217,15 +168,8 @@
 
     /// Takes that the upstreams' rows are known as they were at a time.
     pub fn read_at(&mut self, at: Instant) {
-        if at.since(self.read) > self.drain {
-            // What upstreams had in between is not known, as after a start.
-            self.named.values_mut().for_each(|it| it.found = true);
-        }
-        self.read = self.read.max(at);
-        for (model, oldest) in self.oldest_weights() {
-            let floor = self.floors.entry(model).or_default();
-            *floor = oldest.max(*floor);
-        }
+        let oldest = self.oldest_weights();
+        self.namings.read_at(at, oldest);
     }
 
     /// Returns the oldest weights that an upstream has of each model.
@@ -240,21 +184,11 @@
         oldest.into_vec()
     }
 
-    /// Tells whether what stores hold for a model's weights may be used: another host frees it
-    /// once fresh rows show that no upstream has them any more.
-    pub fn may_use_stores(&self, now: Instant, model: &Model, weights: u32) -> bool {
-        if self.floors.get(model).is_some_and(|it| weights < *it) {
-            return false;
-        }
-        let Some(named) = self.named.get(model) else { return true };
-        weights >= named.version || (!named.found && now.since(self.read) < self.drain)
-    }
-
     /// Returns the newest weight version of a model that was named, or else one that an
     /// upstream has.
     pub fn newest_weights(&self, model: &Model) -> Option<u32> {
         let held = || self.states.values().find_map(|it| it.entry.weights(model));
-        self.named.get(model).map(|it| it.version).or_else(held)
+        self.namings.newest(model).or_else(held)
     }
 
     /// Takes the upstreams that take new weights on another host's orders: they turn requests
@@ -379,55 +313,6 @@
         self.evacuated.contains(zone)
     }
 
-    /// Takes the newest weight version of a model and when it was named, where that is known.
-    pub fn name_weights(&mut self, since: Option<Instant>, model: Model, version: u32) {
-        let known = self.named.get(&model).map_or(0, |it| it.version);
-        if version > known {
-            log::info!(model = model.as_str(), version = version; "weights are named");
-            let due = since.map(|it| it + self.rollout_bound());
-            let named = self.named.entry(model).or_default();
-            named.add(version, due);
-            named.found = since.is_none();
-        }
-    }
-
-    /// Takes for how long a version has been named that this host found when it started, or an
-    /// older one whose bound may still run.
-    pub fn recall_weights(&mut self, now: Instant, model: &Model, version: u32, age: Duration) {
-        let left = self.rollout_bound().saturating_sub(age);
-        if let Some(named) = self.named.get_mut(model)
-            && version <= named.version
-        {
-            log::info!(model = model.as_str(), version = version, age_ms = age.as_millis() as u64,
-                left_ms = left.as_millis() as u64; "time of the naming is known");
-            named.add(version, Some(now + left));
-        }
-    }
-
-    /// Returns how long after a version was named requests may be sent to older ones.
-    fn rollout_bound(&self) -> Duration {
-        self.rollout.saturating_sub(WAIT_MAX)
-    }
-
-    /// Returns the weights whose naming this host has seen, with the time.
-    pub fn namings(&self) -> Vec<(Model, u32, Instant)> {
-        let bound = self.rollout_bound();
-        let named = self.named.iter();
-        let namings = named.flat_map(|(model, it)| it.namings.iter().map(move |at| (model, at)));
-        let seen = namings.filter_map(|(model, (version, due))| {
-            Some((model.clone(), *version, (*due)?.before(bound)))
-        });
-        seen.collect()
-    }
-
-    /// Tells whether this host does not know when weights were named that upstreams lack.
-    pub fn is_naming_unknown(&self) -> bool {
-        let unknown = |it: &Named| {
-            it.namings.iter().any(|naming| naming.0 == it.version && naming.1.is_none())
-        };
-        self.named.values().any(unknown)
-    }
-
     /// Takes the weight version that an answer showed.
     pub fn weights_seen(&mut self, id: &Upstream, model: &Model, version: u32) {
         let Some(state) = self.states.get_mut(id) else { return };
@@ -442,9 +327,9 @@
         let mut outdated = Vec::new();
         for state in self.states.values() {
             for (model, version) in &state.entry.models {
-                let Some(named) = self.named.get(model) else { continue };
-                if *version < named.version && !state.entry.draining {
-                    outdated.push((state.entry.clone(), model.clone(), named.version));
+                let Some(newest) = self.namings.newest(model) else { continue };
+                if *version < newest && !state.entry.draining {
+                    outdated.push((state.entry.clone(), model.clone(), newest));
                 }
             }
         }
@@ -562,14 +447,13 @@
             .entry
             .models
             .iter()
-            .any(|(model, version)| self.named.get(model).is_some_and(|it| *version < it.version))
+            .any(|(model, version)| self.namings.newest(model).is_some_and(|it| *version < it))
     }
 
     /// Takes that an upstream does not have the weights that its row shows: most likely it
     /// has the newest ones by now.
     pub fn weights_differ(&mut self, id: &Upstream, model: &Model) {
-        if let Some(named) = self.named.get(model) {
-            let version = named.version;
+        if let Some(version) = self.namings.newest(model) {
             self.weights_seen(id, model, version);
         }
     }
@@ -592,11 +476,7 @@
             0 => u32::MAX,
             most => (f64::from(most) * CONNECTIONS_PART / self.hosts.len() as f64).max(1.0) as u32,
         };
-        // A host that has just started may not know for how long weights have been named. It may
-        // go on for as long as it takes to be counted on again.
-        let unknown = Instant::ZERO + self.contact.mul_f64(START_PART);
-        let required = |model| Some((model, self.named.get(model)?.required(now, unknown)));
-        let expired = query.model.and_then(required);
+        let expired = query.model.map(|it| (it, self.namings.required(now, it)));
         let most = service
             .engine
             .as_ref()
@@ -655,7 +535,7 @@
     ) -> (Upstream, &'static str) {
         let bearable = service.cold_rate * self.cold_overshoot + self.cold_slack;
         let ordinary = ((bearable * WARM_MARGIN) / self.hosts.len() as f64).max(1.0) as usize;
-        let newest = query.model.and_then(|it| self.named.get(it)).map(|it| it.version);
+        let newest = query.model.and_then(|it| self.namings.newest(it));
         let states = || usable.iter().filter_map(|it| self.states.get(it));
         let total: u64 = states().map(Standing::all_tokens).sum();
         let requests: u32 = states().map(Standing::all_requests).sum();
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -169,7 +169,7 @@
             Notice::Evacuation { zone, out } => self.fleet().evacuate(zone, out),
             Notice::Weights { model, version } => {
                 let since = (!initial).then(|| self.now());
-                self.fleet().name_weights(since, model, version);
+                self.fleet().namings.name(since, model, version);
                 self.outdated.notify_one();
             }
             Notice::Unknown => {}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod mesh;
 pub mod metric;
 pub mod name;
+pub mod naming;
 pub mod node;
 pub mod object;
 pub mod openai;
--- a/lib/src/passage.rs
+++ b/lib/src/passage.rs
@@ -535,7 +535,7 @@
         self.job.deployment.services.get(&self.job.service)?.engine.as_ref()?;
         let (model, weights) = (self.job.ask.model.as_ref()?, choice.weights?);
         let now = self.gateway.now();
-        self.gateway.fleet().may_use_stores(now, model, weights).then_some(())?;
+        self.gateway.fleet().namings.may_use_stores(now, model, weights).then_some(())?;
         let need =
             Need { salt, parts: &self.job.ask.parts, zone: &choice.zone, origin: choice.origin };
         Some(self.gateway.cache().plan(now, &need))
--- a/lib/src/retire.rs
+++ b/lib/src/retire.rs
@@ -2,7 +2,7 @@
 //!
 //! A part must not be freed while an engine fetches it. Engines fetch what hosts tell them to, and a
 //! host tells an engine to fetch parts of older weights only while it knows from fresh rows that some
-//! engine still has them (`fleet`). So the parts of older weights are free once all rows have shown
+//! engine still has them (`naming`). So the parts of older weights are free once all rows have shown
 //! newer ones for as long as a host may take to read them, and a fetch to end.
 
 use std::{collections::HashMap, net::SocketAddr};
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -237,7 +237,7 @@
     async fn recall(&mut self) {
         let unknown = || {
             let fleet = self.gateway.fleet();
-            fleet.is_naming_unknown() && !fleet.outdated().is_empty()
+            fleet.namings.is_unknown() && !fleet.outdated().is_empty()
         };
         for _ in 0..RECALLS {
             if !unknown() {
@@ -251,7 +251,7 @@
                     for it in namings {
                         let age = page.clock.saturating_sub(Duration::from_millis(it.since_ms));
                         let model = Model::new(it.model);
-                        self.gateway.fleet().recall_weights(asked, &model, it.version, age);
+                        self.gateway.fleet().namings.recall(asked, &model, it.version, age);
                     }
                     return;
                 }
@@ -267,7 +267,7 @@
     fn name(&mut self) {
         let now = self.gateway.now();
         let Some(clock) = self.lease.clock(now) else { return };
-        let namings = self.gateway.fleet().namings().into_iter();
+        let namings = self.gateway.fleet().namings.seen().into_iter();
         let naming = |(model, version, since): (Model, u32, Instant)| Naming {
             model: model.to_string(),
             version,
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -183,9 +183,9 @@
 fn each_named_version_is_due_by_itself() {
     let mut fleet = fleet(2);
     let model = Model::new("demo");
-    fleet.name_weights(Some(at(0)), model.clone(), 2);
+    fleet.namings.name(Some(at(0)), model.clone(), 2);
     fleet.weights_seen(&Upstream::new("engine0"), &model, 2);
-    fleet.name_weights(Some(at(9000)), model.clone(), 3);
+    fleet.namings.name(Some(at(9000)), model.clone(), 3);
     assert_eq!(spread(&mut fleet, 9100, 1, 40).len(), 2);
     // Version 2 is due 15 s after it was named, whatever was named since, and a request may
     // wait at an upstream for 3.5 s before it begins.
@@ -197,7 +197,7 @@
 #[test]
 fn host_that_starts_counts_named_weights_from_its_start() {
     let mut fleet = fleet(1);
-    fleet.name_weights(None, Model::new("demo"), 2);
+    fleet.namings.name(None, Model::new("demo"), 2);
     assert!(choose(&mut fleet, at(1000), 1, 100).is_ok());
     assert!(choose(&mut fleet, at(2800), 2, 100).is_err());
 }
@@ -208,13 +208,13 @@
 fn host_that_starts_goes_on_with_what_is_left_of_a_naming() {
     let mut fleet = fleet(2);
     let model = Model::new("demo");
-    fleet.name_weights(None, model.clone(), 3);
+    fleet.namings.name(None, model.clone(), 3);
     fleet.weights_seen(&Upstream::new("engine0"), &model, 2);
-    assert!(fleet.is_naming_unknown());
+    assert!(fleet.namings.is_unknown());
     let age = Duration::from_secs;
-    fleet.recall_weights(at(500), &model, 2, age(8));
-    fleet.recall_weights(at(500), &model, 3, age(4));
-    assert!(!fleet.is_naming_unknown());
+    fleet.namings.recall(at(500), &model, 2, age(8));
+    fleet.namings.recall(at(500), &model, 3, age(4));
+    assert!(!fleet.namings.is_unknown());
     // 15 s less 3.5 s less 8 s are left of version 2.
     assert_eq!(spread(&mut fleet, 3900, 1, 40).len(), 2);
     let counts = spread(&mut fleet, 4100, 1, 40);
@@ -227,8 +227,8 @@
 fn naming_whose_time_is_over_holds_at_once() {
     let mut fleet = fleet(1);
     let model = Model::new("demo");
-    fleet.name_weights(None, model.clone(), 2);
-    fleet.recall_weights(at(500), &model, 2, Duration::from_secs(60));
+    fleet.namings.name(None, model.clone(), 2);
+    fleet.namings.recall(at(500), &model, 2, Duration::from_secs(60));
     assert!(choose(&mut fleet, at(501), 1, 100).is_err());
 }
 
@@ -236,7 +236,7 @@
 #[test]
 fn upstreams_that_take_weights_are_left_alone() {
     let mut fleet = fleet(3);
-    fleet.name_weights(Some(at(0)), Model::new("demo"), 2);
+    fleet.namings.name(Some(at(0)), Model::new("demo"), 2);
     let short = fleet.short(&Upstream::new("engine1")).unwrap();
     fleet.take_loading(at(100), &[short]);
     assert!(!spread(&mut fleet, 101, 1, 60).contains_key("engine1"));
--- a/lib/tests/test_retire.rs
+++ b/lib/tests/test_retire.rs
@@ -66,39 +66,39 @@
 #[test]
 fn host_that_saw_no_engine_with_older_weights_lets_fetch_none() {
     let mut fleet = fleet([1, 2]);
-    fleet.name_weights(Some(at(0)), model(), 2);
-    assert!(fleet.may_use_stores(at(100), &model(), 1));
+    fleet.namings.name(Some(at(0)), model(), 2);
+    assert!(fleet.namings.may_use_stores(at(100), &model(), 1));
     fleet.weights_seen(&Upstream::new("engine0"), &model(), 2);
     fleet.read_at(at(1000));
-    assert!(!fleet.may_use_stores(at(1000), &model(), 1));
+    assert!(!fleet.namings.may_use_stores(at(1000), &model(), 1));
     // An engine comes back with what it had before: it reads its prompts.
     fleet.observe(at(1100), row(2, 1, 2));
     fleet.read_at(at(1200));
-    assert!(!fleet.may_use_stores(at(1200), &model(), 1));
-    assert!(fleet.may_use_stores(at(1200), &model(), 2));
+    assert!(!fleet.namings.may_use_stores(at(1200), &model(), 1));
+    assert!(fleet.namings.may_use_stores(at(1200), &model(), 2));
 }
 
 #[test]
 fn host_whose_rows_are_old_lets_fetch_newest_weights_only() {
     let mut fleet = fleet([1, 1]);
-    assert!(fleet.may_use_stores(at(60_000), &model(), 1));
+    assert!(fleet.namings.may_use_stores(at(60_000), &model(), 1));
     fleet.read_at(at(59_500));
-    fleet.name_weights(Some(at(60_000)), model(), 2);
-    assert!(fleet.may_use_stores(at(61_400), &model(), 1));
-    assert!(!fleet.may_use_stores(at(61_600), &model(), 1));
+    fleet.namings.name(Some(at(60_000)), model(), 2);
+    assert!(fleet.namings.may_use_stores(at(61_400), &model(), 1));
+    assert!(!fleet.namings.may_use_stores(at(61_600), &model(), 1));
     fleet.read_at(at(61_400));
-    assert!(fleet.may_use_stores(at(61_600), &model(), 1));
+    assert!(fleet.namings.may_use_stores(at(61_600), &model(), 1));
     // Rows that were missed may have shown that no engine has them any more.
     fleet.read_at(at(64_000));
-    assert!(!fleet.may_use_stores(at(64_001), &model(), 1));
+    assert!(!fleet.namings.may_use_stores(at(64_001), &model(), 1));
 }
 
 #[test]
 fn host_that_starts_lets_fetch_newest_weights_only() {
     let mut fleet = fleet([1, 2]);
-    fleet.name_weights(None, model(), 2);
-    assert!(!fleet.may_use_stores(at(1), &model(), 1));
-    assert!(fleet.may_use_stores(at(1), &model(), 2));
+    fleet.namings.name(None, model(), 2);
+    assert!(!fleet.namings.may_use_stores(at(1), &model(), 1));
+    assert!(fleet.namings.may_use_stores(at(1), &model(), 2));
 }
 
 proptest! {
@@ -111,7 +111,7 @@
         let mut born = [1; 3];
         let mut host = fleet([1, 1]);
         host.observe(at(0), row(2, 1, 1));
-        host.name_weights(Some(at(0)), model(), 2);
+        host.namings.name(Some(at(0)), model(), 2);
         let (mut now, mut last_fetch) = (0, None::<u64>);
         for (step, index, pause) in steps {
             now += pause;
@@ -137,7 +137,7 @@
                 _ => {}
             }
             let has_older = engines.iter().flatten().any(|it| *it == 1);
-            if has_older && host.may_use_stores(at(now), &model(), 1) {
+            if has_older && host.namings.may_use_stores(at(now), &model(), 1) {
                 last_fetch = Some(now);
             }
             let Some(oldest) = engines.iter().flatten().min() else { continue };
