--- a/lib/src/cache_watch.rs
+++ b/lib/src/cache_watch.rs
@@ -2,11 +2,16 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use http::{HeaderMap, HeaderValue, Method, Request, header};
-use http_body_util::Full;
+use http::Method;
 use tokio::{task::JoinHandle, time::sleep};
 
-use crate::{dialect::Dialect, follow::Replicas, gateway::Gateway, link::Link, prelude::*};
+use crate::{
+    dialect::Dialect,
+    follow::Replicas,
+    gateway::Gateway,
+    link::{self, Link},
+    prelude::*,
+};
 
 /// Longest wait of a call for changes.
 const WAIT: Duration = Duration::from_millis(400);
@@ -91,17 +96,16 @@
 where
     D: Dialect,
 {
-    let mut link = match held.take().filter(|it| !it.is_closed()) {
-        Some(link) => link,
+    let mut connection = match held.take().filter(|it| !it.is_closed()) {
+        Some(connection) => connection,
         None => Link::dial(address).await.map_err(|_| "unreachable")?,
     };
-    let (path, mut headers) = gateway.dialect.cache_changes(since, WAIT);
-    let host = HeaderValue::try_from(address.to_string()).map_err(|_| "address")?;
-    headers.insert(header::HOST, host);
-    let request = request(path, headers)?;
-    let answer = link.call(request, WAIT + TIMEOUT, ANSWER_BYTES).await;
+    let (path, headers) = gateway.dialect.cache_changes(since, WAIT);
+    let uri = path.parse().map_err(|_| "path")?;
+    let request = link::request(address, Method::GET, uri, headers, Bytes::new());
+    let answer = connection.call(request, WAIT + TIMEOUT, ANSWER_BYTES).await;
     let answer = answer.map_err(|_| "no answer")?;
-    *held = Some(link);
+    *held = Some(connection);
     if !answer.status().is_success() {
         return Err("refused");
     }
@@ -111,11 +115,3 @@
         "unreadable"
     })
 }
-
-fn request(path: String, headers: HeaderMap) -> Result<Request<Full<Bytes>>, &'static str> {
-    let mut request = Request::new(Full::default());
-    *request.method_mut() = Method::GET;
-    *request.uri_mut() = path.parse().map_err(|_| "path")?;
-    *request.headers_mut() = headers;
-    Ok(request)
-}
--- a/lib/src/link.rs
+++ b/lib/src/link.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
@@ -130,6 +130,27 @@
     }
 }
 
+/// Writes a request of the gateway's own, with a JSON body or none.
+pub fn request(
+    address: SocketAddr,
+    method: Method,
+    uri: Uri,
+    mut headers: HeaderMap,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    // An address has only characters that a field may have.
+    let host = HeaderValue::try_from(address.to_string());
+    headers.insert(header::HOST, host.unwrap_or(HeaderValue::from_static("upstream")));
+    if !body.is_empty() {
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    *request.headers_mut() = headers;
+    request
+}
+
 /// Makes the kernel notice a connection that has gone silent.
 fn watch(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/lib/src/retire.rs
+++ b/lib/src/retire.rs
@@ -7,13 +7,17 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use http::{HeaderMap, HeaderValue, Method, Request, header};
-use http_body_util::Full;
+use http::{HeaderMap, Method, Uri};
 use tokio::time::sleep;
 
 use crate::{
-    cache::FETCH_LIMIT, dialect::Dialect, follow::Replicas, gateway::Gateway, link::Link,
-    prelude::*, salt,
+    cache::FETCH_LIMIT,
+    dialect::Dialect,
+    follow::Replicas,
+    gateway::Gateway,
+    link::{self, Link},
+    prelude::*,
+    salt,
 };
 
 /// Added to what hosts and fetches may take, for what lies between a check and what it allows.
@@ -130,9 +134,11 @@
 where
     D: Dialect,
 {
-    let mut link = Link::dial(address).await.map_err(|_| "unreachable")?;
-    let request = request(address, Method::GET, D::CACHE_LIST, Bytes::new())?;
-    let answer = link.call(request, CALL_TIMEOUT, ANSWER_BYTES).await.map_err(|_| "no answer")?;
+    let mut connection = Link::dial(address).await.map_err(|_| "unreachable")?;
+    let uri = Uri::from_static(D::CACHE_LIST);
+    let request = link::request(address, Method::GET, uri, HeaderMap::new(), Bytes::new());
+    let answer =
+        connection.call(request, CALL_TIMEOUT, ANSWER_BYTES).await.map_err(|_| "no answer")?;
     if !answer.status().is_success() {
         return Err("listing is refused");
     }
@@ -146,8 +152,10 @@
         return Ok(0);
     }
     let body = gateway.dialect.cache_free(&former);
-    let request = self::request(address, Method::POST, D::CACHE_FREE, body)?;
-    let answer = link.call(request, CALL_TIMEOUT, ANSWER_BYTES).await.map_err(|_| "no answer")?;
+    let uri = Uri::from_static(D::CACHE_FREE);
+    let request = link::request(address, Method::POST, uri, HeaderMap::new(), body);
+    let answer =
+        connection.call(request, CALL_TIMEOUT, ANSWER_BYTES).await.map_err(|_| "no answer")?;
     if !answer.status().is_success() {
         return Err("freeing is refused");
     }
@@ -165,20 +173,3 @@
     listing.parts.retain(is_former);
     listing
 }
-
-fn request(
-    address: SocketAddr,
-    method: Method,
-    path: &'static str,
-    body: Bytes,
-) -> Result<Request<Full<Bytes>>, &'static str> {
-    let mut headers = HeaderMap::new();
-    let host = HeaderValue::try_from(address.to_string()).map_err(|_| "address")?;
-    headers.insert(header::HOST, host);
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let mut request = Request::new(Full::new(body));
-    *request.method_mut() = method;
-    *request.uri_mut() = http::Uri::from_static(path);
-    *request.headers_mut() = headers;
-    Ok(request)
-}
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -1,9 +1,9 @@
 //! Brings the upstreams to the weights that operators name: which upstream is given an order
 //! when, and the loop that gives them under a lease.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::collections::HashMap;
 
-use http::{HeaderMap, HeaderValue, Method, Request, header};
+use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 use tokio::time::{sleep, timeout};
 
@@ -14,7 +14,7 @@
     gateway::{Gateway, Rollout},
     lease::{Lease, Naming, Row, Step},
     ledger::{Ledger, Page, Table, Write, Written},
-    link::Link,
+    link::{self, Link},
     prelude::*,
 };
 
@@ -475,16 +475,5 @@
 {
     let mut headers = HeaderMap::new();
     gateway.dialect.address(&mut headers, entry.id.as_str());
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(header::HOST, host(entry.address));
-    let mut request = Request::new(Full::new(body));
-    *request.method_mut() = method;
-    *request.uri_mut() = http::Uri::from_static(path);
-    *request.headers_mut() = headers;
-    request
-}
-
-fn host(address: SocketAddr) -> HeaderValue {
-    // An address has only characters that a field may have.
-    HeaderValue::try_from(address.to_string()).unwrap_or(HeaderValue::from_static("upstream"))
+    link::request(entry.address, method, Uri::from_static(path), headers, body)
 }
