--- a/lib/src/lag.rs
+++ b/lib/src/lag.rs
@@ -20,8 +20,9 @@
 /// Mean wait before anything was measured, in seconds.
 const WAIT: Mean = Mean::new(WEIGHT, HALF_LIFE);
 
+/// What is known of one store.
 #[derive(Clone, Copy, Debug)]
-struct Standing {
+struct Lag {
     wait: Mean,
     probed: Instant,
     slow: bool,
@@ -30,7 +31,7 @@
 /// The waits of requests by the store that they fetched from.
 #[derive(Clone, Debug)]
 pub struct Lags {
-    stores: HashMap<SocketAddr, Standing>,
+    stores: HashMap<SocketAddr, Lag>,
     /// Of requests that fetched nothing to speak of.
     none: Mean,
     hosts: u32,
@@ -51,7 +52,7 @@
             self.none.take(now, wait);
         }
         for address in stores {
-            let fresh = || Standing { wait: WAIT, probed: now, slow: false };
+            let fresh = || Lag { wait: WAIT, probed: now, slow: false };
             self.stores.entry(*address).or_insert_with(fresh).wait.take(now, wait);
         }
     }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -112,7 +112,8 @@
             upstream = choice.id.as_str(), chosen = choice.reason,
             weights = choice.weights.unwrap_or_default(), tokens = choice.tokens,
             session = format!("{:x}", self.session.unwrap_or_default()).as_str(),
-            parts = parts.as_str(), origin = choice.origin.is_some(), runs = self.runs, first_ms = first.as_millis() as u64,
+            parts = parts.as_str(), origin = choice.origin.is_some(), runs = self.runs,
+            first_ms = first.as_millis() as u64,
             total_ms = wait.as_millis() as u64; "stream ended");
         End::Done
     }
