--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -23,7 +23,7 @@
 /// Part of an engine's memory that makes a full load: a run does not yet need its answer's.
 const MEMORY: f64 = 1.1;
 /// Mean wait for the first token, as a part of what callers are promised, at which requests begin
-/// to be refused. Ordinary days have 0.2; waits scatter, and at this mean some are over the
+/// to be refused. The median of a calm moment is 0.16; waits scatter, and at this mean some are over the
 /// promise.
 const WAIT: f64 = 0.35;
 /// How much earlier each rank of priority begins.
--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -30,8 +30,8 @@
 pub struct Replicas {
     tables: [Mutex<Replica>; 3],
     ahead: Mutex<Option<Host>>,
-    /// Until when another host reads for this one, and when the upstreams' table was read.
-    kept: Mutex<Kept>,
+    /// Until when another host reads for this one.
+    kept: Mutex<Instant>,
     /// Told when a table of the store cannot be read, or another host knows more.
     pub lost: Notify,
 }
@@ -39,35 +39,18 @@
 /// The tables that are followed.
 pub const TABLES: [Table; 3] = [Table::Operators, Table::Upstreams, Table::Hosts];
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Kept {
-    until: Instant,
-    upstreams_read: Instant,
-}
-
 impl Replicas {
     /// Takes that another host reads for this one until a time.
     pub fn keep(&self, until: Instant) {
-        self.kept().until = until;
+        *self.kept() = until;
     }
 
     /// Tells whether another host reads for this one.
     pub fn is_kept(&self, now: Instant) -> bool {
-        self.kept().until > now
-    }
-
-    /// Takes that the upstreams' table was as it is known at a time.
-    pub fn read_upstreams(&self, at: Instant) {
-        let mut kept = self.kept();
-        kept.upstreams_read = kept.upstreams_read.max(at);
-    }
-
-    /// Returns when the upstreams' table was as it is known.
-    pub fn upstreams_read(&self) -> Instant {
-        self.kept().upstreams_read
+        *self.kept() > now
     }
 
-    fn kept(&self) -> MutexGuard<'_, Kept> {
+    fn kept(&self) -> MutexGuard<'_, Instant> {
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -160,7 +143,6 @@
                     whole = asked_whole && stale;
                     self.take(table, page.rows, page.version, asked_whole);
                     if table == Table::Upstreams {
-                        self.replicas.read_upstreams(asked);
                         self.gateway.fleet().read_at(asked);
                     }
                     sleep(if whole { RETRY } else { pace }).await;
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -9,7 +9,7 @@
 
 use pilota::pb::Message;
 use quinn::{
-    ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt,
+    ClientConfig, Connection, Endpoint, ServerConfig,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
 use rustls::pki_types::CertificateDer;
@@ -24,7 +24,7 @@
     generated::peer::{self, Gossip, Pull, Question, Wanted, question},
     ledger::{Ledger, Table},
     node::HostRow,
-    peer::encode,
+    peer::{encode, transport},
     pin::{self, Identity, PinError, Pins},
     prelude::*,
     rank,
@@ -115,10 +115,10 @@
         let pins = Pins::default();
         let server = QuicServerConfig::try_from(pin::server(identity, &pins)?)?;
         let mut server = ServerConfig::with_crypto(Arc::new(server));
-        server.transport_config(transport());
+        server.transport_config(transport(IDLE_MS, STREAMS));
         let client = QuicClientConfig::try_from(pin::client(identity, &pins)?)?;
         let mut client = ClientConfig::new(Arc::new(client));
-        client.transport_config(transport());
+        client.transport_config(transport(IDLE_MS, STREAMS));
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
         Ok(Arc::new(Mesh {
@@ -523,7 +523,6 @@
         if let Some(others) = pulled.others {
             self.take(host, others);
         }
-        self.follower.replicas.read_upstreams(asked.before(age));
         gateway.fleet().read_at(asked.before(age));
         for store in pulled.stores {
             let Ok(address) = store.address.parse() else { continue };
@@ -578,9 +577,11 @@
                 parts: news.parts.into_iter().map(part).collect(),
             })
         });
+        // The lock ends with this statement, before that of the cache is taken.
+        let read = gateway.fleet().namings.read();
         Some(peer::Pulled {
             upstreams: self.answer(&wanted),
-            age_ms: millis(now.since(replicas.upstreams_read())),
+            age_ms: millis(now.since(read)),
             others,
             stores: stores.collect(),
         })
@@ -614,11 +615,3 @@
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
-
-fn transport() -> Arc<TransportConfig> {
-    let mut config = TransportConfig::default();
-    config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_MS))));
-    config.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS));
-    config.max_concurrent_uni_streams(VarInt::from_u32(0));
-    Arc::new(config)
-}
--- a/lib/src/naming.rs
+++ b/lib/src/naming.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Returns when the upstreams' rows were as they are known.
+    pub fn read(&self) -> Instant {
+        self.read
+    }
+
     /// Tells whether what stores hold for a model's weights may be used: another host frees it
     /// once fresh rows show that no upstream has them any more.
     pub fn may_use_stores(&self, now: Instant, model: &Model, weights: u32) -> bool {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -153,9 +153,9 @@
     tokio::join!(
         follower.run(),
         mesh.run(),
-        cache_watch::run(gateway.clone(), replicas.clone()),
+        cache_watch::run(gateway.clone(), replicas),
         rollout::run(gateway.clone(), ledger.clone()),
-        retire::run(gateway.clone(), replicas.clone()),
+        retire::run(gateway.clone()),
         register(&gateway, &ledger, &row, &registered),
         unregister(&gateway, &ledger, &registered),
     );
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -82,10 +82,10 @@
     {
         let server = QuicServerConfig::try_from(tls::peer_server(config)?)?;
         let mut server = ServerConfig::with_crypto(Arc::new(server));
-        server.transport_config(transport());
+        server.transport_config(transport(IDLE_MS, STREAMS));
         let client = QuicClientConfig::try_from(tls::peer_client(config)?)?;
         let mut client = ClientConfig::new(Arc::new(client));
-        client.transport_config(transport());
+        client.transport_config(transport(IDLE_MS, STREAMS));
         let mut endpoint = Endpoint::server(server, address)?;
         endpoint.set_default_client_config(client);
         tokio::spawn(accept(endpoint.clone(), answers));
@@ -169,10 +169,12 @@
     }
 }
 
-fn transport() -> Arc<TransportConfig> {
+/// Returns the limits of connections between hosts: silence in milliseconds that ends one, and calls
+/// that the other side may have open at once.
+pub(crate) fn transport(idle_ms: u32, streams: u32) -> Arc<TransportConfig> {
     let mut config = TransportConfig::default();
-    config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_MS))));
-    config.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS));
+    config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(idle_ms))));
+    config.max_concurrent_bidi_streams(VarInt::from_u32(streams));
     config.max_concurrent_uni_streams(VarInt::from_u32(0));
     Arc::new(config)
 }
--- a/lib/src/retire.rs
+++ b/lib/src/retire.rs
@@ -13,7 +13,6 @@
 use crate::{
     cache::FETCH_LIMIT,
     dialect::Dialect,
-    follow::Replicas,
     gateway::Gateway,
     link::{self, Link},
     prelude::*,
@@ -81,7 +80,7 @@
 
 /// Frees parts of former weights whenever there are any, until the process ends. Only the host
 /// that ranks first does; it does no harm if two do.
-pub async fn run<D>(gateway: Arc<Gateway<D>>, replicas: Arc<Replicas>)
+pub async fn run<D>(gateway: Arc<Gateway<D>>)
 where
     D: Dialect,
 {
@@ -89,8 +88,11 @@
     let mut freed: HashMap<Model, u32> = HashMap::new();
     loop {
         sleep(ROUND).await;
-        let oldest = gateway.fleet().oldest_weights();
-        let settled = plan.observe(replicas.upstreams_read(), &oldest);
+        let (read, oldest) = {
+            let fleet = gateway.fleet();
+            (fleet.namings.read(), fleet.oldest_weights())
+        };
+        let settled = plan.observe(read, &oldest);
         let due = |it: &(Model, u32)| freed.get(&it.0).is_none_or(|version| *version < it.1);
         let settled: Vec<_> = settled.into_iter().filter(|it| it.1 > 1 && due(it)).collect();
         if settled.is_empty() || !gateway.fleet().is_first("retire") {
