relay, listener: a record is found at the end of the answer, shutdown answers all

Cause: the relay kept a request's record after the last chunk had left, so a caller could ask for it too early. The listener was closed at the moment when the host began to refuse requests, so a caller whose pool opened a new connection was refused by the kernel, and connections in the accept queue were reset. The first test also asked before all engines had reported.

Change: the record is kept before the end of the answer is sent, and replaced only when its outcome changes. Listeners stay open until the last request has ended; requests that arrive meanwhile are answered with shutting_down. The first test waits until all four engines have reported; its checks are the same. A new test opens connections during a shutdown.

--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -143,6 +143,7 @@
             events,
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
+            closing: CancellationToken::new(),
             settings,
         });
         let peers = bind_peers(&shared)?;
@@ -193,6 +194,7 @@
         self.shared.stop.cancel();
         let max_wait = limits.request + SHUTDOWN_GRACE;
         let ended = tokio::time::timeout(max_wait, wait_until_idle(&self.shared)).await.is_ok();
+        self.shared.closing.cancel();
         if let Some(peers) = &self.peers {
             peers.close().await;
         }
@@ -265,7 +267,7 @@
     listen("listen.public", listen_settings.public, tls, shared).await
 }
 
-/// Binds an address and accepts connections until the host's `stop` token is cancelled. `field` is
+/// Binds an address and accepts connections until the host's `closing` token is cancelled. `field` is
 /// the field of the settings that has the address, for errors.
 async fn listen<E, B, T>(
     field: &'static str,
@@ -273,7 +275,7 @@
     tls: Option<TlsAcceptor>,
     shared: &Shared<E, B, T>,
 ) -> Result<Listener, StartError> {
-    let bound = Listener::bind(address, tls, shared.stop.clone()).await;
+    let bound = Listener::bind(address, tls, shared.closing.clone()).await;
     bound.map_err(|source| StartError::Listen { field, address, source })
 }
 
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -37,7 +37,7 @@
 }
 
 impl Listener {
-    /// Binds an address and accepts connections until `stop` is cancelled.
+    /// Binds an address and accepts connections until `closing` is cancelled.
     ///
     /// # Errors
     ///
@@ -45,13 +45,13 @@
     pub async fn bind(
         address: SocketAddr,
         tls: Option<TlsAcceptor>,
-        stop: CancellationToken,
+        closing: CancellationToken,
     ) -> io::Result<Self> {
         let socket = TcpListener::bind(address).await?;
         let local_addr = socket.local_addr()?;
         let (sender, ready) = mpsc::channel(MAX_READY);
         let permits = Arc::new(Semaphore::new(MAX_SETUPS));
-        tokio::spawn(accept(socket, tls, permits, sender, stop));
+        tokio::spawn(accept(socket, tls, permits, sender, closing));
         Ok(Listener { local_addr, ready })
     }
 
@@ -92,11 +92,11 @@
     tls: Option<TlsAcceptor>,
     permits: Arc<Semaphore>,
     ready: mpsc::Sender<Conn>,
-    stop: CancellationToken,
+    closing: CancellationToken,
 ) {
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => return,
+            () = closing.cancelled() => return,
             accepted = accept_next(&socket, &permits) => accepted,
         };
         match accepted {
--- a/lib/src/relay.rs
+++ b/lib/src/relay.rs
@@ -110,6 +110,8 @@
     record: Box<Record>,
     /// Whether an error was sent to the caller.
     error_sent: bool,
+    /// Outcome of the record that was already kept, if one was.
+    kept_outcome: Option<&'static str>,
 }
 
 impl<E, B, T> Relay<E, B, T>
@@ -133,6 +135,7 @@
             chunks,
             record,
             error_sent: false,
+            kept_outcome: None,
         }
     }
 
@@ -303,6 +306,7 @@
                 Step::Deliver(text) => self.deliver(Chunk::Text(text)).await?,
                 Step::Finish(text, finish) => {
                     let ending = self.record_ending(&finish);
+                    self.keep_record("ok");
                     self.deliver(Chunk::End(text.clone(), ending)).await?;
                     self.record.outcome = FastStr::from_static_str("ok");
                     return Some(Step::Finish(text, finish));
@@ -417,11 +421,22 @@
     /// Sends an error to the caller and records it as the outcome.
     async fn send_error(&mut self, err: Error) {
         self.error_sent = true;
+        self.keep_record(err.kind.descriptor().code);
         self.record.outcome = FastStr::from_static_str(err.kind.descriptor().code);
         let stall = self.shared.settings.catalog.limits.reader_stall;
         let _ = timeout(stall, self.chunks.send(Chunk::Fail(err))).await;
     }
 
+    /// Keeps the record with the outcome that the caller is about to get, so that the record is found
+    /// as soon as the answer has ended.
+    fn keep_record(&mut self, outcome: &'static str) {
+        self.kept_outcome = Some(outcome);
+        let mut record = Record::clone(&self.record);
+        record.outcome = FastStr::from_static_str(outcome);
+        record.total_ms = millis(self.shared.now().since(self.received_at));
+        self.shared.records.push(record);
+    }
+
     /// Counts the outcome, unless the caller gets it as an error response: `public_api` counts it
     /// when it writes that response.
     fn count_outcome(&self) {
@@ -446,7 +461,10 @@
             upstream = self.record.attempts.last().map_or("", |it| it.upstream.as_str()),
             outcome = self.record.outcome.as_str(), attempts = self.answer.attempts(),
             total_ms = self.record.total_ms; "request ended");
-        self.shared.records.push(*self.record);
+        // A newer record hides the kept one, if the caller left before it got the outcome.
+        if self.kept_outcome != Some(self.record.outcome.as_str()) {
+            self.shared.records.push(*self.record);
+        }
     }
 }
 
--- a/lib/src/shared.rs
+++ b/lib/src/shared.rs
@@ -42,8 +42,11 @@
     pub events: mpsc::Sender<Event>,
     /// Tasks that must end before the process exits.
     pub tasks: TaskTracker,
-    /// Cancelled when the host closes its listeners.
+    /// Cancelled when the host takes no more requests.
     pub stop: CancellationToken,
+    /// Cancelled when the last request has ended and the listeners close. Until then, requests that
+    /// arrive after `stop` are refused with a response.
+    pub closing: CancellationToken,
 }
 
 impl<E, B, T> Shared<E, B, T> {
--- a/lib/tests/test_bad_input.rs
+++ b/lib/tests/test_bad_input.rs
@@ -243,6 +243,18 @@
     assert_eq!(refused.header("retry-after"), Some("1"));
 }
 
+/// A load balancer may still open connections during the shutdown. Their requests get an answer, not
+/// a reset, while others are in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_on_a_new_connection_is_refused_during_shutdown() {
+    let cluster = start_with_small_limits().await;
+    cluster.hosts[0].shared().stop.cancel();
+    for _ in 0..20 {
+        let refused = caller(&cluster, 0).chat("x", 2).await;
+        assert_refused(&refused.error(), "shutting_down", None);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_exceeds_its_time_limit_is_ended() {
     let cluster = start(|it| {
--- a/lib/tests/test_path.rs
+++ b/lib/tests/test_path.rs
@@ -186,6 +186,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn any_host_returns_the_record_of_a_request() {
     let cluster = start(|it| it.hosts = 3).await;
+    let shared = cluster.hosts[0].shared().clone();
+    eventually("all engines have reported", || {
+        let view = shared.view.load();
+        view.upstreams.iter().filter(|it| !it.confirmed_models.is_empty()).count() == 4
+    })
+    .await;
     let reply = caller(&cluster, 0).chat("why", 2).await;
     let id = reply.header("x-request-id").unwrap().to_owned();
     for host in &cluster.hosts {
