fleet, cache_index: engines near the store, popular parts, pulls without a deadlock

A fetch from another zone keeps the link twice as long, yet an idle engine there came first. First parts that many prompts share were left out when links were busy, and nothing behind them could be used.

The choice counts the longer fetch as tokens in flight, by the learnt time a token. Popular parts always use the links; a part may be saved again after 2 s. Hosts are passed over after six failed rounds.

--- a/lib/src/cache_index.rs
+++ b/lib/src/cache_index.rs
@@ -27,7 +27,7 @@
 /// Time from the store's last response after which a fetch has ended or its result is discarded.
 pub const FETCH_TIMEOUT: Duration = Duration::from_millis(1900);
 /// How long no other request of this host saves a part that one was told to save.
-const SAVE_INTERVAL: Duration = Duration::from_secs(4);
+const SAVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Fewest tokens of a part that is fetched or saved: an engine computes a shorter one faster than
 /// it is transferred. Parts after a skipped one cannot be used, though, so the minimum leaves out
 /// only parts of unknown length, which have 0 tokens.
@@ -41,6 +41,9 @@
 /// Time for which an engine keeps a part that no request uses. A part that its requests use more
 /// often is in its cache.
 const ENGINE_RETENTION: Duration = Duration::from_secs(1);
+/// Uses per second, over all hosts, from which a part may always use the links: many prompts begin
+/// with it, and nothing that follows it can be used without it.
+const POPULAR_RATE: f64 = 1.0;
 /// Latest changes of a store that are kept, to send them to other hosts.
 const MAX_LOGGED_CHANGES: usize = 4096;
 /// Number of recorded saves at which those older than `SAVE_INTERVAL` are removed.
@@ -123,6 +126,15 @@
     lookups: SmallVec<[Lookup; 4]>,
 }
 
+/// Where the longest cached part of a prompt can be fetched from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    /// The availability zone of the store that holds it.
+    pub zone: Zone,
+    /// How much longer the fetch takes for an engine in another zone.
+    pub other_zone_delay: Duration,
+}
+
 /// Result of looking up a part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lookup {
@@ -136,11 +148,14 @@
     MissSaved,
     /// No store holds the part, and another request saves it or no store has room.
     Miss,
+    /// No store holds the part, and the network link to save it is needed for other parts.
+    MissLinkBusy,
 }
 
 impl Plan {
     /// Returns the lookup results, one letter for each part: `f` for a hit, `p` for a skipped
-    /// store, `b` for a busy link, `s` for a miss that is saved, `-` for any other miss.
+    /// store, `b` for a busy link, `s` for a miss that is saved, `x` for one that is not saved because
+    /// of a busy link, `-` for any other miss.
     pub fn summary(&self) -> String {
         let letter = |it: &Lookup| match it {
             Lookup::Hit => 'f',
@@ -148,6 +163,7 @@
             Lookup::LinkBusy => 'b',
             Lookup::MissSaved => 's',
             Lookup::Miss => '-',
+            Lookup::MissLinkBusy => 'x',
         };
         self.lookups.iter().map(letter).collect()
     }
@@ -360,10 +376,13 @@
             plan.fetch[index] = prompt.cache_source;
             let lookup = match self.find_holder(now, key).map(|it| it.entry.address) {
                 Some(address) => self.plan_fetch(now, index, key, address, prompt, &mut plan),
-                None => {
-                    plan.save[index] = self.choose_save_store(now, key, part.tokens, prompt);
-                    if plan.save[index].is_some() { Lookup::MissSaved } else { Lookup::Miss }
-                }
+                None => match self.choose_save_store(now, key, part.tokens, prompt) {
+                    Ok(address) => {
+                        plan.save[index] = Some(address);
+                        Lookup::MissSaved
+                    }
+                    Err(lookup) => lookup,
+                },
             };
             plan.lookups.push(lookup);
         }
@@ -385,14 +404,15 @@
             return Lookup::Miss;
         };
         let tokens = prompt.parts[index].tokens;
+        let rate = self.popularity.record(now, key) * f64::from(self.hosts);
         // Engines keep the parts that most of their requests share; these use no link.
-        let resident = self.popularity.record(now, key) * f64::from(self.hosts)
-            >= prompt.engines as f64 / ENGINE_RETENTION.as_secs_f64();
+        let resident = rate * ENGINE_RETENTION.as_secs_f64() >= prompt.engines as f64;
         let transfer = Transfer {
             part: key,
             tokens,
             token_bytes: prompt.token_bytes,
             other_zone: store.entry.zone != *prompt.zone,
+            popular: rate >= POPULAR_RATE,
         };
         if !resident && !self.links.admit(now, &store.entry, &transfer) {
             return Lookup::LinkBusy;
@@ -410,12 +430,22 @@
         Lookup::Hit
     }
 
-    /// Returns the zone of the store that holds the longest shared part.
-    pub fn longest_part_zone(&self, now: Instant, salt: &str, parts: &[Part]) -> Option<Zone> {
+    /// Returns where the longest shared part of a prompt can be fetched from. `token_bytes` is the size
+    /// of one token's KV cache.
+    pub fn longest_part_source(
+        &mut self,
+        now: Instant,
+        salt: &str,
+        parts: &[Part],
+        token_bytes: u64,
+    ) -> Option<Source> {
         let shared = &parts[..parts.len().saturating_sub(1)];
         let longest = shared.iter().max_by_key(|it| it.tokens)?;
-        let store = self.find_holder(now, part_key(salt, &longest.id))?;
-        Some(store.entry.zone.clone())
+        let entry = &self.find_holder(now, part_key(salt, &longest.id))?.entry;
+        let (zone, address) = (entry.zone.clone(), entry.address);
+        let store = self.stores.iter().find(|it| it.entry.address == address)?;
+        let delay = self.links.transfer_time(now, &store.entry, longest.tokens, token_bytes);
+        Some(Source { zone, other_zone_delay: delay })
     }
 
     /// Returns the address of each store and the tokens and parts that it holds, for metrics.
@@ -435,7 +465,8 @@
         holders.min_by_key(|it| it.entry.first_byte)
     }
 
-    /// Chooses the store to save a part to, and records the save. All hosts choose the same store
+    /// Chooses the store to save a part to, and records the save, or returns why it is not saved. All
+    /// hosts choose the same store
     /// for engines in the same zone, as long as it has room.
     fn choose_save_store(
         &mut self,
@@ -443,9 +474,10 @@
         key: u64,
         tokens: u32,
         prompt: &Prompt<'_>,
-    ) -> Option<SocketAddr> {
+    ) -> Result<SocketAddr, Lookup> {
+        let rate = self.popularity.record(now, key) * f64::from(self.hosts);
         if self.recent_saves.get(&key).is_some_and(|it| now.since(*it) < SAVE_INTERVAL) {
-            return None;
+            return Err(Lookup::Miss);
         }
         let candidates = self.stores.iter().filter(|it| it.is_current(now) && it.has_room(tokens));
         // Weighted rendezvous hashing: a store's chance to rank first is proportional to its
@@ -456,22 +488,24 @@
             let zone_weight = if it.entry.zone == *prompt.zone { SAME_ZONE_WEIGHT } else { 1.0 };
             -(it.entry.tokens as f64) * zone_weight / uniform.ln()
         };
-        let chosen = candidates.max_by(|a, b| weight(a).total_cmp(&weight(b)))?;
+        let chosen = candidates.max_by(|a, b| weight(a).total_cmp(&weight(b)));
+        let chosen = chosen.ok_or(Lookup::Miss)?;
         let transfer = Transfer {
             part: key,
             tokens,
             token_bytes: prompt.token_bytes,
             other_zone: chosen.entry.zone != *prompt.zone,
+            popular: rate >= POPULAR_RATE,
         };
         if !self.links.admit(now, &chosen.entry, &transfer) {
-            return None;
+            return Err(Lookup::MissLinkBusy);
         }
         let chosen = chosen.entry.address;
         if self.recent_saves.len() >= RECENT_SAVES_LIMIT {
             self.recent_saves.retain(|_, it| now.since(*it) < SAVE_INTERVAL);
         }
         self.recent_saves.insert(key, now);
-        Some(chosen)
+        Ok(chosen)
     }
 }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     admission::{Pressure, Waits},
+    cache_index::Source,
     configuration::{Configuration, EngineEntry, ServiceEntry},
     prelude::*,
     rendezvous, share,
@@ -51,6 +52,8 @@
 const CONNECTION_FRACTION: f64 = 0.8;
 /// How long the loads reported by another host count.
 const PEER_LOADS_TTL: Duration = Duration::from_millis(700);
+/// Weight of the newest sample in the mean time to the first token for each token in flight.
+const TOKEN_TIME_WEIGHT: f64 = 0.05;
 /// Back-off after a refusal by an upstream that does not have the target weights yet.
 const ROLLOUT_REFUSAL_BACKOFF: Duration = Duration::from_millis(1200);
 pub use crate::upstream_state::{Outcome, UpstreamRow};
@@ -67,8 +70,8 @@
     pub model: Option<&'a Model>,
     /// Key of the session whose KV cache the request can reuse.
     pub session: Option<u64>,
-    /// Zone of the cache store that holds the session's KV cache.
-    pub cache_zone: Option<&'a Zone>,
+    /// Where the largest cached part of the prompt can be fetched from, if anywhere.
+    pub cached: Option<&'a Source>,
     /// Tokens of the prompt plus the maximum number of tokens of the answer.
     pub tokens: u32,
     /// Whether the request was admitted before; it is then not shed.
@@ -95,6 +98,8 @@
     pub weight_version: Option<u32>,
     /// Tokens that count as in flight there.
     pub tokens: u32,
+    /// Tokens in flight there from all hosts, with those of this request.
+    pub load: u64,
     /// Address of the upstream that ranks first for the session, if that is another one with the
     /// same weights: its KV cache may hold the session's prompt.
     pub cache_source: Option<SocketAddr>,
@@ -134,6 +139,8 @@
     evacuated: HashSet<Zone>,
     /// Mean waits for first tokens.
     waits: HashMap<Service, Waits>,
+    /// Mean time to the first token for each token in flight at the engine, in seconds.
+    token_times: HashMap<Service, f64>,
     /// The weight versions that operators have set as targets.
     pub target_weights: Targets,
 }
@@ -152,6 +159,7 @@
             by_service: HashMap::new(),
             evacuated: HashSet::new(),
             waits: HashMap::new(),
+            token_times: HashMap::new(),
             target_weights: Targets::new(host_settings.bounds),
         }
     }
@@ -417,6 +425,7 @@
         let weight_version = query.model.and_then(|model| state.row.weight_version(model));
         Ok(Choice {
             tokens: query.tokens,
+            load: state.total_tokens(),
             cache_source,
             address: state.row.address,
             zone: state.row.zone.clone(),
@@ -436,6 +445,7 @@
     ) {
         let may_eject_faulty = self.may_eject_faulty(now, &choice.id);
         let behind_target = self.is_behind_target(&choice.id);
+        self.record_token_time(choice, outcome);
         let Some(state) = self.states.get_mut(&choice.id) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         state.tokens = state.tokens.saturating_sub(choice.tokens.into());
@@ -447,6 +457,26 @@
         state.record_outcome(now, service, outcome, may_eject_faulty);
     }
 
+    /// Updates the mean time to the first token for each token in flight.
+    fn record_token_time(&mut self, choice: &Choice, outcome: Outcome) {
+        let (Outcome::Served(latency), Some(state)) = (outcome, self.states.get(&choice.id)) else {
+            return;
+        };
+        let sample = latency.as_secs_f64() / choice.load.max(1) as f64;
+        let mean = self.token_times.entry(state.row.service.clone()).or_insert(sample);
+        *mean += TOKEN_TIME_WEIGHT * (sample - *mean);
+    }
+
+    /// Returns the tokens in flight that delay a request by as much as fetching its cached parts from
+    /// another zone does.
+    fn other_zone_cost(&self, query: &Query<'_>) -> u64 {
+        let (Some(source), Some(token_time)) = (query.cached, self.token_times.get(query.service))
+        else {
+            return 0;
+        };
+        (source.other_zone_delay.as_secs_f64() / token_time.max(f64::EPSILON)) as u64
+    }
+
     /// Records how long a request waited for its first token, and the latency objective of its
     /// route.
     pub fn record_wait(
@@ -579,6 +609,8 @@
             _ => false,
         };
         let in_rollout = usable.iter().filter_map(|it| self.states.get(it)).any(is_outdated);
+        let other_zone_cost = self.other_zone_cost(query);
+        let cache_zone = query.cached.map(|it| &it.zone);
         let mut best: Option<(Score, &Upstream)> = None;
         for id in usable {
             let Some(state) = self.states.get_mut(id) else { continue };
@@ -593,18 +625,24 @@
             let crowded = state.total_requests() > 0
                 && state.total_tokens() + u64::from(query.tokens) > tokens_limit;
             let bursting = service.cold_rate > 0.0 && state.sent.count(now) >= burst_limit;
+            let fetch_cost = match query.cached {
+                Some(source) if source.zone != state.row.zone => other_zone_cost,
+                _ => 0,
+            };
             let score = Score {
                 bursting,
-                crowded,
+                overfull: crowded
+                    && state.total_tokens() + u64::from(query.tokens) > capacity as u64,
                 outdated,
                 other_zone: query.session.is_none() && state.row.zone != self.zone && idle,
                 load: match query.session {
-                    Some(_) if !crowded => 0,
-                    Some(_) => state.total_tokens(),
+                    Some(_) if !crowded => fetch_cost,
+                    Some(_) => state.total_tokens() + fetch_cost,
                     None => state.total_requests().into(),
                 },
+                crowded,
                 rank: match query.session {
-                    Some(session) => u64::MAX - state.session_rank(session, query.cache_zone),
+                    Some(session) => u64::MAX - state.session_rank(session, cache_zone),
                     None => (state.mean_latency * 1e6) as u64,
                 },
             };
@@ -635,7 +673,8 @@
                 && it.ejected_until <= now
                 && !it.row.draining
         });
-        let first = alike.max_by_key(|it| it.session_rank(session, query.cache_zone))?;
+        let cache_zone = query.cached.map(|it| &it.zone);
+        let first = alike.max_by_key(|it| it.session_rank(session, cache_zone))?;
         (first.row.id != *chosen).then_some(first.row.address)
     }
 
@@ -667,17 +706,19 @@
 struct Score {
     /// Whether this host has used up the burst limit of the upstream within the last second.
     bursting: bool,
-    /// Whether it has requests in flight and would, with this one, have more tokens in flight than
-    /// a session tolerates.
-    crowded: bool,
+    /// Whether its KV cache has no room for the request beside those in flight.
+    overfull: bool,
     /// Whether it lacks the newest target weights.
     outdated: bool,
     /// Whether it is in another zone. Counts only without a session, and while fewer requests are
     /// in flight than there are usable upstreams.
     other_zone: bool,
-    /// With a session, the tokens in flight if the upstream is crowded, or else 0; without one, the
-    /// requests in flight.
+    /// With a session, the tokens in flight if the upstream is crowded, and those that delay a request
+    /// by as much as fetching its cached parts from another zone. Without one, the requests in flight.
     load: u64,
+    /// Whether it has requests in flight and would, with this one, have more tokens in flight than
+    /// a session tolerates.
+    crowded: bool,
     /// Inverse rank for the session; without one, the mean latency in microseconds.
     rank: u64,
 }
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     admission::Pressure,
-    cache_index::{Plan, Prompt},
+    cache_index::{Plan, Prompt, Source},
     codec::{Codec, Metadata, Outgoing, ResponseMetadata},
     configuration::{Configuration, KeyHolder, RetryPolicy, Route},
     connection::{self, Connection},
@@ -359,22 +359,12 @@
     /// Chooses an upstream, with a preference for one whose zone holds cached parts of the prompt.
     fn choose(&self) -> Result<Choice, Denial> {
         let job = &self.job;
-        let cache_zone = self
-            .gateway
-            .target_or_any_weight_version(job.metadata.model.as_ref())
-            .and_then(|weight_version| {
-                let salt = job.salt(Some(weight_version))?;
-                self.gateway.cache_index().longest_part_zone(
-                    self.gateway.now(),
-                    &salt,
-                    &job.metadata.parts,
-                )
-            });
+        let cached = self.cached_source();
         let query = Query {
             service: &job.service,
             model: job.metadata.model.as_ref(),
             session: self.session_key,
-            cache_zone: cache_zone.as_ref(),
+            cached: cached.as_ref(),
             tokens: job.metadata.prompt_tokens.saturating_add(job.metadata.max_answer_tokens),
             admitted: self.placed,
             priority: job.priority(),
@@ -384,6 +374,21 @@
         self.gateway.choose(&job.configuration, &query)
     }
 
+    /// Returns where the longest cached part of the prompt can be fetched from, for the weight version
+    /// that most engines have or will have.
+    fn cached_source(&self) -> Option<Source> {
+        let job = &self.job;
+        let engine = job.configuration.services.get(&job.service)?.engine.as_ref()?;
+        let version = self.gateway.target_or_any_weight_version(job.metadata.model.as_ref())?;
+        let salt = job.salt(Some(version))?;
+        self.gateway.cache_index().longest_part_source(
+            self.gateway.now(),
+            &salt,
+            &job.metadata.parts,
+            engine.token_bytes,
+        )
+    }
+
     /// Sends the request to the chosen upstream and waits for the response head.
     async fn send_once(
         &mut self,
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -51,8 +51,8 @@
 /// Leaders of each other zone that a leader gossips with: the second one takes over if the first does
 /// not answer.
 const LEADERS_PER_ZONE: usize = 2;
-/// How many failed rounds of pulls a call without an answer counts for: it takes longer than a round.
-const TIMEOUT_FAILURES: u32 = 2;
+/// How many failed rounds of pulls a call without an answer counts for: it takes as long.
+const TIMEOUT_FAILURES: u32 = 3;
 /// Interval between attempts to open missing connections.
 const DIAL_PERIOD: Duration = Duration::from_millis(400);
 /// Timeout for opening a connection, and for a call.
@@ -267,8 +267,15 @@
             }
             Err(_) => log::debug!(peer = host.as_str(); "host does not answer"),
         }
-        let now = self.table_sync.gateway.now();
-        self.election().record_failure(now, &host, TIMEOUT_FAILURES);
+        // The leaders of this zone are counted by the rounds of pulls.
+        let gateway = &self.table_sync.gateway;
+        if self
+            .host_rows()
+            .get(&host)
+            .is_some_and(|it| it.zone != gateway.host_settings.zone.as_str())
+        {
+            self.election().record_failure(gateway.now(), &host, 1);
+        }
     }
 
     async fn accept_connections(self: Arc<Self>) {
@@ -539,6 +546,7 @@
             self.election().start_round(gateway.now());
             let candidates = self.election().candidates(gateway.now(), &ranked, me);
             for host in candidates {
+                let started = gateway.now();
                 if self.pull_from(&host, &rows[&host]).await {
                     let now = gateway.now();
                     if !replicas.is_delegated(now) {
@@ -549,7 +557,10 @@
                     self.election().record_answer(now, &host);
                     break;
                 }
-                self.election().record_failure(gateway.now(), &host, 1);
+                let now = gateway.now();
+                let timed_out = now.since(started) >= CALL_TIMEOUT;
+                let failures = if timed_out { TIMEOUT_FAILURES } else { 1 };
+                self.election().record_failure(now, &host, failures);
             }
             let reads_stores = self.election().reads_stores(gateway.now(), &ranked, me);
             if reads_stores != replicas.reads_stores() {
@@ -576,11 +587,15 @@
             boot,
             next,
         };
+        // Each lock is released before the next one is taken.
+        let cursors = gateway.cache_index().cursors();
+        let upstreams = self.table_sync.replicas.table(Table::Upstreams).version();
+        let hosts = self.table_sync.replicas.table(Table::Hosts).version();
         let pull = Pull {
-            upstreams: self.table_sync.replicas.table(Table::Upstreams).version(),
-            stores: gateway.cache_index().cursors().into_iter().map(mark).collect(),
+            upstreams,
+            stores: cursors.into_iter().map(mark).collect(),
             own: self.is_large_mesh().then(|| self.take_own_gossip()),
-            hosts: self.table_sync.replicas.table(Table::Hosts).version(),
+            hosts,
         };
         let crashes = pull.own.as_ref().map(|it| it.crashes.clone()).unwrap_or_default();
         let Some(bytes) = call(&connection, question::Body::Pull(pull)).await else {
--- a/lib/src/popularity.rs
+++ b/lib/src/popularity.rs
@@ -7,6 +7,9 @@
 /// Length of one period of counting. The rate is that of the current and the previous period.
 const PERIOD: Duration = Duration::from_secs(2);
 
+/// Fewest uses from which a rate is estimated.
+const MIN_USES: u32 = 3;
+
 /// Counts of the current and the previous period, by the hash of the part.
 #[derive(Clone, Debug, Default)]
 pub struct Popularity {
@@ -16,14 +19,19 @@
 }
 
 impl Popularity {
-    /// Counts a use of a part, and returns its rate in uses per second.
+    /// Counts a use of a part, and returns its rate in uses per second; 0 while there are too few uses
+    /// to tell.
     pub fn record(&mut self, now: Instant, part: u64) -> f64 {
         self.advance(now);
         let count = self.current.entry(part).or_default();
         *count += 1;
         let previous = self.previous.get(&part).copied().unwrap_or(0);
+        let uses = *count + previous;
+        if uses < MIN_USES {
+            return 0.0;
+        }
         let span = PERIOD + now.since(self.period_start);
-        f64::from(*count + previous) / span.as_secs_f64()
+        f64::from(uses) / span.as_secs_f64()
     }
 
     /// Starts a new period when the current one has ended.
--- a/lib/src/store_link.rs
+++ b/lib/src/store_link.rs
@@ -13,6 +13,9 @@
 
 /// Fraction of a link's bandwidth that transfers may use. Above it, queues grow quickly.
 const TARGET_UTILIZATION: f64 = 0.75;
+/// Highest utilization in estimates of the time in the queue; beyond it, the measured demand is too
+/// coarse to tell.
+const MAX_QUEUED_UTILIZATION: f64 = 0.9;
 /// Smallest fraction of the parts that is admitted, so that the store remains in use.
 const MIN_ADMITTED: f64 = 0.05;
 /// Factor on the duration of transfers between availability zones.
@@ -36,6 +39,8 @@
     pub token_bytes: u64,
     /// Whether store and engine are in different availability zones.
     pub other_zone: bool,
+    /// Whether many prompts share the part. It is admitted however busy the link is.
+    pub popular: bool,
 }
 
 impl Transfer {
@@ -68,7 +73,7 @@
         own.add(now, transfer.link_tokens());
         let sample =
             (rendezvous::mix64(transfer.part ^ u64::from(id)) >> 11) as f64 / (1_u64 << 53) as f64;
-        sample < self.admitted_fraction(now, store, id, transfer.token_bytes)
+        transfer.popular || sample < self.admitted_fraction(now, store, id, transfer.token_bytes)
     }
 
     /// Returns the fraction of the demand that the link can carry.
@@ -87,6 +92,25 @@
         (capacity / demand.max(1.0)).clamp(MIN_ADMITTED, 1.0)
     }
 
+    /// Returns how long a transfer within the store's zone takes with the present use of the link.
+    pub fn transfer_time(
+        &mut self,
+        now: Instant,
+        store: &StoreEntry,
+        tokens: u32,
+        token_bytes: u64,
+    ) -> Duration {
+        if store.bytes_per_second <= 0.0 {
+            return Duration::ZERO;
+        }
+        let bytes = (u64::from(tokens) * token_bytes) as f64;
+        let demand = self.demand(now, short_id(store.address)) as f64 * token_bytes as f64;
+        let utilization = demand / (store.bytes_per_second * DEMAND_WINDOW.as_secs_f64());
+        // The queue of a link grows with its utilization.
+        let idle = 1.0 - utilization.clamp(0.0, MAX_QUEUED_UTILIZATION);
+        Duration::try_from_secs_f64(bytes / store.bytes_per_second / idle).unwrap_or(Duration::MAX)
+    }
+
     /// Returns the tokens that all hosts would transfer over a store's link within the window.
     fn demand(&mut self, now: Instant, id: u32) -> u64 {
         let own = self.own.get_mut(&id).map_or(0, |it| it.total(now));
--- a/lib/src/zone_leader.rs
+++ b/lib/src/zone_leader.rs
@@ -16,10 +16,11 @@
 const MAX_READERS: usize = 2;
 /// How long a host waits for a leader, for each rank, before it reads the cache stores itself.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(500);
-/// Failed calls after which a host is passed over.
-const MAX_FAILURES: u32 = 4;
+/// Failed rounds of pulls after which a host is passed over. Connections take some rounds when many
+/// hosts start together.
+const MAX_FAILURES: u32 = 6;
 /// How long a host that does not answer is passed over.
-const SILENCE: Duration = Duration::from_secs(3);
+const SILENCE: Duration = Duration::from_secs(2);
 
 /// A host of the zone, as far as the election is concerned.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -15,7 +15,7 @@
         service: &Service::new(ENGINES),
         model: Some(&Model::new("demo")),
         session: Some(session),
-        cache_zone: None,
+        cached: None,
         tokens,
         admitted: false,
         priority: 0,
--- a/lib/tests/test_store_link.rs
+++ b/lib/tests/test_store_link.rs
@@ -29,7 +29,13 @@
 }
 
 fn transfer(part: u64, other_zone: bool) -> Transfer {
-    Transfer { part: mix64(part), tokens: PART_TOKENS, token_bytes: TOKEN_BYTES, other_zone }
+    Transfer {
+        part: mix64(part),
+        tokens: PART_TOKENS,
+        token_bytes: TOKEN_BYTES,
+        other_zone,
+        popular: false,
+    }
 }
 
 /// Plays `per_second` transfers spread over hosts that exchange their demands every 250 ms. Returns
