mesh, fleet: fresher loads, and a session goes to the emptiest of four engines

Load pattern: tens of hosts choose among engines by loads that are older than a first token takes.

Change: hosts pull every 100 ms and leaders gossip every 50 ms (250 and 100 before). A session goes to the candidate with fewest tokens in flight of its four first ranks; another engine must have clearly less to do.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -35,6 +35,9 @@
 /// Multiple of the mean tokens in flight per upstream above which a session moves on to the
 /// upstream that ranks next.
 const SESSION_LOAD_FACTOR: f64 = 1.2;
+/// Upstreams among which a session goes to the one with the fewest tokens in flight. Hosts learn late
+/// what others send; with few candidates for each session, they do not all choose the same idle one.
+const SESSION_CANDIDATES: usize = 4;
 /// Fraction of an engine's KV cache that may be in use before a session moves on to the upstream
 /// that ranks next.
 const SESSION_FILL: f64 = 0.15;
@@ -611,6 +614,7 @@
         let in_rollout = usable.iter().filter_map(|it| self.states.get(it)).any(is_outdated);
         let other_zone_cost = self.other_zone_cost(query);
         let cache_zone = query.cached.map(|it| &it.zone);
+        let candidate_rank = self.lowest_candidate_rank(query, usable);
         let mut best: Option<(Score, &Upstream)> = None;
         for id in usable {
             let Some(state) = self.states.get_mut(id) else { continue };
@@ -629,6 +633,12 @@
                 Some(source) if source.zone != state.row.zone => other_zone_cost,
                 _ => 0,
             };
+            let rank = query.session.map(|it| state.session_rank(it, cache_zone));
+            // An upstream that is no candidate of the session must have clearly less to do.
+            let spill_cost = match rank {
+                Some(rank) if rank < candidate_rank => session_tokens_limit / 2,
+                _ => 0,
+            };
             let score = Score {
                 bursting,
                 overfull: crowded
@@ -636,13 +646,12 @@
                 outdated,
                 other_zone: query.session.is_none() && state.row.zone != self.zone && idle,
                 load: match query.session {
-                    Some(_) if !crowded => fetch_cost,
-                    Some(_) => state.total_tokens() + fetch_cost,
+                    Some(_) => state.total_tokens() + fetch_cost + spill_cost,
                     None => state.total_requests().into(),
                 },
                 crowded,
-                rank: match query.session {
-                    Some(session) => u64::MAX - state.session_rank(session, cache_zone),
+                rank: match rank {
+                    Some(rank) => u64::MAX - rank,
                     None => (state.mean_latency * 1e6) as u64,
                 },
             };
@@ -656,6 +665,19 @@
         }
     }
 
+    /// Returns the rank of the last of the session's [`SESSION_CANDIDATES`], or 0 without a session.
+    fn lowest_candidate_rank(&self, query: &Query<'_>, usable: &[Upstream]) -> u64 {
+        let Some(session) = query.session else { return 0 };
+        let cache_zone = query.cached.map(|it| &it.zone);
+        let states = usable.iter().filter_map(|it| self.states.get(it));
+        let mut ranks: Vec<_> = states.map(|it| it.session_rank(session, cache_zone)).collect();
+        let last = SESSION_CANDIDATES.min(ranks.len());
+        if last == 0 {
+            return 0;
+        }
+        *ranks.select_nth_unstable_by(last - 1, |a, b| b.cmp(a)).1
+    }
+
     /// Returns the address of the upstream that ranks first for the session among those with the
     /// same weights as the chosen one, or `None` if that is the chosen one.
     fn cache_source(
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -39,7 +39,7 @@
 };
 
 /// Interval between gossip messages; shorter than most requests last.
-const GOSSIP_PERIOD: Duration = Duration::from_millis(100);
+const GOSSIP_PERIOD: Duration = Duration::from_millis(50);
 /// Largest number of other hosts up to which every host gossips with every other one. In a larger
 /// mesh, hosts gossip with the leader of their zone, and leaders with each other.
 const FULL_MESH_PEERS: usize = 16;
@@ -64,7 +64,7 @@
 /// Maximum size of a call or its answer in bytes; holds a configuration with many routes.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// Interval between pulls from the leader of the zone.
-const PULL_PERIOD: Duration = Duration::from_millis(250);
+const PULL_PERIOD: Duration = Duration::from_millis(100);
 /// How long after a successful pull a host does not read the upstreams table and the cache stores
 /// itself.
 const DELEGATION_TTL: Duration = Duration::from_millis(700);
