quarantine, lease, stream, cache_index, fleet: five faults known from reading

- quarantine: a pooled connection that had been closed while idle counted as a crash by the request.
It counts half now (hosts tell each other which kind it was), so two crashes still quarantine a request, and four broken pooled connections.
More than 4,096 requests were kept when all were younger than 30 s; the oldest goes now.
- lease: a row that cannot be read was never taken over.
It is replaced after the longest lease and the takeover delay, with a fencing token above the row's version, which no token can have passed.
- stream: events without numeric ids were sent again after a resume.
Such a stream is cut visibly instead.
- cache_index, quarantine: keys that hosts exchange came from DefaultHasher, which may differ between releases of Rust.
They are XXH3 now, with a vector in a test.
- fleet: upstreams that cannot be reached used up the allowance for faulty ones.

--- a/lib/src/cache_index.rs
+++ b/lib/src/cache_index.rs
@@ -7,10 +7,11 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
 };
 
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
 use crate::{
     codec::Part,
     configuration::StoreEntry,
@@ -525,9 +526,7 @@
     }
 
     fn address_hash(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.entry.address.hash(&mut hasher);
-        hasher.finish()
+        xxh3_64(self.entry.address.to_string().as_bytes())
     }
 
     /// Returns whether the store has responded recently enough for its parts to be used.
@@ -572,9 +571,11 @@
     }
 }
 
-/// Returns the hash by which the index identifies a part.
-fn part_key(salt: &str, part: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (salt, part).hash(&mut hasher);
-    hasher.finish()
+/// Returns the hash by which the index identifies a part, the same on all hosts.
+pub fn part_key(salt: &str, part: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(&(salt.len() as u64).to_le_bytes());
+    hasher.update(salt.as_bytes());
+    hasher.update(part.as_bytes());
+    hasher.digest()
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -697,7 +697,7 @@
         let Some(state) = self.states.get(id) else { return false };
         let Some(ids) = self.by_service.get(&state.row.service) else { return false };
         let states = ids.iter().filter_map(|it| self.states.get(it));
-        let ejected = states.filter(|it| it.ejected_until > now).count();
+        let ejected = states.filter(|it| it.faulty_until > now).count();
         (ejected + 1) * EJECTED_ONE_IN <= ids.len()
     }
 
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -249,6 +249,9 @@
     pub(crate) placed: bool,
     /// Whether the wait for the first token has been reported.
     pub(crate) wait_reported: bool,
+    /// Whether the caller got an event without a numeric id. The stream is not resumed then: the next
+    /// run might send that event again.
+    pub(crate) unnumbered_sent: bool,
 }
 
 impl<C> Drop for Forwarder<C>
@@ -284,6 +287,7 @@
             cache_plan: None,
             placed: false,
             wait_reported: false,
+            unnumbered_sent: false,
         }
     }
 
@@ -499,7 +503,7 @@
         self.runs += 1;
         let id = attempt.choice.id.clone();
         self.log_attempt(&attempt.choice, "broken");
-        self.gateway.record_crash(self.job.fingerprint(), &id);
+        self.gateway.record_crash(self.job.fingerprint(), &id, pooled);
         if pooled {
             // Possibly only the pooled connection was closed, so this does not count against
             // the upstream. It stays eligible, and the next attempt opens a new connection.
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -289,8 +289,8 @@
 
     /// Records that an upstream broke the connection while it ran a request, and queues the
     /// crash for the other hosts.
-    pub fn record_crash(&self, request: Fingerprint, upstream: &Upstream) {
-        let crash = Crash { request, upstream: upstream.clone() };
+    pub fn record_crash(&self, request: Fingerprint, upstream: &Upstream, suspected: bool) {
+        let crash = Crash { request, upstream: upstream.clone(), suspected };
         if lock(&self.quarantine).record_crash(self.now(), &crash) {
             lock(&self.crashes).push(crash);
         }
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -75,6 +75,9 @@
     takeover_delay: Duration,
     held: Option<Held>,
     targets: Vec<Target>,
+    /// Version of a stored row that cannot be read, and the row store's clock when this host first saw
+    /// it, in milliseconds.
+    unreadable: Option<(u64, u64)>,
     /// Latest time at which this host may have acted, or the previous holder if this one has not,
     /// in milliseconds of the row store's clock.
     last_activity_ms: u64,
@@ -99,7 +102,15 @@
     /// start; `takeover_delay` is how long after the end of a holder's lease the next holder must
     /// wait.
     pub fn new(host: Host, boot: u64, takeover_delay: Duration) -> Self {
-        Lease { host, boot, takeover_delay, held: None, targets: Vec::new(), last_activity_ms: 0 }
+        Lease {
+            host,
+            boot,
+            takeover_delay,
+            held: None,
+            targets: Vec::new(),
+            unreadable: None,
+            last_activity_ms: 0,
+        }
     }
 
     /// Returns the fencing token while this host holds the lease.
@@ -158,6 +169,37 @@
         }
     }
 
+    /// Decides what to do about a stored row that cannot be read: it is replaced once any lease in it
+    /// must have ended. `version` is the row's version; the other arguments are those of
+    /// [`next_action`](Self::next_action).
+    pub fn replace_unreadable(
+        &mut self,
+        requested_at: Instant,
+        clock: Duration,
+        version: u64,
+    ) -> Action {
+        let now_ms = millis(clock);
+        let first_seen_ms = match self.unreadable {
+            Some((seen, at)) if seen == version => at,
+            _ => now_ms,
+        };
+        self.unreadable = Some((version, first_seen_ms));
+        let free_at_ms = first_seen_ms + millis(LEASE_DURATION + self.takeover_delay);
+        if now_ms < free_at_ms {
+            return Action::Wait(Duration::from_millis(free_at_ms - now_ms));
+        }
+        self.last_activity_ms = now_ms;
+        let row = LeaseRow {
+            holder: self.host.to_string(),
+            boot: self.boot,
+            // Each fencing token took a write, and each write a version.
+            fence: version + 1,
+            until_ms: now_ms + millis(LEASE_DURATION),
+            targets: self.targets.clone(),
+        };
+        Action::Write { row, expected_version: version, until: requested_at + LEASE_DURATION }
+    }
+
     /// Records that a row was written, so this host holds the lease. `sent_at` is the time before
     /// the write was sent, `store_clock` the row store's clock in the response.
     pub fn record_write(
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -389,6 +389,7 @@
         let crashes = gateway.take_crashes().into_iter().map(|it| peer::Crash {
             request: it.request.0,
             upstream: FastStr::new(it.upstream.as_str()),
+            suspected: it.suspected,
         });
         let demands = gateway.cache_index().links().combined(gateway.now(), |_| false);
         Gossip {
@@ -720,7 +721,11 @@
 }
 
 fn decode_crash(crash: &peer::Crash) -> Crash {
-    Crash { request: Fingerprint(crash.request), upstream: Upstream::new(crash.upstream.clone()) }
+    Crash {
+        request: Fingerprint(crash.request),
+        upstream: Upstream::new(crash.upstream.clone()),
+        suspected: crash.suspected,
+    }
 }
 
 fn member(host: &Host, row: &HostRow) -> Member {
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -1,19 +1,22 @@
 //! Quarantine of poison requests: a request during which several upstreams crashed is sent to no
 //! further one.
 
-use std::{
-    collections::HashMap,
-    hash::{DefaultHasher, Hash, Hasher},
-};
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::prelude::*;
 
-/// Number of different upstreams that crashed on a request before it is quarantined.
-const CRASH_LIMIT: usize = 2;
+/// Sum of the weights of different upstreams' crashes on a request at which it is quarantined.
+const CRASH_LIMIT: u32 = 4;
+/// Weight of a crash.
+const CERTAIN_WEIGHT: u32 = 2;
+/// Weight of a connection from the pool that broke: the upstream may only have closed it while idle.
+const SUSPECTED_WEIGHT: u32 = 1;
 /// How long a request is remembered after its last crash.
 const RETENTION: Duration = Duration::from_secs(120);
-/// Number of remembered requests at which those older than a quarter of [`RETENTION`] are dropped.
-const PRUNE_THRESHOLD: usize = 4096;
+/// Largest number of remembered requests; beyond it, the one with the oldest crash is dropped.
+const MAX_REQUESTS: usize = 4096;
 
 /// Hash of the parts of a request that are the same when the caller repeats it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -22,10 +25,12 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request; `key` is the caller's API key.
     pub fn new(path: &str, key: Option<&str>, body: &[u8]) -> Self {
-        // `DefaultHasher::new` has fixed keys, so that all hosts compute the same fingerprint.
-        let mut hasher = DefaultHasher::new();
-        (path, key, body).hash(&mut hasher);
-        Fingerprint(hasher.finish())
+        let mut hasher = Xxh3::new();
+        for part in [path.as_bytes(), key.unwrap_or_default().as_bytes(), body] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Fingerprint(hasher.digest())
     }
 }
 
@@ -36,28 +41,42 @@
     pub request: Fingerprint,
     /// The upstream.
     pub upstream: Upstream,
+    /// Whether the connection came from the pool, so that the upstream may only have closed it.
+    pub suspected: bool,
+}
+
+impl Crash {
+    fn weight(&self) -> u32 {
+        if self.suspected { SUSPECTED_WEIGHT } else { CERTAIN_WEIGHT }
+    }
 }
 
 /// The requests during which upstreams crashed, each with the time of the last crash and the
-/// upstreams that crashed.
+/// upstreams that crashed, with the weights of the crashes.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    crashed: HashMap<Fingerprint, (Instant, SmallVec<[Upstream; 3]>)>,
+    crashed: HashMap<Fingerprint, (Instant, SmallVec<[(Upstream, u32); 4]>)>,
 }
 
 impl Quarantine {
-    /// Records a crash; returns whether this upstream had not crashed on the request before.
+    /// Records a crash; returns whether it was not known before.
     pub fn record_crash(&mut self, now: Instant, crash: &Crash) -> bool {
-        if self.crashed.len() >= PRUNE_THRESHOLD {
-            self.crashed.retain(|_, (at, _)| now.since(*at) < RETENTION / 4);
+        if self.crashed.len() >= MAX_REQUESTS && !self.crashed.contains_key(&crash.request) {
+            self.drop_oldest();
         }
         let (at, upstreams) = self.crashed.entry(crash.request).or_default();
         *at = now;
-        if upstreams.contains(&crash.upstream) {
-            return false;
+        match upstreams.iter_mut().find(|it| it.0 == crash.upstream) {
+            Some((_, weight)) if *weight >= crash.weight() => false,
+            Some((_, weight)) => {
+                *weight = crash.weight();
+                true
+            }
+            None => {
+                upstreams.push((crash.upstream.clone(), crash.weight()));
+                true
+            }
         }
-        upstreams.push(crash.upstream.clone());
-        true
     }
 
     /// Forgets a request that an upstream has completed.
@@ -70,11 +89,30 @@
     /// Returns whether a request must not be sent to any upstream.
     pub fn is_quarantined(&self, now: Instant, request: Fingerprint) -> bool {
         let Some((at, upstreams)) = self.crashed.get(&request) else { return false };
-        upstreams.len() >= CRASH_LIMIT && now.since(*at) < RETENTION
+        let weight: u32 = upstreams.iter().map(|it| it.1).sum();
+        weight >= CRASH_LIMIT && now.since(*at) < RETENTION
     }
 
     /// Forgets requests whose last crash is too long ago.
     pub fn purge(&mut self, now: Instant) {
         self.crashed.retain(|_, (at, _)| now.since(*at) < RETENTION);
     }
+
+    /// Forgets the request whose last crash is the longest ago.
+    fn drop_oldest(&mut self) {
+        let oldest = self.crashed.iter().min_by_key(|it| it.1.0).map(|it| *it.0);
+        if let Some(request) = oldest {
+            self.crashed.remove(&request);
+        }
+    }
+
+    /// Returns the number of remembered requests.
+    pub fn len(&self) -> usize {
+        self.crashed.len()
+    }
+
+    /// Returns whether no request is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.crashed.is_empty()
+    }
 }
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -352,8 +352,10 @@
             let requested_at = self.gateway.now();
             match self.row_store.read_table(Table::Leases).await {
                 Ok(page) => {
-                    let row = lease_row(&page);
-                    let targets = row.map(|it| it.0.targets).unwrap_or_default();
+                    let targets = match lease_row(&page) {
+                        StoredLease::Row(row, _) => row.targets,
+                        StoredLease::Missing | StoredLease::Unreadable(_) => Vec::new(),
+                    };
                     for it in targets {
                         let age = page.clock.saturating_sub(Duration::from_millis(it.since_ms));
                         let model = Model::new(it.model);
@@ -405,9 +407,19 @@
                 return;
             }
         };
-        let row = lease_row(&page);
-        let previous = row.as_ref().map(|it| it.0.holder.clone()).unwrap_or_default();
-        match self.lease.next_action(requested_at, page.clock, row) {
+        let (action, previous) = match lease_row(&page) {
+            StoredLease::Unreadable(version) => {
+                (self.lease.replace_unreadable(requested_at, page.clock, version), String::new())
+            }
+            StoredLease::Missing => {
+                (self.lease.next_action(requested_at, page.clock, None), String::new())
+            }
+            StoredLease::Row(row, version) => {
+                let holder = row.holder.clone();
+                (self.lease.next_action(requested_at, page.clock, Some((row, version))), holder)
+            }
+        };
+        match action {
             Action::Hold => {}
             Action::Wait(wait) => {
                 log::info!(holder = previous.as_str(), wait_ms = wait.as_millis() as u64;
@@ -504,15 +516,26 @@
     }
 }
 
-/// Returns the lease row and its version, or `None` if it does not exist or cannot be parsed.
-fn lease_row(page: &Page) -> Option<(LeaseRow, u64)> {
-    let row = page.rows.iter().find(|it| it.key == LEASE_KEY)?;
-    match serde_json::from_slice(row.value.as_deref()?) {
-        Ok(value) => Some((value, row.version)),
+/// The lease's row as it is stored.
+enum StoredLease {
+    Missing,
+    /// The row cannot be parsed; holds its version.
+    Unreadable(u64),
+    /// The row and its version.
+    Row(LeaseRow, u64),
+}
+
+fn lease_row(page: &Page) -> StoredLease {
+    let stored = page.rows.iter().find(|it| it.key == LEASE_KEY);
+    let Some((row, value)) = stored.and_then(|it| Some((it, it.value.as_deref()?))) else {
+        return StoredLease::Missing;
+    };
+    match serde_json::from_slice(value) {
+        Ok(value) => StoredLease::Row(value, row.version),
         Err(err) => {
             log::warn!(version = row.version, error = err.to_string().as_str();
                 "lease row cannot be parsed");
-            None
+            StoredLease::Unreadable(row.version)
         }
     }
 }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -43,7 +43,7 @@
             let retry = match end {
                 RunEnd::Completed | RunEnd::CallerLeft => return,
                 RunEnd::TimedOut => false,
-                RunEnd::Broken => self.may_retry(),
+                RunEnd::Broken => !self.unnumbered_sent && self.may_retry(),
             };
             if !retry {
                 break;
@@ -137,7 +137,7 @@
 
     /// Takes the complete events from the decoder and joins them, without those that the caller
     /// already has.
-    fn drain_events(&self, decoder: &mut Decoder, last_event_id: &mut Option<u64>) -> Bytes {
+    fn drain_events(&mut self, decoder: &mut Decoder, last_event_id: &mut Option<u64>) -> Bytes {
         let mut joined: SmallVec<[Bytes; 4]> = SmallVec::new();
         while let Some(event) = decoder.next_event() {
             let repeated =
@@ -145,6 +145,7 @@
             if repeated {
                 continue;
             }
+            self.unnumbered_sent |= event.id.is_none();
             *last_event_id = event.id.or(*last_event_id);
             joined.push(event.bytes);
         }
@@ -157,7 +158,7 @@
     /// Records that a run broke off, and excludes its upstream from further attempts.
     fn handle_broken_stream(&mut self, attempt: InFlightAttempt<C>) -> RunEnd {
         self.log_attempt(&attempt.choice, "stream_broken");
-        self.gateway.record_crash(self.job.fingerprint(), &attempt.choice.id);
+        self.gateway.record_crash(self.job.fingerprint(), &attempt.choice.id, false);
         self.tried.push(attempt.choice.id.clone());
         attempt.complete(Outcome::Broken);
         RunEnd::Broken
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -98,6 +98,8 @@
     /// Gets no requests before this time, after failed requests or connections. An ejected upstream
     /// does not count in the mean load for admission.
     pub(crate) ejected_until: Instant,
+    /// End of its last ejection for failed requests.
+    pub(crate) faulty_until: Instant,
     /// Whether it gets one request at a time until one succeeds, after an ejection.
     pub(crate) half_open: bool,
     /// Failed connections since the last success.
@@ -127,6 +129,7 @@
             peer_load: (0, 0),
             sent: Window::new(COLD_RATE_WINDOW),
             ejected_until: Instant::default(),
+            faulty_until: Instant::default(),
             half_open: false,
             connect_failures: 0,
             failure_rate: 0.0,
@@ -201,6 +204,7 @@
         if self.failure_rate > FAILURE_LIMIT && may_eject {
             // Reset to half the limit, so that one successful request brings the upstream back.
             self.failure_rate = FAILURE_LIMIT / 2.0;
+            self.faulty_until = now + FAULTY_EJECTION;
             self.eject(now, FAULTY_EJECTION);
         }
     }
--- a/lib/tests/test_cache_index.rs
+++ b/lib/tests/test_cache_index.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use mothvale_lib::{
-    cache_index::{Change, Changes, Index, Plan, Prompt},
+    cache_index::{Change, Changes, Index, Plan, Prompt, part_key},
     codec::Part,
     configuration::StoreEntry,
     prelude::*,
@@ -310,3 +310,10 @@
         }
     }
 }
+
+/// Hosts of different builds exchange these keys.
+#[test]
+fn part_keys_are_fixed() {
+    insta::assert_snapshot!(format!("{:016x}", part_key("demo:1", "5c1e07a2")), @"aeac85fdc970ce7d");
+    assert_ne!(part_key("demo:1", "2"), part_key("demo:", "12"));
+}
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -264,3 +264,26 @@
     fleet.upsert(at(20), restarted);
     assert_eq!(fleet.row(&id).unwrap().weight_version(&model), Some(1));
 }
+
+/// A zone is cut off, so that a third of the upstreams cannot be reached. One of the others fails its
+/// requests, and is still ejected.
+#[test]
+fn unreachable_upstreams_leave_the_allowance_for_faulty_ones() {
+    let mut fleet = fleet(6);
+    let mut ejected = Vec::new();
+    for round in 0..400 {
+        let now = at(round * 5);
+        let Ok(choice) = choose(&mut fleet, now, round, 100) else { continue };
+        let outcome = match choice.id.as_str() {
+            "engine0" | "engine1" => Outcome::Unreachable,
+            "engine2" => Outcome::Failed,
+            _ => Outcome::Served(Duration::from_millis(20)),
+        };
+        record_outcome(&mut fleet, now, &choice, outcome);
+        if round >= 200 {
+            ejected.push(choice.id);
+        }
+    }
+    let faulty = ejected.iter().filter(|it| it.as_str() == "engine2").count();
+    assert!(faulty < 5, "the faulty upstream got {faulty} of the last requests");
+}
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -201,3 +201,30 @@
         }
     }
 }
+
+/// Another program has overwritten the row. A lease of the former holder may still be in force, and its
+/// fencing tokens are unknown.
+#[test]
+fn unreadable_row_is_replaced_once_any_lease_has_ended() {
+    let mut lease = lease("host0");
+    let mut written = None;
+    for millis in (0..20_000).step_by(100) {
+        let clock = Duration::from_millis(millis);
+        match lease.replace_unreadable(at(millis), clock, 57) {
+            Action::Wait(_) => {}
+            Action::Write { row, expected_version, .. } => {
+                written = Some((millis, row.fence, expected_version));
+                break;
+            }
+            Action::Hold => panic!("the lease is not held"),
+        }
+    }
+    let (millis, fence, expected_version) = written.unwrap();
+    assert!(millis >= TAKEOVER_DELAY.as_millis() as u64, "{millis}");
+    assert!(fence > 57 && expected_version == 57);
+    // A row that was overwritten again may belong to a newer holder.
+    assert!(matches!(
+        lease.replace_unreadable(at(20_000), Duration::from_millis(20_000), 60),
+        Action::Wait(_)
+    ));
+}
