mesh: gossip of any size between leaders, without loads

Change: gossip that is too large goes as a call. They arrive later than a first token takes, and hosts of all zones choose the engines that seemed idle. The choice by waits is unchanged; admission in large deployments sees the load of the host's own zone.

--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -320,6 +320,10 @@
                             question::Body::Wanted(wanted) => encode(&mesh.changed_rows(&wanted)?),
                             question::Body::Pull(pull) =>
                                 encode(&mesh.answer_pull(&requester, pull)?),
+                            question::Body::Gossip(gossip) => {
+                                mesh.apply_gossip(&requester, gossip);
+                                Bytes::new()
+                            }
                         };
                         send.write_all(&answer).await.ok()?;
                         send.finish().ok()
@@ -432,8 +436,8 @@
         Some(peer::Rows { version: replica.version(), rows: rows.map(row).collect() })
     }
 
-    /// Sends gossip to the other hosts. In a large mesh, only leaders send it, to each other and
-    /// for their whole zones; other hosts exchange theirs with their leader when they pull.
+    /// Sends gossip to the other hosts. In a large mesh, only leaders send it, to each other, for their
+    /// whole zones and without loads; other hosts exchange theirs with their leader when they pull.
     async fn send_gossip(self: Arc<Self>) {
         let gateway = &self.table_sync.gateway;
         loop {
@@ -441,7 +445,7 @@
             let rows = self.host_rows();
             if rows.len() <= FULL_MESH_PEERS + 1 {
                 let connected: Vec<_> = self.connections().keys().cloned().collect();
-                self.send_datagrams(&connected, &self.take_own_gossip());
+                self.send_to(&connected, &self.take_own_gossip());
                 continue;
             }
             if self.is_delegated() {
@@ -450,22 +454,32 @@
             let zone = gateway.host_settings.zone.as_str();
             let in_zone = |host: &Host| rows.get(host).is_some_and(|it| it.zone == zone);
             let mut gossip = self.take_own_gossip();
-            gossip.loads = encode_loads(gateway.fleet().combined_loads(in_zone));
+            // Loads from other zones would arrive later than a first token. Hosts of all zones would
+            // then choose the same engines, which seemed idle a moment ago.
+            gossip.loads = Vec::new();
             let demands = gateway.cache_index().links().combined(gateway.now(), in_zone);
             gossip.demands = encode_demands(demands);
             gossip.zone = true;
             let own = gossip.clone();
             self.add_recent_gossip(&mut gossip, false);
-            self.send_datagrams(&self.other_zone_leaders(&rows), &gossip);
+            self.send_to(&self.other_zone_leaders(&rows), &gossip);
             // The hosts of this zone get it when they pull.
             self.relay_gossip(gateway.now(), true, own);
         }
     }
 
-    fn send_datagrams(&self, hosts: &[Host], gossip: &Gossip) {
+    /// Sends gossip to hosts that are connected: as a datagram, or as a call if it is too large for one.
+    fn send_to(&self, hosts: &[Host], gossip: &Gossip) {
         let bytes = encode(gossip);
         let connections = self.connections();
         for (host, connection) in hosts.iter().filter_map(|it| Some((it, connections.get(it)?))) {
+            if connection.max_datagram_size().is_none_or(|it| bytes.len() > it) {
+                let (connection, gossip) = (connection.clone(), gossip.clone());
+                tokio::spawn(async move {
+                    call(&connection, question::Body::Gossip(gossip)).await;
+                });
+                continue;
+            }
             if let Err(err) = connection.send_datagram(bytes.clone()) {
                 log::debug!(peer = host.as_str(), error = err.to_string().as_str();
                     "gossip cannot be sent");
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -51,11 +51,18 @@
     }
 }
 
-/// The requests during which upstreams crashed, each with the time of the last crash and the
-/// upstreams that crashed, with the weights of the crashes.
+/// What is known of a request during which upstreams crashed.
+#[derive(Debug, Default)]
+struct Entry {
+    last_crash: Instant,
+    /// The upstreams that crashed, with the weights of the crashes.
+    upstreams: SmallVec<[(Upstream, u32); 4]>,
+}
+
+/// The requests during which upstreams crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    crashed: HashMap<Fingerprint, (Instant, SmallVec<[(Upstream, u32); 4]>)>,
+    crashed: HashMap<Fingerprint, Entry>,
 }
 
 impl Quarantine {
@@ -64,16 +71,16 @@
         if self.crashed.len() >= MAX_REQUESTS && !self.crashed.contains_key(&crash.request) {
             self.drop_oldest();
         }
-        let (at, upstreams) = self.crashed.entry(crash.request).or_default();
-        *at = now;
-        match upstreams.iter_mut().find(|it| it.0 == crash.upstream) {
+        let entry = self.crashed.entry(crash.request).or_default();
+        entry.last_crash = now;
+        match entry.upstreams.iter_mut().find(|it| it.0 == crash.upstream) {
             Some((_, weight)) if *weight >= crash.weight() => false,
             Some((_, weight)) => {
                 *weight = crash.weight();
                 true
             }
             None => {
-                upstreams.push((crash.upstream.clone(), crash.weight()));
+                entry.upstreams.push((crash.upstream.clone(), crash.weight()));
                 true
             }
         }
@@ -88,19 +95,19 @@
 
     /// Returns whether a request must not be sent to any upstream.
     pub fn is_quarantined(&self, now: Instant, request: Fingerprint) -> bool {
-        let Some((at, upstreams)) = self.crashed.get(&request) else { return false };
-        let weight: u32 = upstreams.iter().map(|it| it.1).sum();
-        weight >= CRASH_LIMIT && now.since(*at) < RETENTION
+        let Some(entry) = self.crashed.get(&request) else { return false };
+        let weight: u32 = entry.upstreams.iter().map(|it| it.1).sum();
+        weight >= CRASH_LIMIT && now.since(entry.last_crash) < RETENTION
     }
 
     /// Forgets requests whose last crash is too long ago.
     pub fn purge(&mut self, now: Instant) {
-        self.crashed.retain(|_, (at, _)| now.since(*at) < RETENTION);
+        self.crashed.retain(|_, it| now.since(it.last_crash) < RETENTION);
     }
 
     /// Forgets the request whose last crash is the longest ago.
     fn drop_oldest(&mut self) {
-        let oldest = self.crashed.iter().min_by_key(|it| it.1.0).map(|it| *it.0);
+        let oldest = self.crashed.iter().min_by_key(|it| it.1.last_crash).map(|it| *it.0);
         if let Some(request) = oldest {
             self.crashed.remove(&request);
         }
--- a/lib/tests/test_zone_leader.rs
+++ b/lib/tests/test_zone_leader.rs
@@ -11,7 +11,7 @@
 fn hosts(count: usize) -> Vec<Host> {
     let member = |index: usize| Member {
         host: Host::new(format!("host-{index}")),
-        processor_millis: if index % 10 == 0 { 500 } else { 120 },
+        processor_millis: if index.is_multiple_of(10) { 500 } else { 120 },
     };
     rank((0..count).map(member).collect())
 }
