fleet: costs of services without engines cannot overflow; tests of the choice's loads

A route may split its sessions to a service without engines (the platform's own example does). Its capacity is unbounded there, so the sum of costs in tokens overflowed: a panic in debug builds, a wrong order in release builds.

Change: the sum saturates. Tests: such a service; engines near a store come first until they have clearly more to do; twenty hosts that choose by old loads find less than 0.7 of what a random engine has.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -638,7 +638,10 @@
                 overfull: crowded && needed as f64 > capacity,
                 other_zone: query.session.is_none() && state.row.zone != self.zone && idle,
                 load: match query.session {
-                    Some(_) => state.total_tokens() + fetch_cost + spill_cost + outdated_cost,
+                    // Without engines, there is no capacity by which costs are bounded.
+                    Some(_) => [fetch_cost, spill_cost, outdated_cost]
+                        .iter()
+                        .fold(state.total_tokens(), |sum, it| sum.saturating_add(*it)),
                     None => state.total_requests().into(),
                 },
                 crowded,
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -3,11 +3,12 @@
 use std::{collections::HashMap, time::Duration};
 
 use mothvale_lib::{
-    fleet::{Choice, Denial, Fleet, Outcome, Query},
+    cache_index::Source,
+    fleet::{Choice, Denial, Fleet, Outcome, Query, UpstreamRow},
     prelude::*,
 };
 use mothvale_testutils::gateway::{
-    CACHE_TOKENS, ENGINES, at, configuration, engine, fleet, host_settings,
+    CACHE_TOKENS, ENGINES, PLAIN, at, configuration, engine, fleet, host_settings,
 };
 
 fn choose(fleet: &mut Fleet, now: Instant, session: u64, tokens: u32) -> Result<Choice, Denial> {
@@ -287,3 +288,104 @@
     let faulty = ejected.iter().filter(|it| it.as_str() == "engine2").count();
     assert!(faulty < 5, "the faulty upstream got {faulty} of the last requests");
 }
+
+/// A route may send part of its sessions to a service that has no engines and so no KV cache.
+#[test]
+fn session_of_a_service_without_engines_gets_an_upstream() {
+    let mut fleet = fleet(0);
+    for index in 0..6 {
+        let service = Service::new(PLAIN);
+        fleet.upsert(at(0), UpstreamRow { service, ..engine(&format!("plain{index}"), "hobart") });
+    }
+    fleet.target_weights.set(Some(at(0)), Model::new("demo"), 2);
+    let source = Source { zone: Zone::new("burnie"), other_zone_delay: Duration::from_secs(1) };
+    for session in 0..20 {
+        let query = Query {
+            service: &Service::new(PLAIN),
+            model: Some(&Model::new("demo")),
+            session: Some(session),
+            cached: Some(&source),
+            tokens: 100,
+            admitted: false,
+            priority: 0,
+            request_hash: session,
+            tried: &[],
+        };
+        assert!(fleet.choose(at(10), &configuration(), &query).is_ok(), "{session}");
+    }
+}
+
+/// Engines in the zone of the store that holds a long prompt come first, until they have clearly more to
+/// do than those of other zones.
+#[test]
+fn session_stays_near_its_store_while_engines_there_have_room() {
+    let mut fleet = Fleet::new(&host_settings("host0", "hobart"));
+    for index in 0..12 {
+        let zone = if index % 2 == 0 { "hobart" } else { "burnie" };
+        fleet.upsert(at(0), engine(&format!("engine{index}"), zone));
+    }
+    // A first token takes 20 µs for each token in flight.
+    for step in 0..40 {
+        let choice = choose(&mut fleet, at(step), step, 5_000).unwrap();
+        let latency = Duration::from_micros(20 * choice.load);
+        record_outcome(&mut fleet, at(step), &choice, Outcome::Served(latency));
+    }
+    let source = Source { zone: Zone::new("burnie"), other_zone_delay: Duration::from_millis(400) };
+    let mut zones = Vec::new();
+    for session in 0..36 {
+        let query = Query {
+            service: &Service::new(ENGINES),
+            model: Some(&Model::new("demo")),
+            session: Some(session),
+            cached: Some(&source),
+            tokens: 9_000,
+            admitted: true,
+            priority: 0,
+            request_hash: session,
+            tried: &[],
+        };
+        zones.push(fleet.choose(at(100), &configuration(), &query).unwrap().zone);
+    }
+    let near = |zones: &[Zone]| zones.iter().filter(|it| it.as_str() == "burnie").count();
+    assert!(near(&zones[..6]) >= 5, "{zones:?}");
+    assert!(near(&zones) < 36, "engines near the store take everything: {zones:?}");
+}
+
+/// Twenty hosts choose among forty engines by loads that are up to 100 ms old, while a request lasts
+/// 300 ms. A request should find clearly less in flight at its engine than at a random one.
+#[test]
+fn sessions_of_many_hosts_spread_over_engines_by_old_loads() {
+    const HOSTS: usize = 20;
+    const TOKENS: u32 = 5_000;
+    let names: Vec<_> = (0..HOSTS).map(|it| Host::new(format!("host{it}"))).collect();
+    let mut fleets: Vec<_> = (0..HOSTS).map(|_| fleet(40)).collect();
+    let mut in_flight: Vec<(u64, usize, Choice)> = Vec::new();
+    let (mut found, mut random) = (0.0, 0.0);
+    for step in 0..2_000_u64 {
+        let millis = step * 3;
+        let now = at(millis);
+        let (ended, rest) = in_flight.into_iter().partition(|it| it.0 <= millis);
+        in_flight = rest;
+        for (_, host, choice) in ended {
+            let outcome = Outcome::Served(Duration::from_millis(300));
+            record_outcome(&mut fleets[host], now, &choice, outcome);
+        }
+        if millis % 99 == 0 {
+            let loads: Vec<_> = fleets.iter().map(Fleet::loads).collect();
+            for (host, fleet) in fleets.iter_mut().enumerate() {
+                for (peer, loads) in loads.iter().enumerate().filter(|it| it.0 != host) {
+                    fleet.record_peer_loads(now, &names[peer], loads.clone());
+                }
+            }
+        }
+        let host = (mothvale_lib::rendezvous::mix64(step) % HOSTS as u64) as usize;
+        let session = mothvale_lib::rendezvous::mix64(step ^ 99);
+        let Ok(choice) = choose(&mut fleets[host], now, session, TOKENS) else { continue };
+        if step >= 500 {
+            found += in_flight.iter().filter(|it| it.2.id == choice.id).count() as f64;
+            random += in_flight.len() as f64 / 40.0;
+        }
+        in_flight.push((millis + 300, host, choice));
+    }
+    assert!(found < 0.7 * random, "{:.2} of the load of a random engine", found / random);
+}
