--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -14,8 +14,7 @@
 /// Priorities from this one on are all shed alike.
 const FIRST_EQUAL_PRIORITY: usize = 4;
 /// Mean load, as a fraction of the capacity of the engines, above which the most urgent requests
-/// are shed. In normal operation, large deployments reach 0.75. Loads vary between engines, and at
-/// a mean of 1 most engines are above their capacity.
+/// are shed. Loads vary between engines, and at a mean of 1 most engines are above their capacity.
 const SHED_LOAD: f64 = 0.85;
 /// How much lower [`SHED_LOAD`] is for each less urgent priority.
 const SHED_LOAD_STEP: f64 = 0.04;
@@ -25,8 +24,7 @@
 /// request include its answer, for which a new run does not need memory yet.
 const FULL_LOAD_MEMORY: f64 = 1.1;
 /// Mean wait for the first token, as a fraction of the latency objective, above which the most
-/// urgent requests are shed. The median without overload is 0.16. Waits vary, and at this mean some
-/// exceed the objective.
+/// urgent requests are shed. Waits vary, and at this mean some exceed the objective.
 const SHED_WAIT: f64 = 0.35;
 /// How much lower [`SHED_WAIT`] is for each less urgent priority.
 const SHED_WAIT_STEP: f64 = 0.02;
--- a/lib/src/cache_index.rs
+++ b/lib/src/cache_index.rs
@@ -211,6 +211,20 @@
     pub fetch_budget: Duration,
 }
 
+impl Prompt<'_> {
+    /// Describes the transfer of one of the prompt's parts from or to a store. `rate` is the number of
+    /// uses of the part per second, over all hosts.
+    fn transfer(&self, part: u64, tokens: u32, rate: f64, store: &StoreEntry) -> Transfer {
+        Transfer {
+            part,
+            tokens,
+            token_bytes: self.token_bytes,
+            other_zone: store.zone != *self.zone,
+            popular: rate >= POPULAR_RATE,
+        }
+    }
+}
+
 /// Index of the parts that all stores hold.
 #[derive(Clone, Debug, Default)]
 pub struct Index {
@@ -408,13 +422,7 @@
         let rate = self.popularity.record(now, key) * f64::from(self.hosts);
         // Engines keep the parts that most of their requests share; these use no link.
         let resident = rate * ENGINE_RETENTION.as_secs_f64() >= prompt.engines as f64;
-        let transfer = Transfer {
-            part: key,
-            tokens,
-            token_bytes: prompt.token_bytes,
-            other_zone: store.entry.zone != *prompt.zone,
-            popular: rate >= POPULAR_RATE,
-        };
+        let transfer = prompt.transfer(key, tokens, rate, &store.entry);
         if !resident && !self.links.admit(now, &store.entry, &transfer) {
             return Lookup::LinkBusy;
         }
@@ -491,13 +499,7 @@
         };
         let chosen = candidates.max_by(|a, b| weight(a).total_cmp(&weight(b)));
         let chosen = chosen.ok_or(Lookup::Miss)?;
-        let transfer = Transfer {
-            part: key,
-            tokens,
-            token_bytes: prompt.token_bytes,
-            other_zone: chosen.entry.zone != *prompt.zone,
-            popular: rate >= POPULAR_RATE,
-        };
+        let transfer = prompt.transfer(key, tokens, rate, &chosen.entry);
         if !self.links.admit(now, &chosen.entry, &transfer) {
             return Err(Lookup::MissLinkBusy);
         }
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -20,9 +20,8 @@
     row_store::{Page, RowStore, Table, Write, WriteOutcome},
 };
 
-/// One in this many upstreams of a model loads weights at a time. The weight store is specified to
-/// serve 3 of 18, 2 of 9, 18 of 90 and 12 of 60 upstreams at full speed in the platform's
-/// deployments.
+/// One in this many upstreams of a model loads weights at a time: about what the weight store serves at
+/// full speed, and what the others can stand in for.
 const UPSTREAMS_PER_LOAD: usize = 5;
 /// Delay before acquiring the lease for each host that ranks higher, so that hosts do not compete
 /// for it.
