target_weights, gateway: logs tell how late a target was learned, and when older weights end

No line said how old a host's knowledge was when it learned of a target weight version, nor which deadline it assumed. Change: 'target weight version set' has the row's version and the age of the host's rows; a new line 'requests no longer start on older weights' is written once for each model when its deadline has passed. What is decided is unchanged.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -188,14 +188,25 @@
             }
             OperatorUpdate::Evacuation { zone, out } => self.fleet().set_evacuated(zone, out),
             OperatorUpdate::Weights { model, version } => {
-                let since = (!initial).then(|| self.now());
-                self.fleet().target_weights.set(since, model, version);
+                self.set_target_weights(model, version, row_version, initial);
                 self.rollout_needed.notify_one();
             }
             OperatorUpdate::Unknown => {}
         }
     }
 
+    fn set_target_weights(&self, model: Model, version: u32, row_version: u64, initial: bool) {
+        let now = self.now();
+        let targets = &mut self.fleet().target_weights;
+        let rows_age = now.since(targets.rows_as_of());
+        let set_at = (!initial).then_some(now);
+        if targets.set(set_at, model.clone(), version) {
+            log::info!(model = model.as_str(), version = version, row = row_version,
+                found_at_start = initial, rows_age_ms = rows_age.as_millis() as u64;
+                "target weight version set");
+        }
+    }
+
     /// Applies rows of the upstreams' table.
     pub fn apply_upstream_rows(&self, rows: &[Row]) {
         let now = self.now();
@@ -319,8 +330,13 @@
         lock(&self.crashes).extend(crashes);
     }
 
-    /// Drops expired connections and quarantine entries.
+    /// Drops expired connections and quarantine entries, and logs which weight versions are no
+    /// longer used for new requests.
     pub fn purge(&self) {
+        for (model, min_version) in self.fleet().target_weights.take_expired(self.now()) {
+            log::info!(model = model.as_str(), min_version = min_version;
+                "requests no longer start on older weights");
+        }
         self.pool().purge();
         lock(&self.quarantine).purge(self.now());
     }
--- a/lib/src/target_weights.rs
+++ b/lib/src/target_weights.rs
@@ -25,6 +25,8 @@
     /// Whether this host found the newest target already set when it started, or has missed rows
     /// since: it cannot tell which versions upstreams had in the meantime.
     missed_rows: bool,
+    /// Lowest version on which a request may start, as [`Targets::take_expired`] last returned it.
+    reported_min: u32,
 }
 
 impl ModelTarget {
@@ -65,16 +67,16 @@
     }
 
     /// Sets the target version of a model, and when it was set if that is known. Ignores versions
-    /// that are not newer than the present target.
-    pub fn set(&mut self, set_at: Option<Instant>, model: Model, version: u32) {
+    /// that are not newer than the present target; returns whether the target changed.
+    pub fn set(&mut self, set_at: Option<Instant>, model: Model, version: u32) -> bool {
         if version <= self.newest(&model).unwrap_or(0) {
-            return;
+            return false;
         }
-        log::info!(model = model.as_str(), version = version; "target weight version set");
         let deadline = set_at.map(|it| it + self.transition_period());
         let target = self.by_model.entry(model).or_default();
         target.add(version, deadline);
         target.missed_rows = set_at.is_none();
+        true
     }
 
     /// Records how long ago a version was set: the target that this host found when it started,
@@ -127,6 +129,19 @@
         self.by_model.get(model).map_or(0, |it| it.min_version(now, default_deadline))
     }
 
+    /// Returns the models whose lowest version for new requests has risen since the last call, with
+    /// that version.
+    pub fn take_expired(&mut self, now: Instant) -> Vec<(Model, u32)> {
+        let models: Vec<_> = self.by_model.keys().cloned().collect();
+        let risen = models.into_iter().filter_map(|model| {
+            let min_version = self.min_version(now, &model);
+            let target = self.by_model.get_mut(&model)?;
+            let before = std::mem::replace(&mut target.reported_min, min_version);
+            (before < min_version).then_some((model, min_version))
+        });
+        risen.collect()
+    }
+
     /// Records the oldest weight version of each model by the upstreams' rows as of `at`.
     pub fn update_oldest(&mut self, at: Instant, oldest: Vec<(Model, u32)>) {
         if at.since(self.rows_as_of) > self.bounds.drain {
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -203,6 +203,20 @@
     assert!(choose(&mut fleet, at(20_600), 1, 100).is_err());
 }
 
+/// Operators can tell from the log since when a host starts no requests on older weights.
+#[test]
+fn end_of_older_weights_is_reported_once() {
+    let mut targets = fleet(1).target_weights;
+    let model = Model::new("demo");
+    assert!(targets.set(Some(at(0)), model.clone(), 2));
+    assert!(!targets.set(Some(at(100)), model.clone(), 2));
+    assert_eq!(targets.take_expired(at(11_000)), []);
+    assert_eq!(targets.take_expired(at(11_500)), [(model.clone(), 2)]);
+    assert_eq!(targets.take_expired(at(12_400)), []);
+    assert!(targets.set(Some(at(12_500)), model.clone(), 3));
+    assert_eq!(targets.take_expired(at(24_000)), [(model, 3)]);
+}
+
 #[test]
 fn target_of_unknown_age_counts_from_the_start_of_the_host() {
     let mut fleet = fleet(1);
