--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -25,6 +25,7 @@
     prelude::*,
     quarantine::{Crash, Fingerprint, Quarantine},
     replica::Row,
+    store_history::History,
     window::RetryBudget,
 };
 
@@ -54,6 +55,7 @@
     quarantine: Mutex<Quarantine>,
     crashes: Mutex<Vec<Crash>>,
     rollout: Mutex<Rollout>,
+    store_history: Mutex<History>,
     active_requests: AtomicU32,
     /// Whether this host exchanges messages with other hosts.
     mesh_joined: AtomicBool,
@@ -95,6 +97,7 @@
             quarantine: Mutex::default(),
             crashes: Mutex::default(),
             rollout: Mutex::default(),
+            store_history: Mutex::default(),
             active_requests: AtomicU32::new(0),
             mesh_joined: AtomicBool::new(false),
         })
@@ -160,19 +163,18 @@
     }
 
     /// Applies rows of the operators' table, which hold the configuration, evacuated zones and
-    /// target weight versions. `initial` marks rows that this host finds when it starts; it cannot
-    /// know how old those are.
-    pub fn apply_operator_rows(&self, rows: &[Row], initial: bool) {
+    /// target weight versions.
+    pub fn apply_operator_rows(&self, rows: &[Row]) {
         for row in rows {
             match self.codec.parse_operator_row(&row.key, row.value.as_deref()) {
-                Ok(update) => self.apply_operator_update(update, row.version, initial),
+                Ok(update) => self.apply_operator_update(update, row.version),
                 Err(err) => log::warn!(row = row.key.as_str(), version = row.version,
                     error = err.to_string().as_str(); "operators' row cannot be parsed"),
             }
         }
     }
 
-    fn apply_operator_update(&self, update: OperatorUpdate, row_version: u64, initial: bool) {
+    fn apply_operator_update(&self, update: OperatorUpdate, row_version: u64) {
         match update {
             OperatorUpdate::Configuration(configuration) => {
                 let known = self.configuration.load().as_ref().map_or(0, |it| it.version);
@@ -188,22 +190,25 @@
             }
             OperatorUpdate::Evacuation { zone, out } => self.fleet().set_evacuated(zone, out),
             OperatorUpdate::Weights { model, version } => {
-                self.set_target_weights(model, version, row_version, initial);
+                self.set_target_weights(model, version, row_version);
                 self.rollout_needed.notify_one();
             }
             OperatorUpdate::Unknown => {}
         }
     }
 
-    fn set_target_weights(&self, model: Model, version: u32, row_version: u64, initial: bool) {
-        let now = self.now();
-        let targets = &mut self.fleet().target_weights;
-        let rows_age = now.since(targets.rows_as_of());
-        let set_at = (!initial).then_some(now);
-        if targets.set(set_at, model.clone(), version) {
+    /// Records that the row store had `version` at `as_of` or later.
+    pub fn record_store_version(&self, as_of: Instant, version: u64) {
+        lock(&self.store_history).record(as_of, version);
+    }
+
+    fn set_target_weights(&self, model: Model, version: u32, row_version: u64) {
+        let set_after = lock(&self.store_history).written_after(row_version);
+        if self.fleet().target_weights.set(set_after, model.clone(), version) {
+            // Missing if the target was set before this host started.
+            let max_age = set_after.map(|it| self.now().since(it).as_millis() as u64);
             log::info!(model = model.as_str(), version = version, row = row_version,
-                found_at_start = initial, rows_age_ms = rows_age.as_millis() as u64;
-                "target weight version set");
+                max_age_ms = max_age; "target weight version set");
         }
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod shared;
 pub mod sse;
 pub mod store;
+pub mod store_history;
 pub mod store_latency;
 pub mod store_link;
 pub mod stream;
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -540,12 +540,8 @@
     fn apply_changes(&self, table: Table, rows: peer::Rows) {
         let row = |it: peer::Row| Row { key: it.key, value: it.value, version: it.version };
         let changes = rows.rows.into_iter().map(row).collect();
-        let (new_rows, initial) = {
-            let mut replica = self.table_sync.replicas.table(table);
-            let initial = replica.version() == 0;
-            (replica.apply_changes(changes, rows.version), initial)
-        };
-        self.table_sync.handle_changes(table, &new_rows, initial);
+        let new_rows = self.table_sync.replicas.table(table).apply_changes(changes, rows.version);
+        self.table_sync.handle_changes(table, &new_rows);
     }
 
     /// Pulls from the leader of the zone what this host would otherwise read itself: the tables of
@@ -624,6 +620,8 @@
             return false;
         }
         let Some(upstreams) = pulled.upstreams else { return false };
+        let rows_as_of = requested_at.saturating_sub(age);
+        gateway.record_store_version(rows_as_of, upstreams.version);
         self.apply_changes(Table::Upstreams, upstreams);
         if let Some(hosts) = pulled.hosts {
             self.apply_changes(Table::Hosts, hosts);
@@ -631,7 +629,7 @@
         if let Some(others) = pulled.others {
             self.apply_gossip(host, others);
         }
-        gateway.fleet().set_rows_as_of(requested_at.saturating_sub(age));
+        gateway.fleet().set_rows_as_of(rows_as_of);
         for store in pulled.stores {
             let Ok(address) = store.address.parse() else { continue };
             let part = |it: peer::StorePart| CachedPart { key: it.key, tokens: it.tokens };
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -166,6 +166,9 @@
                     failures = 0;
                     // A snapshot that is older than the replica is requested again.
                     read_snapshot = is_snapshot && stale;
+                    if !stale {
+                        self.gateway.record_store_version(requested_at, page.version);
+                    }
                     self.apply(table, page.rows, page.version, is_snapshot);
                     if table == Table::Upstreams {
                         self.gateway.fleet().set_rows_as_of(requested_at);
@@ -202,23 +205,20 @@
 
     /// Applies rows from the row store to the replica of a table and acts on those that are new.
     fn apply(&self, table: Table, rows: Vec<Row>, version: u64, is_snapshot: bool) {
-        let (new_rows, initial) = {
+        let new_rows = {
             let mut replica = self.replicas.table(table);
-            let initial = replica.version() == 0;
-            let new_rows = match is_snapshot {
+            match is_snapshot {
                 true => replica.apply_snapshot(rows, version),
                 false => replica.apply_changes(rows, version),
-            };
-            (new_rows, initial)
+            }
         };
-        self.handle_changes(table, &new_rows, initial);
+        self.handle_changes(table, &new_rows);
     }
 
-    /// Applies new rows of a table to the gateway. `initial` marks the first rows that this host
-    /// gets after it starts.
-    pub fn handle_changes(&self, table: Table, new_rows: &[Row], initial: bool) {
+    /// Applies new rows of a table to the gateway.
+    pub fn handle_changes(&self, table: Table, new_rows: &[Row]) {
         match table {
-            Table::Operators => self.gateway.apply_operator_rows(new_rows, initial),
+            Table::Operators => self.gateway.apply_operator_rows(new_rows),
             Table::Upstreams => self.gateway.apply_upstream_rows(new_rows),
             Table::Hosts if !new_rows.is_empty() => {
                 let replica = self.replicas.table(Table::Hosts);
--- a/lib/src/target_weights.rs
+++ b/lib/src/target_weights.rs
@@ -66,16 +66,18 @@
         Targets { by_model, oldest, rows_as_of: Instant::ZERO, bounds }
     }
 
-    /// Sets the target version of a model, and when it was set if that is known. Ignores versions
-    /// that are not newer than the present target; returns whether the target changed.
-    pub fn set(&mut self, set_at: Option<Instant>, model: Model, version: u32) -> bool {
+    /// Sets the target version of a model. `set_after` is the latest known time at which it had not
+    /// been set yet; its deadline counts from there, because this host may learn of it late. Ignores
+    /// versions that are not newer than the present target; returns whether the target changed.
+    pub fn set(&mut self, set_after: Option<Instant>, model: Model, version: u32) -> bool {
         if version <= self.newest(&model).unwrap_or(0) {
             return false;
         }
-        let deadline = set_at.map(|it| it + self.transition_period());
+        let deadline = set_after.map(|it| it + self.transition_period());
+        let missed_rows = set_after.is_none_or(|it| self.rows_as_of.since(it) > self.bounds.drain);
         let target = self.by_model.entry(model).or_default();
         target.add(version, deadline);
-        target.missed_rows = set_at.is_none();
+        target.missed_rows = missed_rows;
         true
     }
 
--- a/lib/tests/test_cache_gc.rs
+++ b/lib/tests/test_cache_gc.rs
@@ -101,6 +101,18 @@
     assert!(fleet.target_weights.may_use_cache_stores(at(1), &model(), 2));
 }
 
+/// A host that was suspended while a target was set may have missed rows that showed no engine with the
+/// older weights any more, also if it reads the upstreams' rows before it learns of the target.
+#[test]
+fn host_that_learns_of_a_target_late_allows_fetches_of_newest_weights_only() {
+    let mut fleet = fleet([1, 2]);
+    fleet.set_rows_as_of(at(1000));
+    fleet.set_rows_as_of(at(9000));
+    fleet.target_weights.set(Some(at(1000)), model(), 2);
+    assert!(!fleet.target_weights.may_use_cache_stores(at(9001), &model(), 1));
+    assert!(fleet.target_weights.may_use_cache_stores(at(9001), &model(), 2));
+}
+
 proptest! {
     /// Engines load weights, stop and restart, and a host reads their rows late. No fetch of parts
     /// of older weights that the host allows is still in progress when another host frees them.
