fleet: an engine whose weights are unknown gets no requests for a model

A row that lacks the versions of its models passed the check on older weights, and was preferred to engines with older ones. Its requests carried neither the expected version nor a cache salt, so they could run on any weights, and find cached parts of other weights and workspaces. Change: a request for a model goes only to engines whose version of it is known. Run: the new test chose both engines before ('left: ["engine0", "engine1"]'). lib 188 and platform 43 tests passed. Conclusion: fixed. From reading; no play has shown it.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -550,7 +550,9 @@
                 || state.in_flight >= max_in_flight
                 || (state.half_open && state.in_flight > 0)
                 || min_version.is_some_and(|(model, min)| {
-                    state.row.weight_version(model).is_some_and(|it| it < min)
+                    // Weights of an engine that are unknown may be too old.
+                    let known = state.row.weight_version(model);
+                    known.map_or(service.engine.is_some(), |it| it < min)
                 })
                 || (state.total_requests() > 0
                     && state.total_tokens() + u64::from(query.tokens) > max_tokens)
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -203,6 +203,18 @@
     assert!(choose(&mut fleet, at(20_600), 1, 100).is_err());
 }
 
+/// A row without the weights of a model says nothing about them. Its upstream might have weights that are
+/// too old, and the request would run without a salt that keeps cached parts of other weights away.
+#[test]
+fn engine_whose_weights_are_unknown_gets_no_requests() {
+    let mut fleet = fleet(1);
+    fleet.upsert(at(0), UpstreamRow { models: SmallVec::new(), ..engine("engine1", "hobart") });
+    let counts = run_requests(&mut fleet, 10, 1, 40);
+    assert_eq!(counts.keys().map(Upstream::as_str).collect::<Vec<_>>(), ["engine0"]);
+    fleet.upsert(at(100), engine("engine1", "hobart"));
+    assert_eq!(run_requests(&mut fleet, 110, 1, 40).len(), 2);
+}
+
 /// Operators can tell from the log since when a host starts no requests on older weights.
 #[test]
 fn end_of_older_weights_is_reported_once() {
