target_weights, configuration: how long a request may wait follows its caller's patience

Requests stayed away from older weights 3.5 s before the deadline of newer ones, as they may wait at the upstream before they start. Change: routes have the objective for pauses; a request may wait until its deadline or, on streams, until callers abandon a silent one, and 0.3 s more. Deadlines of targets are now those of the platform, without that wait.

--- a/lib/src/configuration.rs
+++ b/lib/src/configuration.rs
@@ -5,6 +5,13 @@
 
 use crate::{prelude::*, rendezvous};
 
+/// Callers do not abandon a silent stream sooner than this.
+const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
+/// Multiple of the latency objective for which callers wait for the next event of a stream.
+const LATENCY_PATIENCE_FACTOR: u32 = 4;
+/// Multiple of the objective for pauses for which callers wait for the next event of a stream.
+const PAUSE_PATIENCE_FACTOR: u32 = 8;
+
 /// Whether the requests of a route may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryPolicy {
@@ -41,6 +48,8 @@
     pub timeout: Duration,
     /// Objective for the time to the response or, for streams, to the first event.
     pub latency_objective: Duration,
+    /// Objective for the longest pause between the events of a stream; zero if there is none.
+    pub pause_objective: Duration,
     /// Priority among the requests of a service; 0 is the most urgent. In the priority classes of
     /// `mothvale serve`, higher values go first instead.
     pub priority: u8,
@@ -53,6 +62,14 @@
 }
 
 impl Route {
+    /// Returns how long callers wait for the next event of a stream, the first one included, before
+    /// they abandon it: the longest of a minimum and multiples of both objectives.
+    pub fn stream_patience(&self) -> Duration {
+        let latency = self.latency_objective.saturating_mul(LATENCY_PATIENCE_FACTOR);
+        let pause = self.pause_objective.saturating_mul(PAUSE_PATIENCE_FACTOR);
+        MIN_STREAM_PATIENCE.max(latency).max(pause)
+    }
+
     /// Returns the service for a request, by weighted random choice from `key`; the same key always
     /// gets the same service.
     pub fn choose_service(&self, key: u64) -> Option<&Service> {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -83,6 +83,8 @@
     pub priority: u8,
     /// Hash of the request's id, the random sample for admission.
     pub request_hash: u64,
+    /// How long the request may wait at an upstream before it starts.
+    pub max_wait: Duration,
     /// Upstreams that must not be chosen, because an earlier attempt there failed or was refused.
     pub tried: &'a [Upstream],
 }
@@ -534,7 +536,8 @@
             0 => u32::MAX,
             max => (f64::from(max) * CONNECTION_FRACTION / self.hosts.len() as f64).max(1.0) as u32,
         };
-        let min_version = query.model.map(|it| (it, self.target_weights.min_version(now, it)));
+        let min_version =
+            query.model.map(|it| (it, self.target_weights.min_version(now, query.max_wait, it)));
         let max_tokens = service
             .engine
             .as_ref()
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -113,6 +113,14 @@
         Some(crate::rendezvous::hash_parts(&["session", &shared.id]))
     }
 
+    /// Returns how long the request may wait at an upstream before it starts: its caller leaves then.
+    fn max_wait(&self) -> Duration {
+        match self.route.retry_policy {
+            RetryPolicy::Stream { .. } => self.time_left().min(self.route.stream_patience()),
+            RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => self.time_left(),
+        }
+    }
+
     /// Returns the time until the deadline.
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(TokioInstant::now())
@@ -373,6 +381,7 @@
             admitted: self.placed,
             priority: job.priority(),
             request_hash: crate::rendezvous::hash_parts(&["admission", &job.metadata.id]),
+            max_wait: job.max_wait(),
             tried: &self.tried,
         };
         self.gateway.choose(&job.configuration, &query)
--- a/lib/src/target_weights.rs
+++ b/lib/src/target_weights.rs
@@ -7,9 +7,9 @@
 
 use crate::{host_settings::Bounds, prelude::*};
 
-/// How long a request may wait at an upstream before it starts. Upstreams with older weights get
-/// no more requests this long before the end of the rollout bound.
-const MAX_UPSTREAM_WAIT: Duration = Duration::from_millis(3500);
+/// Time for which a request may wait at an upstream beyond its caller's patience: until the upstream
+/// has it, and until it notices that the caller has left.
+const WAIT_MARGIN: Duration = Duration::from_millis(300);
 /// Targets that were set at an unknown time apply once this fraction of the staleness bound has
 /// passed since the host's start.
 const STARTUP_STALENESS_FRACTION: f64 = 0.9;
@@ -18,9 +18,8 @@
 #[derive(Clone, Debug, Default)]
 struct ModelTarget {
     version: u32,
-    /// Versions with their deadlines: the time when the version was set plus the transition period,
-    /// from which on no request may start on an older one. `None` if it is unknown when the version
-    /// was set.
+    /// Versions with their deadlines: the time when the version was set plus the rollout bound, from
+    /// which on no request may start on an older one. `None` if it is unknown when the version was set.
     deadlines: SmallVec<[(u32, Option<Instant>); 4]>,
     /// Whether this host found the newest target already set when it started, or has missed rows
     /// since: it cannot tell which versions upstreams had in the meantime.
@@ -39,11 +38,14 @@
         }
     }
 
-    /// Returns the lowest version on which a request may start. Versions without a known deadline
-    /// get `default_deadline`.
-    fn min_version(&self, now: Instant, default_deadline: Instant) -> u32 {
-        let expired = self.deadlines.iter().filter(|it| it.1.unwrap_or(default_deadline) <= now);
-        expired.map(|it| it.0).max().unwrap_or(0)
+    /// Returns the lowest version that an upstream must have for a request that may start there up to
+    /// `latest_start`. Versions whose deadline is unknown are required if `unknown_apply`.
+    fn min_version(&self, latest_start: Instant, unknown_apply: bool) -> u32 {
+        let required = self
+            .deadlines
+            .iter()
+            .filter(|it| it.1.map_or(unknown_apply, |deadline| deadline <= latest_start));
+        required.map(|it| it.0).max().unwrap_or(0)
     }
 }
 
@@ -73,7 +75,7 @@
         if version <= self.newest(&model).unwrap_or(0) {
             return false;
         }
-        let deadline = set_after.map(|it| it + self.transition_period());
+        let deadline = set_after.map(|it| it + self.bounds.rollout);
         let missed_rows = set_after.is_none_or(|it| self.rows_as_of.since(it) > self.bounds.drain);
         let target = self.by_model.entry(model).or_default();
         target.add(version, deadline);
@@ -84,7 +86,7 @@
     /// Records how long ago a version was set: the target that this host found when it started,
     /// or an older one whose transition period may not have ended.
     pub fn record_age(&mut self, now: Instant, model: &Model, version: u32, age: Duration) {
-        let left = self.transition_period().saturating_sub(age);
+        let left = self.bounds.rollout.saturating_sub(age);
         if let Some(target) = self.by_model.get_mut(model)
             && version <= target.version
         {
@@ -97,12 +99,12 @@
 
     /// Returns the versions for which this host knows when they were set, with that time.
     pub fn known_times(&self) -> Vec<(Model, u32, Instant)> {
-        let transition = self.transition_period();
+        let rollout = self.bounds.rollout;
         let targets = self.by_model.iter();
         let versions =
             targets.flat_map(|(model, it)| it.deadlines.iter().map(move |at| (model, at)));
         let known = versions.filter_map(|(model, (version, deadline))| {
-            Some((model.clone(), *version, (*deadline)?.saturating_sub(transition)))
+            Some((model.clone(), *version, (*deadline)?.saturating_sub(rollout)))
         });
         known.collect()
     }
@@ -120,23 +122,26 @@
         self.by_model.get(model).map(|it| it.version)
     }
 
-    /// Returns the lowest weight version of a model on which a request may start.
-    pub fn min_version(&self, now: Instant, model: &Model) -> u32 {
+    /// Returns the lowest weight version of a model that an upstream must have for a request that is
+    /// sent now, and that may wait there for up to `max_wait` before it starts.
+    pub fn min_version(&self, now: Instant, max_wait: Duration, model: &Model) -> u32 {
         // A host that has just started may not know when a target was set. It may keep to older
         // versions until the staleness bound, counted from its start, has nearly passed: only
         // from then on must it know the state of the platform. The clock starts at
         // `Instant::ZERO` when the gateway starts.
         let default_deadline =
             Instant::ZERO + self.bounds.max_staleness.mul_f64(STARTUP_STALENESS_FRACTION);
-        self.by_model.get(model).map_or(0, |it| it.min_version(now, default_deadline))
+        let latest_start = now + max_wait + WAIT_MARGIN;
+        let target = self.by_model.get(model);
+        target.map_or(0, |it| it.min_version(latest_start, default_deadline <= now))
     }
 
-    /// Returns the models whose lowest version for new requests has risen since the last call, with
+    /// Returns the models whose lowest version for any request has risen since the last call, with
     /// that version.
     pub fn take_expired(&mut self, now: Instant) -> Vec<(Model, u32)> {
         let models: Vec<_> = self.by_model.keys().cloned().collect();
         let risen = models.into_iter().filter_map(|model| {
-            let min_version = self.min_version(now, &model);
+            let min_version = self.min_version(now, Duration::ZERO, &model);
             let target = self.by_model.get_mut(&model)?;
             let before = std::mem::replace(&mut target.reported_min, min_version);
             (before < min_version).then_some((model, min_version))
@@ -175,10 +180,4 @@
         let fresh = now.since(self.rows_as_of) < self.bounds.drain;
         weight_version >= target.version || (!target.missed_rows && fresh)
     }
-
-    /// Returns for how long after a target was set requests may be sent to upstreams with older
-    /// versions.
-    fn transition_period(&self) -> Duration {
-        self.bounds.rollout.saturating_sub(MAX_UPSTREAM_WAIT)
-    }
 }
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, HeaderValue};
 use mothvale_lib::{
     codec::WeightReport,
+    configuration::Route,
     hop_by_hop,
     prelude::*,
     quarantine::{Crash, Fingerprint, Quarantine},
@@ -15,7 +16,7 @@
     sse::Decoder,
     window::RetryBudget,
 };
-use mothvale_testutils::gateway::{at, configuration, engine};
+use mothvale_testutils::gateway::{ENGINES, at, configuration, engine, route};
 use proptest::prelude::*;
 
 fn row(key: &'static str, value: Option<&'static str>, version: u64) -> Row {
@@ -178,6 +179,21 @@
     assert!(configuration.route("other", "/a/").is_none());
 }
 
+#[test]
+fn patience_with_a_stream_follows_both_objectives() {
+    let patience = |latency, pause| {
+        let route = Route {
+            latency_objective: Duration::from_millis(latency),
+            pause_objective: Duration::from_millis(pause),
+            ..route("/a/", ENGINES)
+        };
+        route.stream_patience().as_millis()
+    };
+    assert_eq!(patience(400, 0), 2_000);
+    assert_eq!(patience(1_000, 400), 4_000);
+    assert_eq!(patience(1_000, 600), 4_800);
+}
+
 #[test]
 fn hop_by_hop_fields_are_not_forwarded() {
     let mut headers = HeaderMap::new();
--- a/lib/testutils/src/gateway.rs
+++ b/lib/testutils/src/gateway.rs
@@ -82,6 +82,7 @@
         retry_policy: RetryPolicy::Idempotent,
         timeout: Duration::from_secs(1),
         latency_objective: Duration::from_millis(100),
+        pause_objective: Duration::ZERO,
         priority: 1,
         services: SmallVec::from_iter([(Service::new(service), 1)]),
         max_runs: 2,
