fleet: weights that are assumed after a refusal are kept apart from those shown

After an upstream had rejected a request for weights that it no longer had, the newest target was recorded as its version. Recorded versions never go down, so an upstream that had loaded an older target meanwhile (3, with 4 the target) was believed to have 4: requests for it were refused, and nobody ordered it to load 4. Change: assumed versions are used for choices only, until a row, a report or a response shows one; orders go by versions shown. A rejection that shows the version is believed. Run: the new test, which on the former code kept version 4 after a row with version 3 (from reading: versions were merged by their maximum). Tests of the fleet: 24 passed.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -311,6 +311,7 @@
         if state.row.models != row.models {
             // The upstream has loaded weights and accepts requests again.
             state.backoff_until = now;
+            state.assumed_weights.clear();
         }
         // The row may be older than the last version that a response has shown.
         let shown = if restarted { SmallVec::new() } else { state.row.models };
@@ -348,6 +349,7 @@
     /// Records the weight version that a response has shown; an older one changes nothing.
     pub fn record_weight_version(&mut self, id: &Upstream, model: &Model, version: u32) {
         let Some(state) = self.states.get_mut(id) else { return };
+        state.assumed_weights.retain(|it| it.0 != *model);
         for it in state.row.models.iter_mut().filter(|it| it.0 == *model && it.1 < version) {
             it.1 = version;
             state.backoff_until = Instant::default();
@@ -427,7 +429,7 @@
         state.in_flight += 1;
         state.tokens += u64::from(query.tokens);
         state.sent.push(now);
-        let weight_version = query.model.and_then(|model| state.row.weight_version(model));
+        let weight_version = query.model.and_then(|model| state.weight_version(model));
         Ok(Choice {
             tokens: query.tokens,
             load: state.total_tokens(),
@@ -503,16 +505,21 @@
     /// Returns whether an upstream has an older version of some model than the newest target.
     fn is_behind_target(&self, id: &Upstream) -> bool {
         let Some(state) = self.states.get(id) else { return false };
-        state.row.models.iter().any(|(model, version)| {
-            self.target_weights.newest(model).is_some_and(|it| *version < it)
+        state.row.models.iter().any(|(model, _)| {
+            let version = state.weight_version(model);
+            self.target_weights.newest(model).is_some_and(|it| version.is_some_and(|has| has < it))
         })
     }
 
     /// Assumes the newest target version for an upstream that no longer has the weights in its row:
-    /// most likely it has loaded the newest ones since.
+    /// most likely it has loaded the newest ones since. Any version that the upstream shows replaces the
+    /// assumption.
     pub fn assume_newest_weights(&mut self, id: &Upstream, model: &Model) {
-        if let Some(version) = self.target_weights.newest(model) {
-            self.record_weight_version(id, model, version);
+        let newest = self.target_weights.newest(model);
+        if let (Some(version), Some(state)) = (newest, self.states.get_mut(id)) {
+            state.assumed_weights.retain(|it| it.0 != *model);
+            state.assumed_weights.push((model.clone(), version));
+            state.backoff_until = Instant::default();
         }
     }
 
@@ -554,7 +561,7 @@
                 || (state.half_open && state.in_flight > 0)
                 || min_version.is_some_and(|(model, min)| {
                     // Weights of an engine that are unknown may be too old.
-                    let known = state.row.weight_version(model);
+                    let known = state.weight_version(model);
                     known.map_or(service.engine.is_some(), |it| it < min)
                 })
                 || (state.total_requests() > 0
@@ -612,7 +619,7 @@
         let idle = requests < usable.len() as u32;
         let is_outdated = |state: &State| match (newest, query.model) {
             (Some(newest), Some(model)) => {
-                state.row.weight_version(model).is_some_and(|it| it < newest)
+                state.weight_version(model).is_some_and(|it| it < newest)
             }
             _ => false,
         };
@@ -687,11 +694,11 @@
         chosen: &Upstream,
     ) -> Option<SocketAddr> {
         let (session, model) = (query.session?, query.model?);
-        let weight_version = self.states.get(chosen)?.row.weight_version(model);
+        let weight_version = self.states.get(chosen)?.weight_version(model);
         let states = self.by_service.get(query.service)?.iter();
         let states = states.filter_map(|id| self.states.get(id));
         let alike = states.filter(|it| {
-            it.row.weight_version(model) == weight_version
+            it.weight_version(model) == weight_version
                 && it.ejected_until <= now
                 && !it.row.draining
         });
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -477,8 +477,9 @@
         let same_upstream = metadata.upstream.as_deref() == Some(choice.id.as_str());
         if metadata.misdirected || (metadata.not_run && head.status != StatusCode::BAD_REQUEST) {
             let address_reused = metadata.misdirected && !same_upstream;
-            if let (true, true, Some(model)) =
-                (metadata.misdirected, same_upstream, &self.job.metadata.model)
+            let shows_weights = metadata.weight_version.is_some();
+            if let (true, true, false, Some(model)) =
+                (metadata.misdirected, same_upstream, shows_weights, &self.job.metadata.model)
             {
                 self.gateway.fleet().assume_newest_weights(&choice.id, model);
             }
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -83,6 +83,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct State {
     pub(crate) row: UpstreamRow,
+    /// Weight versions that are assumed after a refusal, until the upstream shows which ones it has.
+    pub(crate) assumed_weights: SmallVec<[(Model, u32); 1]>,
     /// End of its cold start, as its row tells or as assumed after a disconnect.
     pub(crate) cold_until: Instant,
     /// When a connection to it last failed or broke; the default if none has.
@@ -122,6 +124,7 @@
     pub(crate) fn new(row: &UpstreamRow, now: Instant) -> Self {
         State {
             row: row.clone(),
+            assumed_weights: SmallVec::new(),
             cold_until: now + row.cold_remaining,
             last_disconnect: Instant::default(),
             in_flight: 0,
@@ -140,6 +143,12 @@
         }
     }
 
+    /// Returns the weight version of a model that the upstream has shown, or that is assumed.
+    pub(crate) fn weight_version(&self, model: &Model) -> Option<u32> {
+        let assumed = self.assumed_weights.iter().find(|it| it.0 == *model);
+        assumed.map(|it| it.1).or_else(|| self.row.weight_version(model))
+    }
+
     /// Returns the hash that identifies the upstream in messages between hosts.
     pub(crate) fn short_id(&self) -> u32 {
         (self.rank_key >> 32) as u32
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -207,6 +207,32 @@
     assert!(choose(&mut fleet, at(20_600), 1, 100).is_err());
 }
 
+/// An upstream rejects a request for version 2 of its weights, which it no longer has. Meanwhile version 4
+/// is the target, but the upstream has loaded version 3 and still needs an order.
+#[test]
+fn assumed_weights_end_when_the_upstream_shows_its_weights() {
+    let (id, model) = (Upstream::new("engine0"), Model::new("demo"));
+    let row = |version| UpstreamRow {
+        models: SmallVec::from_iter([(model.clone(), version)]),
+        ..engine("engine0", "hobart")
+    };
+    let mut fleet = fleet(0);
+    fleet.upsert(at(0), row(2));
+    fleet.target_weights.set(Some(at(0)), model.clone(), 4);
+    fleet.assume_newest_weights(&id, &model);
+    assert_eq!(choose(&mut fleet, at(10), 1, 100).unwrap().weight_version, Some(4));
+    assert_eq!(fleet.outdated().len(), 1);
+    fleet.upsert(at(20), row(3));
+    assert_eq!(choose(&mut fleet, at(30), 2, 100).unwrap().weight_version, Some(3));
+    fleet.assume_newest_weights(&id, &model);
+    fleet.record_weight_version(&id, &model, 3);
+    assert_eq!(choose(&mut fleet, at(40), 3, 100).unwrap().weight_version, Some(3));
+    fleet.assume_newest_weights(&id, &model);
+    fleet.upsert(at(50), row(4));
+    assert_eq!(choose(&mut fleet, at(60), 4, 100).unwrap().weight_version, Some(4));
+    assert!(fleet.outdated().is_empty());
+}
+
 /// Callers of one route give up after a second, those of another wait for 4.8 s. A request that may still
 /// wait at its upstream when the deadline of the newer weights passes is not sent to older ones.
 #[test]
