--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -205,7 +205,7 @@
     fn set_target_weights(&self, model: Model, version: u32, row_version: u64) {
         let set_after = lock(&self.store_history).written_after(row_version);
         if self.fleet().target_weights.set(set_after, model.clone(), version) {
-            // Missing if the target was set before this host started.
+            // Missing if this host has never seen the store without the target.
             let max_age = set_after.map(|it| self.now().since(it).as_millis() as u64);
             log::info!(model = model.as_str(), version = version, row = row_version,
                 max_age_ms = max_age; "target weight version set");
--- a/lib/src/target_weights.rs
+++ b/lib/src/target_weights.rs
@@ -84,7 +84,7 @@
     }
 
     /// Records how long ago a version was set: the target that this host found when it started,
-    /// or an older one whose transition period may not have ended.
+    /// or an older one whose rollout bound may not have passed.
     pub fn record_age(&mut self, now: Instant, model: &Model, version: u32, age: Duration) {
         let left = self.bounds.rollout.saturating_sub(age);
         if let Some(target) = self.by_model.get_mut(model)
