forward: check the chosen upstream again right before sending

Change: `Fleet::obstacle` says what keeps a request from its chosen upstream. `forward` asks it after connecting, without another wait before the send, and chooses again if there is something. Nothing is taken from the retry budget, and nothing counts against the upstream. An attempt that was not sent is logged as `attempt ended` with the obstacle as its outcome and counted in `mothvale_unsent_attempts_total`. `Choice` names the process that was chosen by `Incarnation`.

Conclusion: news that arrives while a connection is opened counts for the request that waits for it.

--- a/lib/src/connection.rs
+++ b/lib/src/connection.rs
@@ -225,6 +225,13 @@
         }
     }
 
+    /// Puts a connection back that was taken and not used; it stays idle since its last call.
+    pub fn put_back(&mut self, id: &Upstream, address: SocketAddr, connection: Connection) {
+        if !connection.is_closed() {
+            self.idle.entry((id.clone(), address)).or_default().push(connection);
+        }
+    }
+
     /// Drops connections that are closed or have been idle for too long.
     pub fn purge(&mut self) {
         for connections in self.idle.values_mut() {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -11,6 +11,7 @@
     admission::{Pressure, Waits},
     cache_index::Source,
     configuration::{Configuration, EngineEntry, ServiceEntry},
+    obstacle::Obstacle,
     prelude::*,
     rendezvous, share,
     target_weights::Targets,
@@ -59,7 +60,7 @@
 const TOKEN_TIME_WEIGHT: f64 = 0.05;
 /// Back-off after a refusal by an upstream that does not have the target weights yet.
 const ROLLOUT_REFUSAL_BACKOFF: Duration = Duration::from_millis(1200);
-pub use crate::upstream_state::{Outcome, UpstreamRow};
+pub use crate::upstream_state::{Incarnation, Outcome, UpstreamRow};
 
 /// Tokens and requests in flight, in this order, by the short id of the upstream.
 pub type Loads = HashMap<u32, (u64, u32)>;
@@ -93,8 +94,8 @@
 pub struct Choice {
     /// The upstream's id.
     pub id: Upstream,
-    /// Address that it listens on.
-    pub address: SocketAddr,
+    /// The process that was chosen, with the address that it listens on.
+    pub incarnation: Incarnation,
     /// Its availability zone.
     pub zone: Zone,
     /// The last known weight version of the request's model on this upstream.
@@ -281,9 +282,8 @@
     pub fn upsert(&mut self, now: Instant, row: UpstreamRow) {
         let id = row.id.clone();
         let previous = self.states.remove(&id);
-        let restarted = previous.as_ref().is_some_and(|it| {
-            it.row.start_time_ms != row.start_time_ms || it.row.address != row.address
-        });
+        let restarted =
+            previous.as_ref().is_some_and(|it| it.row.incarnation() != row.incarnation());
         let cold_until = now + row.cold_remaining;
         let mut state = match previous {
             Some(state) if !restarted => state,
@@ -430,7 +430,7 @@
             tokens: query.tokens,
             load: state.total_tokens(),
             cache_source,
-            address: state.row.address,
+            incarnation: state.row.incarnation(),
             zone: state.row.zone.clone(),
             weight_version,
             id,
@@ -438,6 +438,29 @@
         })
     }
 
+    /// Returns why a request for `model` must not be sent any more to the upstream that was chosen
+    /// for it, or `None` if it may be sent now.
+    pub fn obstacle(
+        &self,
+        now: Instant,
+        choice: &Choice,
+        model: Option<&Model>,
+    ) -> Option<Obstacle> {
+        let Some(State { row, .. }) = self.states.get(&choice.id) else {
+            return Some(Obstacle::Removed);
+        };
+        let min_version = model.map_or(0, |it| self.target_weights.min_version(now, it));
+        match () {
+            () if row.incarnation() != choice.incarnation => Some(Obstacle::Restarted),
+            () if row.draining => Some(Obstacle::Draining),
+            () if self.evacuated.contains(&row.zone) => Some(Obstacle::Evacuated),
+            () if choice.weight_version.is_some_and(|it| it < min_version) => {
+                Some(Obstacle::OutdatedWeights)
+            }
+            () => None,
+        }
+    }
+
     /// Records the outcome of a request for which [`Fleet::choose`] chose an upstream.
     pub fn record_outcome(
         &mut self,
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -413,6 +413,15 @@
                 ));
             }
         };
+        if let Some(obstacle) = self.gateway.obstacle(&choice, self.job.metadata.model.as_ref()) {
+            self.log_attempt(&choice, obstacle.name());
+            if obstacle.keeps_connection() {
+                let address = choice.incarnation.address;
+                self.gateway.pool().put_back(&choice.id, address, connection);
+            }
+            attempt.complete(Outcome::Cancelled);
+            return Err(AttemptError::Retry);
+        }
         if self.times_sent > 0 && !self.gateway.try_acquire_retry(&self.job.service) {
             self.log_attempt(&choice, "resend_quota_used_up");
             return Err(AttemptError::Fail(self.exhausted_error(Kind::Overloaded)));
@@ -548,7 +557,7 @@
         };
         let choice = attempt.choice.clone();
         self.gateway.forget_crashes(self.job.fingerprint());
-        self.gateway.pool().put(&choice.id, choice.address, connection, &head.headers);
+        self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let response = self.build_response(&head, Body::Buffered(Full::new(read.to_bytes())));
         if !head.status.is_server_error() {
             attempt.complete(Outcome::Served(started.elapsed()));
@@ -574,13 +583,14 @@
             false => ONCE_MAX_IDLE,
         };
         loop {
-            let pooled = self.gateway.pool().take(&choice.id, choice.address, max_idle);
+            let pooled = self.gateway.pool().take(&choice.id, choice.incarnation.address, max_idle);
             let Some(mut pooled) = pooled else { break };
             if connection::wait_ready(&mut pooled).await {
                 return Some((pooled, true));
             }
         }
-        let connected = timeout(self.job.time_left(), Connection::connect(choice.address)).await;
+        let connected =
+            timeout(self.job.time_left(), Connection::connect(choice.incarnation.address)).await;
         Some((connected.ok()?.ok()?, false))
     }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
     fleet::{Choice, Denial, Fleet, Outcome, Query},
     host_settings::HostSettings,
     metric::Metrics,
+    obstacle::Obstacle,
     prelude::*,
     quarantine::{Crash, Fingerprint, Quarantine},
     replica::Row,
@@ -240,6 +241,14 @@
         self.fleet().choose(self.now(), configuration, query)
     }
 
+    /// Returns why a request for `model` must not be sent any more to the upstream that was chosen
+    /// for it; see [`Fleet::obstacle`].
+    pub fn obstacle(&self, choice: &Choice, model: Option<&Model>) -> Option<Obstacle> {
+        let obstacle = self.fleet().obstacle(self.now(), choice, model)?;
+        self.metrics.unsent_attempts.with_label_values(&[obstacle.name()]).inc();
+        Some(obstacle)
+    }
+
     /// Reports the outcome of an attempt to the fleet. Idle connections are dropped if the address
     /// is unreachable or now belongs to another upstream.
     pub fn record_outcome(
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod metric;
 pub mod name;
 pub mod object;
+pub mod obstacle;
 pub mod openai;
 pub mod peer;
 pub mod pinned_tls;
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -35,6 +35,8 @@
     pub dropped_frames: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Attempts that were not sent because the chosen upstream changed meanwhile, by reason.
+    pub unsent_attempts: IntCounterVec,
     /// Calls to the table service, by outcome.
     pub table_calls: IntCounterVec,
     /// Violations by invariant, copied from [`violations`] when the metrics are exported.
@@ -89,6 +91,11 @@
                 &["reason"],
             )?,
             in_flight,
+            unsent_attempts: counters(
+                "mothvale_unsent_attempts_total",
+                "Attempts not sent because the chosen upstream changed",
+                &["reason"],
+            )?,
             table_calls: counters(
                 "mothvale_table_calls_total",
                 "Calls to the table service",
--- /dev/null
+++ b/lib/src/obstacle.rs
@@ -0,0 +1,36 @@
+//! Reasons for which a request must not be sent any more to the upstream that was chosen for it.
+
+/// What keeps a request from its chosen upstream. Found by
+/// [`Fleet::obstacle`](crate::fleet::Fleet::obstacle) right before the request is sent: connecting
+/// takes time, in which the state of the upstream may change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The upstream's row was removed.
+    Removed,
+    /// The upstream has restarted or moved to another address.
+    Restarted,
+    /// The upstream's row says that it is shutting down.
+    Draining,
+    /// The upstream's zone was evacuated.
+    Evacuated,
+    /// The upstream's weights are too old for a request to start on them.
+    OutdatedWeights,
+}
+
+impl Obstacle {
+    /// Returns the outcome of the attempt for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Obstacle::Removed => "not_sent_removed",
+            Obstacle::Restarted => "not_sent_restarted",
+            Obstacle::Draining => "not_sent_draining",
+            Obstacle::Evacuated => "not_sent_evacuated",
+            Obstacle::OutdatedWeights => "not_sent_outdated_weights",
+        }
+    }
+
+    /// Returns whether later requests may use a connection to the upstream.
+    pub fn keeps_connection(self) -> bool {
+        matches!(self, Obstacle::Evacuated | Obstacle::OutdatedWeights)
+    }
+}
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -114,7 +114,7 @@
         }
         let choice = attempt.choice.clone();
         self.gateway.forget_crashes(self.job.fingerprint());
-        self.gateway.pool().put(&choice.id, choice.address, connection, &head.headers);
+        self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let first_event_time = first_event_time.unwrap_or_else(|| started.elapsed());
         let route = self.job.route.name.as_str();
         let total = self.job.received.elapsed();
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -52,6 +52,16 @@
     pub start_time_ms: u64,
 }
 
+/// Identifies one process of an upstream. The start time tells processes apart that had the same
+/// address one after the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Incarnation {
+    /// Address that the process listens on.
+    pub address: SocketAddr,
+    /// Start of the process, as in [`UpstreamRow::start_time_ms`].
+    pub start_time_ms: u64,
+}
+
 /// The outcome of a request to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -77,6 +87,11 @@
     pub fn weight_version(&self, model: &Model) -> Option<u32> {
         self.models.iter().find(|it| it.0 == *model).map(|it| it.1)
     }
+
+    /// Returns what identifies the process that the row is about.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { address: self.address, start_time_ms: self.start_time_ms }
+    }
 }
 
 /// The row of one upstream, with its load and health as seen from this host.
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -5,6 +5,7 @@
 use mothvale_lib::{
     cache_index::Source,
     fleet::{Choice, Denial, Fleet, Outcome, Query, UpstreamRow},
+    obstacle::Obstacle,
     prelude::*,
 };
 use mothvale_testutils::gateway::{
@@ -187,6 +188,30 @@
     assert_eq!(run_requests(&mut fleet, 100, 1, 40).len(), 2);
 }
 
+/// The state of an upstream changes after it was chosen and before the request is sent.
+#[test]
+fn chosen_upstream_is_checked_again_before_sending() {
+    let model = Model::new("demo");
+    let mut fleet = fleet(1);
+    let choice = choose(&mut fleet, at(0), 1, 100).unwrap();
+    let obstacle =
+        |fleet: &Fleet, now: Instant| fleet.obstacle(now, &choice, Some(&Model::new("demo")));
+    assert_eq!(obstacle(&fleet, at(1)), None);
+    fleet.set_evacuated(Zone::new("hobart"), true);
+    assert_eq!(obstacle(&fleet, at(2)), Some(Obstacle::Evacuated));
+    fleet.set_evacuated(Zone::new("hobart"), false);
+    fleet.upsert(at(3), UpstreamRow { draining: true, ..engine("engine0", "hobart") });
+    assert_eq!(obstacle(&fleet, at(3)), Some(Obstacle::Draining));
+    fleet.upsert(at(4), engine("engine0", "hobart"));
+    fleet.target_weights.set(Some(at(4)), model, 2);
+    assert_eq!(obstacle(&fleet, at(5)), None);
+    assert_eq!(obstacle(&fleet, at(11_600)), Some(Obstacle::OutdatedWeights));
+    fleet.upsert(at(11_601), UpstreamRow { start_time_ms: 2, ..engine("engine0", "hobart") });
+    assert_eq!(obstacle(&fleet, at(11_601)), Some(Obstacle::Restarted));
+    fleet.remove(&Upstream::new("engine0"));
+    assert_eq!(obstacle(&fleet, at(11_602)), Some(Obstacle::Removed));
+}
+
 /// Two target versions are set one after the other.
 #[test]
 fn each_target_version_has_its_own_deadline() {
