departure: an upstream that says that it is leaving gets nothing new

Cause: upstreams that shut down say so in all their responses (`server-leaving: 1`). No code read it: requests went on until the row said `draining`, and for a host that the store does not serve, or an upstream that never writes that, until it was gone.

Change: `departure` keeps which processes of upstreams (address and start time) have said so. Such a process is not chosen, is no source of cached prompts, gets no reports and no orders for weights, and does not count for readiness and load; streams in flight go on. Rows that still say ready, removed and restored rows do not take it back, a row of another process does. `notice` applies responses of every status, also unsigned ones, refusals, those for an earlier request, and those to the calls of a rollout; a 421 that names another upstream counts for that one. What was chosen before is stopped by `Fleet::obstacle`. Hosts pass departures on in gossip and in answers to pulls for a second after learning them (new field 8 of `Gossip`, which older hosts ignore). Each is logged once with source, origin, age and start time, and counted in `mothvale_upstream_departures_total`.

Run: test_departure (with random orders of rows, removals and news), test_leaving, test_rollout, test_mesh, test_obstacle, test_headers, the whole workspace: 188 and 52 passed. On code that reads the field and does nothing with it, as before: - upstream_that_is_leaving_by_any_response_gets_nothing_more: `Good left: 11 right: 0` - stream_of_a_leaving_upstream_goes_on: `left: 12 right: 0` for the requests after it - row_that_says_ready_does_not_bring_a_leaving_upstream_back: `left: 2 right: 1` active upstreams - leaving_upstream_gets_no_orders: `left: 1 right: 0` - request_goes_elsewhere_when_its_upstream_says_that_it_is_leaving: `left: (200, 1) right: (200, 0)` - departure_of_an_upstream_reaches_all_hosts: timed out; also with only the gossip taken out - five tests of test_departure failed, the random orders with `Leaving(3), Row(3)`

Conclusion: a host stops at the upstream's first response that says so, and the others within a few rounds of gossip. Open: a restart under the same id and address is known by the new row only.

--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -76,6 +76,8 @@
     pub upstream: Option<FastStr>,
     /// Weight version that the request runs with.
     pub weight_version: Option<u32>,
+    /// Whether the upstream is shutting down and wants no new requests.
+    pub leaving: bool,
 }
 
 /// A change that operators made, decoded from a row of [`Table::Operators`].
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -11,6 +11,7 @@
     admission::{Pressure, Waits},
     cache_index::Source,
     configuration::{Configuration, EngineEntry, ServiceEntry},
+    departure::Departures,
     obstacle::Obstacle,
     prelude::*,
     rendezvous, share,
@@ -147,6 +148,8 @@
     token_times: HashMap<Service, f64>,
     /// The weight versions that operators have set as targets.
     pub target_weights: Targets,
+    /// Upstreams that have said in a response that they are shutting down.
+    pub departures: Departures,
 }
 
 impl Fleet {
@@ -165,6 +168,7 @@
             waits: HashMap::new(),
             token_times: HashMap::new(),
             target_weights: Targets::new(host_settings.bounds),
+            departures: Departures::default(),
         }
     }
 
@@ -359,7 +363,7 @@
         for state in self.states.values() {
             for (model, version) in &state.row.models {
                 let Some(newest) = self.target_weights.newest(model) else { continue };
-                if *version < newest && !state.row.draining {
+                if *version < newest && !self.is_leaving(&state.row) {
                     outdated.push((state.row.clone(), model.clone(), newest));
                 }
             }
@@ -386,12 +390,17 @@
         self.states.get(id).map(|it| &it.row)
     }
 
-    /// Returns the number of upstreams that are not draining.
+    /// Returns whether an upstream is shutting down, by its row or by one of its responses.
+    pub fn is_leaving(&self, row: &UpstreamRow) -> bool {
+        row.draining || self.departures.contains(row)
+    }
+
+    /// Returns the number of upstreams that are not shutting down.
     pub fn active_count(&self) -> usize {
-        self.states.values().filter(|it| !it.row.draining).count()
+        self.states.values().filter(|it| !self.is_leaving(&it.row)).count()
     }
 
-    /// Returns whether there is no upstream that is not draining.
+    /// Returns whether there is no upstream that is not shutting down.
     pub fn has_no_active(&self) -> bool {
         self.active_count() == 0
     }
@@ -453,6 +462,7 @@
         match () {
             () if row.incarnation() != choice.incarnation => Some(Obstacle::Restarted),
             () if row.draining => Some(Obstacle::Draining),
+            () if self.departures.contains(row) => Some(Obstacle::Leaving),
             () if self.evacuated.contains(&row.zone) => Some(Obstacle::Evacuated),
             () if choice.weight_version.is_some_and(|it| it < min_version) => {
                 Some(Obstacle::OutdatedWeights)
@@ -542,7 +552,7 @@
     fn pressure(&self, now: Instant, engine: &EngineEntry, query: &Query<'_>) -> Pressure {
         let states = self.by_service.get(query.service).into_iter().flatten();
         let states = states.filter_map(|id| self.states.get(id)).filter(|it| {
-            let excluded = it.row.draining || self.evacuated.contains(&it.row.zone);
+            let excluded = self.is_leaving(&it.row) || self.evacuated.contains(&it.row.zone);
             !excluded && it.ejected_until <= now
         });
         let loads = states.map(|it| (it.total_tokens(), it.total_requests()));
@@ -566,6 +576,7 @@
         for id in ids {
             let Some(state) = self.states.get_mut(id) else { continue };
             if state.row.draining
+                || self.departures.contains(&state.row)
                 || query.tried.contains(id)
                 || self.evacuated.contains(&state.row.zone)
                 || state.ejected_until > now
@@ -596,7 +607,8 @@
     fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
         let states = self.by_service.get(query.service).into_iter().flatten();
         let states = states.filter_map(|id| self.states.get(id));
-        let live = states.filter(|it| !it.row.draining && !self.evacuated.contains(&it.row.zone));
+        let live =
+            states.filter(|it| !self.is_leaving(&it.row) && !self.evacuated.contains(&it.row.zone));
         let wait = live.map(|it| {
             let until = it.ejected_until.max(it.backoff_until);
             // Other upstreams are at one of their limits, for example the cold rate limit.
@@ -711,7 +723,7 @@
         let alike = states.filter(|it| {
             it.row.weight_version(model) == weight_version
                 && it.ejected_until <= now
-                && !it.row.draining
+                && !self.is_leaving(&it.row)
         });
         let cache_zone = query.cached.map(|it| &it.zone);
         let first = alike.max_by_key(|it| it.session_rank(session, cache_zone))?;
@@ -727,6 +739,14 @@
         (ejected + 1) * EJECTED_ONE_IN <= ids.len()
     }
 
+    /// Drops what upstreams have said that no longer matters.
+    pub fn purge(&mut self, now: Instant) {
+        let states = &self.states;
+        self.departures.purge(now, |id, incarnation| {
+            states.get(id).is_some_and(|it| it.row.incarnation() == incarnation)
+        });
+    }
+
     /// Returns whether an upstream is in the list of a service.
     fn is_listed(&self, service: &Service, id: &Upstream) -> bool {
         self.by_service.get(service).is_some_and(|it| it.contains(id))
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -471,6 +471,8 @@
         let (head, body) = response.into_parts();
         let metadata = self.gateway.codec.parse_response(head.status, &head.headers);
         let choice = attempt.choice.clone();
+        let request = self.job.metadata.id.as_str();
+        self.gateway.apply_notices(&choice.id, choice.incarnation, request, head.status, &metadata);
         self.record_weight_version(&choice, &metadata);
         // The chosen upstream itself also rejects a request as misdirected if it does not have
         // the requested weights.
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -132,7 +132,7 @@
     }
 
     /// Returns whether the load balancer may send callers here: the host is not shutting down,
-    /// has a configuration and knows an upstream that is not draining.
+    /// has a configuration and knows an upstream that is not shutting down.
     pub fn is_ready(&self) -> bool {
         !self.draining.is_cancelled()
             && self.configuration.load().is_some()
@@ -328,10 +328,11 @@
         lock(&self.crashes).extend(crashes);
     }
 
-    /// Drops expired connections and quarantine entries.
+    /// Drops expired connections, quarantine entries and responses' notices.
     pub fn purge(&self) {
         self.pool().purge();
         lock(&self.quarantine).purge(self.now());
+        self.fleet().purge(self.now());
     }
 }
 
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -23,6 +23,7 @@
 use crate::{
     cache_index::{CachedPart, StoreUpdate},
     codec::Codec,
+    departure::Departure,
     fleet::Loads,
     gateway_process::HostRow,
     generated::peer::{self, Gossip, Pull, Question, Wanted, question},
@@ -358,6 +359,13 @@
         if gossip.operators > self.table_sync.replicas.table(Table::Operators).version() {
             self.table_sync.replicas.set_newer_peer(host);
         }
+        for departure in &gossip.departures {
+            match Departure::try_from(departure) {
+                Ok(departure) => gateway.record_remote_departure(host, &departure),
+                Err(err) => log::warn!(peer = host.as_str(), error = err.to_string().as_str();
+                    "departure of an upstream in gossip cannot be read"),
+            }
+        }
         let demands = gossip.demands.iter().map(|it| (it.store, it.tokens)).collect();
         gateway.cache_index().links().record_peer(now, host, demands);
         if self.is_large_mesh() && !self.is_delegated() {
@@ -396,6 +404,8 @@
             suspected: it.suspected,
         });
         let demands = gateway.cache_index().links().combined(gateway.now(), |_| false);
+        // Locks the fleet, as the loads below do.
+        let departures = self.recent_departures();
         Gossip {
             loads: encode_loads(gateway.fleet().loads()),
             crashes: crashes.collect(),
@@ -404,9 +414,17 @@
             loaded: loaded.collect(),
             zone: false,
             demands: encode_demands(demands),
+            departures,
         }
     }
 
+    /// Returns the departures that this host has learned a moment ago, from upstreams or from other
+    /// hosts, which it passes on in either case.
+    fn recent_departures(&self) -> Vec<peer::Departure> {
+        let gateway = &self.table_sync.gateway;
+        gateway.fleet().departures.news(gateway.now()).into_iter().map(Into::into).collect()
+    }
+
     /// Adds recently received gossip to a message: all of it for a host of this zone, only that
     /// from this zone for other leaders.
     fn add_recent_gossip(&self, gossip: &mut Gossip, within_zone: bool) {
@@ -665,10 +683,12 @@
             self.apply_gossip(requester, own);
             let loads = gateway.fleet().combined_loads(|it| it != requester);
             let demands = gateway.cache_index().links().combined(now, |it| it != requester);
+            let departures = self.recent_departures();
             let mut others = Gossip {
                 loads: encode_loads(loads),
                 demands: encode_demands(demands),
                 operators: replicas.table(Table::Operators).version(),
+                departures,
                 ..Gossip::default()
             };
             self.add_recent_gossip(&mut others, true);
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -35,6 +35,8 @@
     pub dropped_frames: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Upstreams that were learned to shut down, by source: their responses, or other hosts.
+    pub departures: IntCounterVec,
     /// Attempts that were not sent because the chosen upstream changed meanwhile, by reason.
     pub unsent_attempts: IntCounterVec,
     /// Calls to the table service, by outcome.
@@ -91,6 +93,11 @@
                 &["reason"],
             )?,
             in_flight,
+            departures: counters(
+                "mothvale_upstream_departures_total",
+                "Upstreams learned to shut down",
+                &["source"],
+            )?,
             unsent_attempts: counters(
                 "mothvale_unsent_attempts_total",
                 "Attempts not sent because the chosen upstream changed",
--- /dev/null
+++ b/lib/src/notice.rs
@@ -0,0 +1,78 @@
+//! What upstreams say in their responses about further requests to them, and what other hosts pass
+//! on of that.
+
+use http::StatusCode;
+
+use crate::{
+    codec::{Codec, ResponseMetadata},
+    departure::Departure,
+    gateway::Gateway,
+    prelude::*,
+    upstream_state::Incarnation,
+};
+
+impl<C> Gateway<C>
+where
+    C: Codec,
+{
+    /// Applies what a response says about further requests to the upstream. `request` is the id of
+    /// the request, or the path of a call that the gateway itself made.
+    ///
+    /// Any response counts: one with an error or without a signature, or that belongs to an
+    /// earlier request, still comes from the process at the other end of the connection.
+    pub fn apply_notices(
+        &self,
+        id: &Upstream,
+        incarnation: Incarnation,
+        request: &str,
+        status: StatusCode,
+        metadata: &ResponseMetadata,
+    ) {
+        let Some((id, incarnation)) = self.responder(id, incarnation, metadata) else {
+            log::debug!(upstream = id.as_str(), request = request, status = status.as_u16(),
+                leaving = metadata.leaving;
+                "response is from an unknown upstream at this address");
+            return;
+        };
+        if metadata.leaving {
+            let departure = Departure { upstream: id, incarnation, age: Duration::ZERO };
+            self.record_departure(&departure, "response", request);
+        }
+    }
+
+    /// Records a departure that another host has learned.
+    pub fn record_remote_departure(&self, peer: &Host, departure: &Departure) {
+        self.record_departure(departure, "host", peer.as_str());
+    }
+
+    /// Records a departure, and logs it if it is new. `source` is the kind of its origin, and
+    /// `origin` the request or the host.
+    fn record_departure(&self, departure: &Departure, source: &'static str, origin: &str) {
+        if !self.fleet().departures.record(self.now(), departure) {
+            return;
+        }
+        self.metrics.departures.with_label_values(&[source]).inc();
+        log::info!(upstream = departure.upstream.as_str(),
+            address = departure.incarnation.address.to_string().as_str(),
+            started_ms = departure.incarnation.start_time_ms, source = source, origin = origin,
+            age_ms = departure.age.as_millis() as u64;
+            "upstream is leaving and gets nothing new");
+    }
+
+    /// Returns which process has responded. It is the addressed one, unless that one's address now
+    /// belongs to another upstream; `None` if that one's row does not have the address.
+    fn responder(
+        &self,
+        id: &Upstream,
+        incarnation: Incarnation,
+        metadata: &ResponseMetadata,
+    ) -> Option<(Upstream, Incarnation)> {
+        let other = metadata.upstream.as_deref().filter(|it| *it != id.as_str());
+        let Some(other) = other.filter(|_| metadata.misdirected) else {
+            return Some((id.clone(), incarnation));
+        };
+        let other = Upstream::new(FastStr::new(other));
+        let known = self.fleet().row(&other)?.incarnation();
+        (known.address == incarnation.address).then_some((other, known))
+    }
+}
--- a/lib/src/obstacle.rs
+++ b/lib/src/obstacle.rs
@@ -11,6 +11,8 @@
     Restarted,
     /// The upstream's row says that it is shutting down.
     Draining,
+    /// The upstream has said in a response that it is shutting down.
+    Leaving,
     /// The upstream's zone was evacuated.
     Evacuated,
     /// The upstream's weights are too old for a request to start on them.
@@ -24,6 +26,7 @@
             Obstacle::Removed => "not_sent_removed",
             Obstacle::Restarted => "not_sent_restarted",
             Obstacle::Draining => "not_sent_draining",
+            Obstacle::Leaving => "not_sent_leaving",
             Obstacle::Evacuated => "not_sent_evacuated",
             Obstacle::OutdatedWeights => "not_sent_outdated_weights",
         }
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use http::{HeaderMap, Method, Request, Uri};
+use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use tokio::time::{sleep, timeout};
 
@@ -556,6 +556,9 @@
             "cannot connect to upstream to read its weight versions");
         return failure;
     };
+    if gateway.fleet().is_leaving(&row) {
+        return failure;
+    }
     let Some(report) = poll(gateway, &mut connection, &row).await else { return failure };
     let loaded = report.models.iter().find(|it| it.0 == model).map(|it| it.1);
     if let Some(loaded) = loaded {
@@ -572,6 +575,10 @@
         WeightState::Busy => return Outcome::NoOrder,
         WeightState::Outdated => {}
     }
+    // The report may have been the response that says so.
+    if gateway.fleet().is_leaving(&row) {
+        return Outcome::Failed;
+    }
     let Some(fence) = lease.fencing_token(gateway.now()) else { return Outcome::Failed };
     let order = Order {
         model: model.as_str(),
@@ -583,6 +590,9 @@
     let body = gateway.codec.order_body(&order);
     let request = upstream_request(gateway, &row, Method::POST, C::ORDER_PATH, body);
     let response = connection.call(request, CALL_TIMEOUT, MAX_RESPONSE_BYTES).await;
+    if let Ok(response) = &response {
+        apply_notices(gateway, &row, C::ORDER_PATH, response);
+    }
     let status = response.as_ref().ok().map(|it| gateway.codec.order_status(it.status()));
     log::info!(upstream = id.as_str(), model = model.as_str(), version = version, fence = fence,
         orders = report.orders, verdict = format!("{status:?}").as_str();
@@ -604,6 +614,7 @@
 {
     let request = upstream_request(gateway, row, Method::GET, C::REPORT_PATH, Bytes::new());
     let response = connection.call(request, CALL_TIMEOUT, MAX_RESPONSE_BYTES).await.ok()?;
+    apply_notices(gateway, row, C::REPORT_PATH, &response);
     if !response.status().is_success() {
         log::info!(upstream = row.id.as_str(), status = response.status().as_u16();
             "upstream refused to send its report");
@@ -619,6 +630,20 @@
     }
 }
 
+/// Applies what the response to a call of the gateway's own says about further calls.
+fn apply_notices<C>(
+    gateway: &Gateway<C>,
+    row: &UpstreamRow,
+    path: &'static str,
+    response: &Response<Bytes>,
+) where
+    C: Codec,
+{
+    let (status, headers) = (response.status(), response.headers());
+    let metadata = gateway.codec.parse_response(status, headers);
+    gateway.apply_notices(&row.id, row.incarnation(), path, status, &metadata);
+}
+
 /// Builds a request of the gateway's own to an upstream.
 fn upstream_request<C>(
     gateway: &Gateway<C>,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_cache_gc;
 mod test_cache_index;
 mod test_claim;
+mod test_departure;
 mod test_fleet;
 mod test_gateway;
 mod test_group_commit;
