departure, pause: a row without a start time brings no process back

Cause: a row may lack its start time, for example one that another program wrote. It counted as that of another process, so an upstream that had said that it was leaving, or that had asked for a pause, got requests again.

Change: `Incarnation::may_be`: without a start time, a row may be about any process at its address.

Run: test_departure, where the random orders now hold such rows, test_pause, the whole workspace: 200 and 62 passed. On the former code row_without_a_start_time_does_not_bring_a_leaving_upstream_back, pause_holds_for_one_process and leaving_processes_are_never_chosen (`left: true, right: false: Row(0)`) failed.

Conclusion: only a row with another start time or address brings an upstream back.

--- a/lib/src/departure.rs
+++ b/lib/src/departure.rs
@@ -89,7 +89,7 @@
     /// Returns whether the process that a row is about shuts down.
     pub fn contains(&self, row: &UpstreamRow) -> bool {
         let entries = self.by_upstream.get(&row.id);
-        entries.is_some_and(|it| it.iter().any(|entry| entry.incarnation == row.incarnation()))
+        entries.is_some_and(|it| it.iter().any(|it| row.incarnation().may_be(it.incarnation)))
     }
 
     /// Returns the departures that are to be passed on to other hosts.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -767,7 +767,7 @@
         self.pauses.purge(now);
         let states = &self.states;
         self.departures.purge(now, |id, incarnation| {
-            states.get(id).is_some_and(|it| it.row.incarnation() == incarnation)
+            states.get(id).is_some_and(|it| it.row.incarnation().may_be(incarnation))
         });
     }
 
--- a/lib/src/pause.rs
+++ b/lib/src/pause.rs
@@ -141,8 +141,8 @@
     /// Returns the end of the pause of the process that a row is about, or `None` if it has none now.
     pub fn until(&self, now: Instant, row: &UpstreamRow) -> Option<Instant> {
         let entries = self.by_upstream.get(&row.id)?;
-        let entry = entries.iter().find(|it| it.incarnation == row.incarnation())?;
-        (entry.until > now).then_some(entry.until)
+        let matching = entries.iter().filter(|it| row.incarnation().may_be(it.incarnation));
+        matching.map(|it| it.until).filter(|it| *it > now).max()
     }
 
     /// Drops pauses that are over.
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -58,10 +58,19 @@
 pub struct Incarnation {
     /// Address that the process listens on.
     pub address: SocketAddr,
-    /// Start of the process, as in [`UpstreamRow::start_time_ms`].
+    /// Start of the process, as in [`UpstreamRow::start_time_ms`]; 0 if not reported.
     pub start_time_ms: u64,
 }
 
+impl Incarnation {
+    /// Returns whether this may be the process `other`. Without a start time it may be any process
+    /// at its address.
+    pub fn may_be(self, other: Incarnation) -> bool {
+        self.address == other.address
+            && (self.start_time_ms == other.start_time_ms || self.start_time_ms == 0)
+    }
+}
+
 /// The outcome of a request to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/lib/tests/test_departure.rs
+++ b/lib/tests/test_departure.rs
@@ -55,6 +55,18 @@
     assert!(no_upstream(&mut fleet, 110));
 }
 
+/// A row without a start time may be about any process at its address.
+#[test]
+fn row_without_a_start_time_does_not_bring_a_leaving_upstream_back() {
+    let mut fleet = fleet(1);
+    fleet.departures.record(at(10), &departure(&started_at(1)));
+    fleet.upsert(at(20), started_at(0));
+    assert!(choose(&mut fleet, at(30), 1).is_err());
+    let address = "127.0.0.2:9".parse().unwrap();
+    fleet.upsert(at(40), UpstreamRow { address, ..started_at(0) });
+    assert!(choose(&mut fleet, at(50), 1).is_ok());
+}
+
 #[test]
 fn departure_is_known_before_the_row() {
     let mut fleet = fleet(0);
@@ -105,7 +117,7 @@
 /// What may happen to the one upstream of a fleet.
 #[derive(Clone, Copy, Debug)]
 enum Event {
-    /// Its row says that it is ready, by the process with this start time.
+    /// Its row says that it is ready, by the process with this start time; 0 if none is given.
     Row(u64),
     /// Its row is removed.
     Removed,
@@ -116,7 +128,7 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        4 => (1_u64..4).prop_map(Event::Row),
+        4 => (0_u64..4).prop_map(Event::Row),
         1 => Just(Event::Removed),
         2 => (1_u64..4).prop_map(Event::Leaving),
         1 => Just(Event::Purge),
@@ -147,7 +159,11 @@
                 }
                 Event::Purge => fleet.purge(now),
             }
-            let expected = current.is_some_and(|it| !leaving.contains(&it));
+            let is_leaving = |start| match start {
+                0 => !leaving.is_empty(),
+                _ => leaving.contains(&start),
+            };
+            let expected = current.is_some_and(|it| !is_leaving(it));
             prop_assert_eq!(choose(&mut fleet, now, 1).is_ok(), expected, "{:?}", event);
         }
     }
--- a/lib/tests/test_pause.rs
+++ b/lib/tests/test_pause.rs
@@ -113,6 +113,9 @@
     assert!(choose(&mut fleet, at(31), 1).is_ok());
     fleet.upsert(at(40), started_at(0, 1));
     assert!(choose(&mut fleet, at(41), 1).is_err());
+    // A row without a start time may be about any process at its address.
+    fleet.upsert(at(50), started_at(0, 0));
+    assert!(choose(&mut fleet, at(51), 1).is_err());
 }
 
 /// The others are ejected or back off: the paused one is no last resort.
