--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -9,8 +9,10 @@
 
 use crate::{
     admission::{Pressure, Waits},
-    cache_index::Source,
     configuration::{Configuration, EngineEntry, ServiceEntry},
+    departure::Departures,
+    obstacle::Obstacle,
+    pause::{self, Pauses},
     prelude::*,
     rendezvous, share,
     target_weights::Targets,
@@ -59,70 +61,14 @@
 const TOKEN_TIME_WEIGHT: f64 = 0.05;
 /// Back-off after a refusal by an upstream that does not have the target weights yet.
 const ROLLOUT_REFUSAL_BACKOFF: Duration = Duration::from_millis(1200);
-pub use crate::upstream_state::{Outcome, UpstreamRow};
+pub use crate::{
+    choice::{Choice, Denial, Query},
+    upstream_state::{Incarnation, Outcome, UpstreamRow},
+};
 
 /// Tokens and requests in flight, in this order, by the short id of the upstream.
 pub type Loads = HashMap<u32, (u64, u32)>;
 
-/// A request for which an upstream is to be chosen.
-#[derive(Clone, Copy, Debug)]
-pub struct Query<'a> {
-    /// The service.
-    pub service: &'a Service,
-    /// The model, for model engines.
-    pub model: Option<&'a Model>,
-    /// Key of the session whose KV cache the request can reuse.
-    pub session: Option<u64>,
-    /// Where the largest cached part of the prompt can be fetched from, if anywhere.
-    pub cached: Option<&'a Source>,
-    /// Tokens of the prompt plus the maximum number of tokens of the answer.
-    pub tokens: u32,
-    /// Whether the request was admitted before; it is then not shed.
-    pub admitted: bool,
-    /// Priority among the requests of the service; 0 is the most urgent.
-    pub priority: u8,
-    /// Hash of the request's id, the random sample for admission.
-    pub request_hash: u64,
-    /// How long the request may wait at an upstream before it starts.
-    pub max_wait: Duration,
-    /// Upstreams that must not be chosen, because an earlier attempt there failed or was refused.
-    pub tried: &'a [Upstream],
-}
-
-/// The chosen upstream. The request counts as in flight there until its outcome is passed to
-/// [`Fleet::record_outcome`].
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// The upstream's id.
-    pub id: Upstream,
-    /// Address that it listens on.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: Zone,
-    /// The last known weight version of the request's model on this upstream.
-    pub weight_version: Option<u32>,
-    /// Tokens that count as in flight there.
-    pub tokens: u32,
-    /// Tokens in flight there from all hosts, with those of this request.
-    pub load: u64,
-    /// Address of the upstream that ranks first for the session, if that is another one with the
-    /// same weights: its KV cache may hold the session's prompt.
-    pub cache_source: Option<SocketAddr>,
-    /// Why this upstream was chosen, for logs.
-    pub reason: &'static str,
-}
-
-/// Why no upstream was chosen. Each variant holds the time after which to retry.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Denial {
-    /// The service is unknown or has no live upstream.
-    NoUpstream(Duration),
-    /// None of the live upstreams can take another request.
-    Full(Duration),
-    /// Admission control refused the request because the engines are overloaded.
-    Shed(Duration, Pressure),
-}
-
 /// The state of all upstreams that this host knows.
 #[derive(Debug)]
 pub struct Fleet {
@@ -148,6 +94,10 @@
     token_times: HashMap<Service, f64>,
     /// The weight versions that operators have set as targets.
     pub target_weights: Targets,
+    /// Upstreams that have said in a response that they are shutting down.
+    pub departures: Departures,
+    /// Upstreams that have asked this host for a pause.
+    pub pauses: Pauses,
 }
 
 impl Fleet {
@@ -166,6 +116,8 @@
             waits: HashMap::new(),
             token_times: HashMap::new(),
             target_weights: Targets::new(host_settings.bounds),
+            departures: Departures::default(),
+            pauses: Pauses::default(),
         }
     }
 
@@ -283,9 +235,8 @@
     pub fn upsert(&mut self, now: Instant, row: UpstreamRow) {
         let id = row.id.clone();
         let previous = self.states.remove(&id);
-        let restarted = previous.as_ref().is_some_and(|it| {
-            it.row.start_time_ms != row.start_time_ms || it.row.address != row.address
-        });
+        let restarted =
+            previous.as_ref().is_some_and(|it| it.row.incarnation() != row.incarnation());
         let cold_until = now + row.cold_remaining;
         let mut state = match previous {
             Some(state) if !restarted => state,
@@ -363,7 +314,7 @@
         for state in self.states.values() {
             for (model, version) in &state.row.models {
                 let Some(newest) = self.target_weights.newest(model) else { continue };
-                if *version < newest && !state.row.draining {
+                if *version < newest && !self.is_leaving(&state.row) {
                     outdated.push((state.row.clone(), model.clone(), newest));
                 }
             }
@@ -390,12 +341,22 @@
         self.states.get(id).map(|it| &it.row)
     }
 
-    /// Returns the number of upstreams that are not draining.
+    /// Returns whether an upstream is shutting down, by its row or by one of its responses.
+    pub fn is_leaving(&self, row: &UpstreamRow) -> bool {
+        row.draining || self.departures.contains(row)
+    }
+
+    /// Returns whether anything new may be sent to an upstream, as far as the upstream itself says.
+    pub fn may_call(&self, now: Instant, row: &UpstreamRow) -> bool {
+        !self.is_leaving(row) && self.pauses.until(now, row).is_none()
+    }
+
+    /// Returns the number of upstreams that are not shutting down.
     pub fn active_count(&self) -> usize {
-        self.states.values().filter(|it| !it.row.draining).count()
+        self.states.values().filter(|it| !self.is_leaving(&it.row)).count()
     }
 
-    /// Returns whether there is no upstream that is not draining.
+    /// Returns whether there is no upstream that is not shutting down.
     pub fn has_no_active(&self) -> bool {
         self.active_count() == 0
     }
@@ -431,10 +392,11 @@
         state.sent.push(now);
         let weight_version = query.model.and_then(|model| state.weight_version(model));
         Ok(Choice {
+            max_wait: query.max_wait,
             tokens: query.tokens,
             load: state.total_tokens(),
             cache_source,
-            address: state.row.address,
+            incarnation: state.row.incarnation(),
             zone: state.row.zone.clone(),
             weight_version,
             id,
@@ -442,6 +404,32 @@
         })
     }
 
+    /// Returns why a request for `model` must not be sent any more to the upstream that was chosen
+    /// for it, or `None` if it may be sent now.
+    pub fn obstacle(
+        &self,
+        now: Instant,
+        choice: &Choice,
+        model: Option<&Model>,
+    ) -> Option<Obstacle> {
+        let Some(State { row, .. }) = self.states.get(&choice.id) else {
+            return Some(Obstacle::Removed);
+        };
+        let min_version =
+            model.map_or(0, |it| self.target_weights.min_version(now, choice.max_wait, it));
+        match () {
+            () if row.incarnation() != choice.incarnation => Some(Obstacle::Restarted),
+            () if row.draining => Some(Obstacle::Draining),
+            () if self.departures.contains(row) => Some(Obstacle::Leaving),
+            () if self.pauses.until(now, row).is_some() => Some(Obstacle::Paused),
+            () if self.evacuated.contains(&row.zone) => Some(Obstacle::Evacuated),
+            () if choice.weight_version.is_some_and(|it| it < min_version) => {
+                Some(Obstacle::OutdatedWeights)
+            }
+            () => None,
+        }
+    }
+
     /// Records the outcome of a request for which [`Fleet::choose`] chose an upstream.
     pub fn record_outcome(
         &mut self,
@@ -524,12 +512,12 @@
     }
 
     /// Returns the mean load of the engines that can take the request now or soon, with the mean
-    /// wait for first tokens: engines in back-off count, ejected ones do not.
+    /// wait for first tokens: engines in back-off count, ejected and paused ones do not.
     fn pressure(&self, now: Instant, engine: &EngineEntry, query: &Query<'_>) -> Pressure {
         let states = self.by_service.get(query.service).into_iter().flatten();
         let states = states.filter_map(|id| self.states.get(id)).filter(|it| {
-            let excluded = it.row.draining || self.evacuated.contains(&it.row.zone);
-            !excluded && it.ejected_until <= now
+            let excluded = self.is_leaving(&it.row) || self.evacuated.contains(&it.row.zone);
+            !excluded && it.ejected_until <= now && self.pauses.until(now, &it.row).is_none()
         });
         let loads = states.map(|it| (it.total_tokens(), it.total_requests()));
         Pressure::new(now, engine, loads, self.waits.get(query.service), query.priority)
@@ -553,6 +541,8 @@
         for id in ids {
             let Some(state) = self.states.get_mut(id) else { continue };
             if state.row.draining
+                || self.departures.contains(&state.row)
+                || self.pauses.until(now, &state.row).is_some()
                 || query.tried.contains(id)
                 || self.evacuated.contains(&state.row.zone)
                 || state.ejected_until > now
@@ -585,13 +575,23 @@
     fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
         let states = self.by_service.get(query.service).into_iter().flatten();
         let states = states.filter_map(|id| self.states.get(id));
-        let live = states.filter(|it| !it.row.draining && !self.evacuated.contains(&it.row.zone));
+        let live =
+            states.filter(|it| !self.is_leaving(&it.row) && !self.evacuated.contains(&it.row.zone));
+        let mut all_paused = true;
         let wait = live.map(|it| {
-            let until = it.ejected_until.max(it.backoff_until);
+            let paused_until = self.pauses.until(now, &it.row);
+            all_paused &= paused_until.is_some();
+            let until =
+                it.ejected_until.max(it.backoff_until).max(paused_until.unwrap_or_default());
             // Other upstreams are at one of their limits, for example the cold rate limit.
             if until > now { until.since(now) } else { COLD_RATE_WINDOW / 2 }
         });
         match wait.min() {
+            Some(wait) if all_paused => {
+                // Unrelated to the sample by which admission has let the request through.
+                let sample = query.request_hash.rotate_left(32);
+                Denial::Paused(wait + pause::spread(wait, sample))
+            }
             Some(wait) => Denial::Full(wait.max(REFUSAL_BACKOFF / 2)),
             None => Denial::NoUpstream(REFUSAL_BACKOFF_MAX),
         }
@@ -700,7 +700,7 @@
         let alike = states.filter(|it| {
             it.weight_version(model) == weight_version
                 && it.ejected_until <= now
-                && !it.row.draining
+                && self.may_call(now, &it.row)
         });
         let cache_zone = query.cached.map(|it| &it.zone);
         let first = alike.max_by_key(|it| it.session_rank(session, cache_zone))?;
@@ -716,6 +716,15 @@
         (ejected + 1) * EJECTED_ONE_IN <= ids.len()
     }
 
+    /// Drops what upstreams have said that no longer matters.
+    pub fn purge(&mut self, now: Instant) {
+        self.pauses.purge(now);
+        let states = &self.states;
+        self.departures.purge(now, |id, incarnation| {
+            states.get(id).is_some_and(|it| it.row.incarnation().may_be(incarnation))
+        });
+    }
+
     /// Returns whether an upstream is in the list of a service.
     fn is_listed(&self, service: &Service, id: &Upstream) -> bool {
         self.by_service.get(service).is_some_and(|it| it.contains(id))
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -4,20 +4,10 @@
 //! an upstream once; it counts as a run if the upstream may have run the request. Responses that
 //! are streams of events are forwarded by `stream`.
 
-use std::{
-    pin::Pin,
-    task::{Context, Poll},
-};
-
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response::Parts};
-use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use thiserror::Error as ThisError;
-use tokio::{
-    sync::mpsc,
-    time::{Instant as TokioInstant, timeout, timeout_at},
-};
+use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use crate::{
     admission::Pressure,
@@ -31,6 +21,7 @@
     hop_by_hop,
     prelude::*,
     quarantine::Fingerprint,
+    response_body::Body,
     salt,
 };
 
@@ -127,47 +118,6 @@
     }
 }
 
-/// Error of a response body that was cut off. It closes the connection to the caller, who
-/// would otherwise take the response for complete.
-#[derive(Clone, Copy, Debug, ThisError)]
-#[error("the answer was cut off")]
-pub struct Truncated;
-
-/// Body of a response to a caller.
-#[derive(Debug)]
-pub enum Body {
-    /// The complete body.
-    Buffered(Full<Bytes>),
-    /// Chunks as they arrive.
-    Stream(mpsc::Receiver<Result<Bytes, Truncated>>),
-}
-
-impl HttpBody for Body {
-    type Data = Bytes;
-    type Error = Truncated;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        match self.get_mut() {
-            Body::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|_| Truncated),
-            Body::Stream(chunks) => chunks.poll_recv(cx).map(|it| it.map(|it| it.map(Frame::data))),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        matches!(self, Body::Buffered(body) if body.is_end_stream())
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Body::Buffered(body) => body.size_hint(),
-            Body::Stream(_) => SizeHint::default(),
-        }
-    }
-}
-
 /// An attempt that counts as in flight at its upstream until it is completed. Dropping it
 /// earlier reports [`Outcome::Cancelled`].
 pub(crate) struct InFlightAttempt<C>
@@ -221,6 +171,9 @@
     pub(crate) head: Parts,
     pub(crate) body: Incoming,
     pub(crate) started: TokioInstant,
+    /// Whether the upstream turned the request away and asked for a pause, without the statement that
+    /// the request did not run.
+    pub(crate) pause_requested: bool,
 }
 
 /// An attempt that gave no response for the caller.
@@ -422,6 +375,15 @@
                 ));
             }
         };
+        if let Some(obstacle) = self.gateway.obstacle(&choice, self.job.metadata.model.as_ref()) {
+            self.log_attempt(&choice, obstacle.name());
+            if obstacle.keeps_connection() {
+                let address = choice.incarnation.address;
+                self.gateway.pool().put_back(&choice.id, address, connection);
+            }
+            attempt.complete(Outcome::Cancelled);
+            return Err(AttemptError::Retry);
+        }
         if self.times_sent > 0 && !self.gateway.try_acquire_retry(&self.job.service) {
             self.log_attempt(&choice, "resend_quota_used_up");
             return Err(AttemptError::Fail(self.exhausted_error(Kind::Overloaded)));
@@ -471,6 +433,14 @@
         let (head, body) = response.into_parts();
         let metadata = self.gateway.codec.parse_response(head.status, &head.headers);
         let choice = attempt.choice.clone();
+        let request = self.job.metadata.id.as_str();
+        let pause_requested = self.gateway.apply_notices(
+            &choice.id,
+            choice.incarnation,
+            request,
+            head.status,
+            &metadata,
+        );
         self.record_weight_version(&choice, &metadata);
         // The chosen upstream itself also rejects a request as misdirected if it does not have
         // the requested weights.
@@ -483,12 +453,13 @@
             {
                 self.gateway.fleet().assume_newest_weights(&choice.id, model);
             }
-            self.log_attempt(&choice, if address_reused { "moved" } else { "refused" });
-            attempt.complete(if address_reused {
-                Outcome::AddressReused
-            } else {
-                Outcome::Refused
-            });
+            let (name, outcome) = match () {
+                () if address_reused => ("moved", Outcome::AddressReused),
+                () if pause_requested => ("paused", Outcome::Paused),
+                () => ("refused", Outcome::Refused),
+            };
+            self.log_attempt(&choice, name);
+            attempt.complete(outcome);
             self.tried.push(choice.id);
             self.refusals += 1;
             return Err(self.retry_or_refuse(self.refusals < MAX_REFUSALS, Kind::Overloaded));
@@ -503,7 +474,7 @@
             return Err(self.handle_break(attempt, false));
         }
         self.runs += 1;
-        Ok(UpstreamResponse { attempt, connection, head, body, started })
+        Ok(UpstreamResponse { attempt, connection, head, body, started, pause_requested })
     }
 
     /// Handles a connection that broke, or gave no valid response, after the upstream may have run
@@ -538,7 +509,8 @@
         &mut self,
         upstream_response: UpstreamResponse<C>,
     ) -> Result<Option<Response<Body>>, Error> {
-        let UpstreamResponse { attempt, connection, head, body, started } = upstream_response;
+        let UpstreamResponse { attempt, connection, head, body, started, pause_requested } =
+            upstream_response;
         let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let read = match timeout_at(self.job.deadline, read).await {
             Err(_) => {
@@ -558,17 +530,19 @@
         };
         let choice = attempt.choice.clone();
         self.gateway.forget_crashes(self.job.fingerprint());
-        self.gateway.pool().put(&choice.id, choice.address, connection, &head.headers);
+        self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let response = self.build_response(&head, Body::Buffered(Full::new(read.to_bytes())));
         if !head.status.is_server_error() {
             attempt.complete(Outcome::Served(started.elapsed()));
             return Ok(Some(response));
         }
-        self.log_attempt(&choice, "failed");
-        attempt.complete(Outcome::Failed);
-        let fails_often = self.gateway.fleet().fails_often(&choice.id);
+        self.log_attempt(&choice, if pause_requested { "paused" } else { "failed" });
+        attempt.complete(if pause_requested { Outcome::Paused } else { Outcome::Failed });
+        let other_is_better = pause_requested || self.gateway.fleet().fails_often(&choice.id);
         self.tried.push(choice.id);
-        if fails_often && self.job.route.retry_policy == RetryPolicy::Idempotent && self.may_retry()
+        if other_is_better
+            && self.job.route.retry_policy == RetryPolicy::Idempotent
+            && self.may_retry()
         {
             self.failure = Some(response);
             return Ok(None);
@@ -584,13 +558,14 @@
             false => ONCE_MAX_IDLE,
         };
         loop {
-            let pooled = self.gateway.pool().take(&choice.id, choice.address, max_idle);
+            let pooled = self.gateway.pool().take(&choice.id, choice.incarnation.address, max_idle);
             let Some(mut pooled) = pooled else { break };
             if connection::wait_ready(&mut pooled).await {
                 return Some((pooled, true));
             }
         }
-        let connected = timeout(self.job.time_left(), Connection::connect(choice.address)).await;
+        let connected =
+            timeout(self.job.time_left(), Connection::connect(choice.incarnation.address)).await;
         Some((connected.ok()?.ok()?, false))
     }
 
@@ -702,6 +677,14 @@
         match denial {
             Denial::NoUpstream(wait) => self.refusal_error(Kind::NoUpstream, wait),
             Denial::Full(wait) => self.refusal_error(Kind::Overloaded, wait),
+            Denial::Paused(wait) if self.runs == 0 => {
+                let (service, wait_ms) = (&self.job.service, wait.as_millis());
+                let message = format!(
+                    "all upstreams of service {service} have asked for a pause, retry in {wait_ms} ms"
+                );
+                Error::new(Kind::Overloaded, message).with_retry_after(wait)
+            }
+            Denial::Paused(wait) => self.refusal_error(Kind::Overloaded, wait),
             Denial::Shed(retry, Pressure { load, wait, .. }) => {
                 let message = format!(
                     "engines have too much to do: load {load:.2}, first tokens after {wait:.2} of \
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
     fleet::{Choice, Denial, Fleet, Outcome, Query},
     host_settings::HostSettings,
     metric::Metrics,
+    obstacle::Obstacle,
     prelude::*,
     quarantine::{Crash, Fingerprint, Quarantine},
     replica::Row,
@@ -134,7 +135,7 @@
     }
 
     /// Returns whether the load balancer may send callers here: the host is not shutting down,
-    /// has a configuration and knows an upstream that is not draining.
+    /// has a configuration and knows an upstream that is not shutting down.
     pub fn is_ready(&self) -> bool {
         !self.draining.is_cancelled()
             && self.configuration.load().is_some()
@@ -253,7 +254,19 @@
         configuration: &Configuration,
         query: &Query<'_>,
     ) -> Result<Choice, Denial> {
-        self.fleet().choose(self.now(), configuration, query)
+        let chosen = self.fleet().choose(self.now(), configuration, query);
+        if let Err(Denial::Paused(_)) = chosen {
+            self.metrics.pause_refusals.inc();
+        }
+        chosen
+    }
+
+    /// Returns why a request for `model` must not be sent any more to the upstream that was chosen
+    /// for it; see [`Fleet::obstacle`].
+    pub fn obstacle(&self, choice: &Choice, model: Option<&Model>) -> Option<Obstacle> {
+        let obstacle = self.fleet().obstacle(self.now(), choice, model)?;
+        self.metrics.unsent_attempts.with_label_values(&[obstacle.name()]).inc();
+        Some(obstacle)
     }
 
     /// Reports the outcome of an attempt to the fleet. Idle connections are dropped if the address
@@ -335,8 +348,8 @@
         lock(&self.crashes).extend(crashes);
     }
 
-    /// Drops expired connections and quarantine entries, and logs which weight versions are no
-    /// longer used for new requests.
+    /// Drops expired connections, quarantine entries and responses' notices, and logs which weight
+    /// versions are no longer used for new requests.
     pub fn purge(&self) {
         for (model, min_version) in self.fleet().target_weights.take_expired(self.now()) {
             log::info!(model = model.as_str(), min_version = min_version;
@@ -344,6 +357,7 @@
         }
         self.pool().purge();
         lock(&self.quarantine).purge(self.now());
+        self.fleet().purge(self.now());
     }
 }
 
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -35,6 +35,14 @@
     pub dropped_frames: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Upstreams that were learned to shut down, by source: their responses, or other hosts.
+    pub departures: IntCounterVec,
+    /// Pauses that upstreams have asked for.
+    pub pauses: IntCounter,
+    /// Requests that were refused because all their upstreams had asked for a pause.
+    pub pause_refusals: IntCounter,
+    /// Attempts that were not sent because the chosen upstream changed meanwhile, by reason.
+    pub unsent_attempts: IntCounterVec,
     /// Calls to the table service, by outcome.
     pub table_calls: IntCounterVec,
     /// Violations by invariant, copied from [`violations`] when the metrics are exported.
@@ -89,6 +97,21 @@
                 &["reason"],
             )?,
             in_flight,
+            departures: counters(
+                "mothvale_upstream_departures_total",
+                "Upstreams learned to shut down",
+                &["source"],
+            )?,
+            pauses: counter("mothvale_upstream_pauses_total", "Pauses that upstreams asked for")?,
+            pause_refusals: counter(
+                "mothvale_pause_refusals_total",
+                "Requests refused because all their upstreams had asked for a pause",
+            )?,
+            unsent_attempts: counters(
+                "mothvale_unsent_attempts_total",
+                "Attempts not sent because the chosen upstream changed",
+                &["reason"],
+            )?,
             table_calls: counters(
                 "mothvale_table_calls_total",
                 "Calls to the table service",
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -9,8 +9,9 @@
     cache_index::Plan,
     codec::Codec,
     fleet::Outcome,
-    forward::{Body, Forwarder, InFlightAttempt, Truncated, UpstreamResponse},
+    forward::{Forwarder, InFlightAttempt, UpstreamResponse},
     prelude::*,
+    response_body::{Body, Truncated},
     sse::Decoder,
 };
 
@@ -73,7 +74,8 @@
         chunks: &mpsc::Sender<Result<Bytes, Truncated>>,
         last_event_id: &mut Option<u64>,
     ) -> RunEnd {
-        let UpstreamResponse { attempt, connection, head, mut body, started } = upstream_response;
+        let UpstreamResponse { attempt, connection, head, mut body, started, .. } =
+            upstream_response;
         let mut decoder = Decoder::default();
         let mut first_event_time = None;
         loop {
@@ -114,7 +116,7 @@
         }
         let choice = attempt.choice.clone();
         self.gateway.forget_crashes(self.job.fingerprint());
-        self.gateway.pool().put(&choice.id, choice.address, connection, &head.headers);
+        self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let first_event_time = first_event_time.unwrap_or_else(|| started.elapsed());
         let route = self.job.route.name.as_str();
         let total = self.job.received.elapsed();
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -52,6 +52,25 @@
     pub start_time_ms: u64,
 }
 
+/// Identifies one process of an upstream. The start time tells processes apart that had the same
+/// address one after the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Incarnation {
+    /// Address that the process listens on.
+    pub address: SocketAddr,
+    /// Start of the process, as in [`UpstreamRow::start_time_ms`]; 0 if not reported.
+    pub start_time_ms: u64,
+}
+
+impl Incarnation {
+    /// Returns whether this may be the process `other`. Without a start time it may be any process
+    /// at its address.
+    pub fn may_be(self, other: Incarnation) -> bool {
+        self.address == other.address
+            && (self.start_time_ms == other.start_time_ms || self.start_time_ms == 0)
+    }
+}
+
 /// The outcome of a request to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -62,6 +81,8 @@
     Failed,
     /// The upstream responded that it did not run the request.
     Refused,
+    /// The upstream turned the request away and asked for a pause.
+    Paused,
     /// The address belongs to another upstream, or to another process of this one.
     AddressReused,
     /// No connection could be established.
@@ -77,6 +98,11 @@
     pub fn weight_version(&self, model: &Model) -> Option<u32> {
         self.models.iter().find(|it| it.0 == *model).map(|it| it.1)
     }
+
+    /// Returns what identifies the process that the row is about.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { address: self.address, start_time_ms: self.start_time_ms }
+    }
 }
 
 /// The row of one upstream, with its load and health as seen from this host.
@@ -203,7 +229,8 @@
                 self.mark_disconnected(now, service);
                 self.record_failure(now, may_eject);
             }
-            Outcome::Cancelled => {}
+            // A pause says nothing about the upstream's health.
+            Outcome::Paused | Outcome::Cancelled => {}
         }
     }
 
