row_store: the era of the store in each answer, and since when a host knows it

Cause: the store may come back from a copy. It then lacks writes that it had acknowledged, gives versions out again, and names a newer era in all answers. No code knew the era.

Change: pages and committed writes carry the era. `era_watch::Watched` wraps the client and tells the gateway the era of every answer, also of conflicts, 410 and 503, with the time and the store's version of the first answer. Nothing uses it yet. A header that is missing is era 0, one that cannot be read too, with a log line.

On the former code the two new tests of `test_store` do not compile. Mutants of the new code: without the era of each response, both fail (`left: 0, right: 3`; `left: (0, Some((1, ..))) right: (1, None)`); without the era in pages, both fail; without the era of failed calls, `any_answer_tells_the_gateway_a_newer_era` fails.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -19,6 +19,7 @@
     codec::{Codec, OperatorUpdate},
     configuration::Configuration,
     connection::Pool,
+    era_watch::Sighting,
     fleet::{Choice, Denial, Fleet, Outcome, Query},
     host_settings::HostSettings,
     metric::Metrics,
@@ -54,6 +55,7 @@
     quarantine: Mutex<Quarantine>,
     crashes: Mutex<Vec<Crash>>,
     rollout: Mutex<Rollout>,
+    store_era: Mutex<Sighting>,
     active_requests: AtomicU32,
     /// Whether this host exchanges messages with other hosts.
     mesh_joined: AtomicBool,
@@ -95,6 +97,7 @@
             quarantine: Mutex::default(),
             crashes: Mutex::default(),
             rollout: Mutex::default(),
+            store_era: Mutex::default(),
             active_requests: AtomicU32::new(0),
             mesh_joined: AtomicBool::new(false),
         })
@@ -130,6 +133,16 @@
         lock(&self.rollout)
     }
 
+    /// Records the row store's era in an answer, and its version if the answer told it.
+    pub fn observe_store_era(&self, era: u64, version: Option<u64>) {
+        lock(&self.store_era).observe(self.now(), era, version);
+    }
+
+    /// Returns the row store's newest era that this host has seen.
+    pub fn store_era(&self) -> Sighting {
+        *lock(&self.store_era)
+    }
+
     /// Returns whether the load balancer may send callers here: the host is not shutting down,
     /// has a configuration and knows an upstream that is not draining.
     pub fn is_ready(&self) -> bool {
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -19,6 +19,7 @@
 use crate::{
     cache_gc, cache_watch,
     codec::Codec,
+    era_watch::Watched,
     gateway::Gateway,
     gateway_server,
     host_settings::HostSettings,
@@ -125,6 +126,7 @@
         let identity = Identity::generate(&gateway.host_settings.host)?;
         thread::Builder::new().name("control".into()).spawn(move || {
             let row_store = connect(gateway.host_settings.store_address);
+            let row_store = Watched { gateway: gateway.clone(), row_store };
             control.block_on(run_control(gateway, row_store, &identity));
         })?;
         traffic.block_on(serve_traffic(self.gateway, reload))
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod connection;
 pub mod control;
 pub mod engine;
+pub mod era_watch;
 pub mod error;
 pub mod ewma;
 pub mod fault;
--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -42,6 +42,8 @@
     pub version: u64,
     /// The store's monotonic clock when it responded.
     pub clock: Duration,
+    /// The store's era, which rises each time it comes back from a copy; 0 if it names none.
+    pub era: u64,
 }
 
 /// One write of a row.
@@ -67,6 +69,8 @@
         version: u64,
         /// The store's monotonic clock when it responded.
         clock: Duration,
+        /// The store's era; 0 if it names none.
+        era: u64,
     },
     /// The row did not have the expected version; nothing was written.
     Conflict,
@@ -111,4 +115,10 @@
         &self,
         write: Write,
     ) -> impl Future<Output = Result<WriteOutcome, RowStoreError>> + Send;
+
+    /// Returns the newest era of all answers so far, also of errors and conflicts; 0 if the store
+    /// names none.
+    fn newest_era(&self) -> u64 {
+        0
+    }
 }
