lease: hold nothing of a former era of the row store

Cause: when the store comes back from a copy, the lease's row may be an older one, and its versions are given out again. A host that read it took the lease while the former holder, whose row was gone, still gave orders; tokens counted on from the older row, so two hosts used the same one; and a renewal with a version of the former era could replace the row of another holder.

Change: tokens start at era x 2^42 and follow the version of the row that is replaced. A holder stops at the first answer of a newer era to any call, and takes the lease again at once while its lease would still run. All others wait the longest lease and the takeover delay, by their own clock, from when they first saw the era, or from when they first saw a row of a former era that came later. Writes decided on in a former era are not sent, and answers of another era than the write's give no lease. Target times in a former clock are forgotten; those a host knows by its own clock go into the row with the first write; of two times the earlier one is kept. A time ahead of a clock that went back is unknown. Without the header, tokens and waits are those of before.

`test_lease` is unchanged.

The loop in `rollout` that drives it has no test of its own for a rise.

--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -3,11 +3,16 @@
 //!
 //! Times in the row are by the row store's monotonic clock, which hosts cannot influence. A holder
 //! counts its own time from before it read that clock, so it stops acting on the lease before the
-//! lease ends by the row. No I/O.
+//! lease ends by the row.
+//!
+//! When the row store comes back from a copy, rows that it had acknowledged may be gone, and its
+//! versions are given out again. Nothing of a former era is relied on then: fencing tokens tell the
+//! era in which they were taken, a lease of a former era ends at once for its holder, and the others
+//! wait by their own clocks until it must have ended. No I/O.
 
 use serde::{Deserialize, Serialize};
 
-use crate::prelude::*;
+use crate::{era_watch::Sighting, prelude::*};
 
 /// Time for which a lease is acquired. It is renewed while there is work.
 const LEASE_DURATION: Duration = Duration::from_millis(1300);
@@ -17,6 +22,12 @@
 /// check of the lease and the action that follows it.
 const SAFETY_MARGIN: Duration = Duration::from_millis(200);
 
+/// Fencing tokens of an era of the row store start at the era times this, above all tokens of former
+/// eras. Leaves room for the versions of one era: 4,000 a second for 30 years.
+const TOKENS_PER_ERA: u64 = 1 << 42;
+/// Number of eras that have tokens. Tokens are JSON numbers, which are exact below 2^53.
+const ERAS_WITH_TOKENS: u64 = 1 << 11;
+
 /// Most target weight versions that a row keeps: enough for those whose rollout bound may not have
 /// ended.
 const MAX_TARGETS: usize = 8;
@@ -48,6 +59,16 @@
     pub targets: Vec<Target>,
 }
 
+impl LeaseRow {
+    /// Returns how long ago a target of this row was set, by the row store's clock in a response of
+    /// this era. Returns `None` if it is unknown: the clock of a former era was ahead of this one.
+    pub fn target_age(&self, target: &Target, clock: Duration, era: u64) -> Option<Duration> {
+        let since = Duration::from_millis(target.since_ms);
+        let is_ahead = token_era(self.fence) < era && since > clock;
+        (!is_ahead).then(|| clock.saturating_sub(since))
+    }
+}
+
 /// Next action for the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -66,6 +87,20 @@
     Hold,
 }
 
+/// A rise of the row store's era, as a host learns of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rise {
+    /// The former era.
+    pub from: u64,
+    /// The present era.
+    pub to: u64,
+    /// Whether this host's lease of the former era was running. It may acquire the lease again at
+    /// once.
+    pub was_held: bool,
+    /// How long this host waits before it acquires the lease, unless it finds a row of the present era.
+    pub wait: Duration,
+}
+
 /// One host's view of the lease.
 #[derive(Clone, Debug)]
 pub struct Lease {
@@ -78,6 +113,13 @@
     /// Version of a stored row that cannot be read, and the row store's clock when this host first saw
     /// it, in milliseconds.
     unreadable: Option<(u64, u64)>,
+    /// The newest era of the row store.
+    store_era: Sighting,
+    /// When this host's lease of a former era ends by its own clock, if it has not been acquired again
+    /// since the era rose. No other host can have acquired the lease before.
+    former_until: Option<Instant>,
+    /// Version of a stored row that was written in a former era, and when this host first saw it.
+    former_row: Option<(u64, Instant)>,
     /// Latest time at which this host may have acted, or the previous holder if this one has not,
     /// in milliseconds of the row store's clock.
     last_activity_ms: u64,
@@ -109,10 +151,56 @@
             held: None,
             targets: Vec::new(),
             unreadable: None,
+            store_era: Sighting::default(),
+            former_until: None,
+            former_row: None,
             last_activity_ms: 0,
         }
     }
 
+    /// Records the newest era of the row store that this host has seen. When it rises, this host does
+    /// not hold the lease any more, and forgets what is only true of the former era: versions, and
+    /// times of the store's clock. Returns the rise.
+    pub fn observe_era(&mut self, now: Instant, store_era: Sighting) -> Option<Rise> {
+        let former = self.store_era.era;
+        if store_era.era < former {
+            return None;
+        }
+        self.store_era = store_era;
+        if store_era.era == former {
+            return None;
+        }
+        let was_held = self.fencing_token(now).is_some();
+        if let Some(held) = self.held.take() {
+            self.former_until = Some(held.until);
+        }
+        self.targets.clear();
+        self.unreadable = None;
+        self.former_row = None;
+        let free_at = match self.is_former_holder(now) {
+            true => now,
+            false => store_era.first_seen + LEASE_DURATION + self.takeover_delay,
+        };
+        Some(Rise { from: former, to: store_era.era, was_held, wait: free_at.since(now) })
+    }
+
+    /// Returns whether this host's lease of a former era would still run, so that it need not wait to
+    /// acquire the lease again.
+    pub fn is_former_holder(&self, now: Instant) -> bool {
+        self.former_until.is_some_and(|it| now + SAFETY_MARGIN < it)
+    }
+
+    /// Returns the newest era of the row store that this host has seen.
+    pub fn store_era(&self) -> u64 {
+        self.store_era.era
+    }
+
+    /// Returns whether a row was decided on in the present era of the store. A write of a row of a
+    /// former era must not be sent: the store may have given out the expected version again.
+    pub fn is_current(&self, row: &LeaseRow) -> bool {
+        token_era(row.fence) == self.store_era.era
+    }
+
     /// Returns the fencing token while this host holds the lease.
     pub fn fencing_token(&self, now: Instant) -> Option<u64> {
         let held = self.held.as_ref()?;
@@ -126,7 +214,7 @@
 
     /// Decides whether to acquire, renew, keep or wait for the lease. `row` is the stored row with
     /// its version, `requested_at` the time before it was requested, `clock` the row store's clock
-    /// in the response.
+    /// in the response. The response is of the era that was observed last.
     pub fn next_action(
         &mut self,
         requested_at: Instant,
@@ -137,22 +225,29 @@
             self.add_targets(row.targets.clone());
         }
         let now_ms = millis(clock);
-        let until_ms = now_ms + millis(LEASE_DURATION);
-        let new_row = |fence| LeaseRow {
-            holder: self.host.to_string(),
-            boot: self.boot,
-            fence,
-            until_ms,
-            targets: self.targets.clone(),
-        };
-        let until = requested_at + LEASE_DURATION;
+        let era = self.store_era.era;
+        // Without a row, no host has acquired the lease in the present era.
+        let row_era = row.as_ref().map_or(0, |it| token_era(it.0.fence));
         match row {
-            None => Action::Write { row: new_row(1), expected_version: 0, until },
+            Some((row, version)) if row_era > era => {
+                // Either the store does not name its era any more, or another program wrote the row.
+                log::error!(fence = row.fence, version = version, era = era;
+                    "lease row is of a later era than the row store; no orders are given");
+                Action::Wait(LEASE_DURATION + self.takeover_delay)
+            }
+            row if row_era < era => {
+                let version = row.map_or(0, |it| it.1);
+                let free_at = self.former_era_end(requested_at, version);
+                if requested_at < free_at {
+                    return Action::Wait(free_at.since(requested_at));
+                }
+                self.last_activity_ms = now_ms;
+                self.write_action(requested_at, clock, self.era_token(version), version)
+            }
+            None => self.write_action(requested_at, clock, Some(1), 0),
             Some((row, version)) if self.is_own(&row) && row.until_ms > now_ms => {
                 match self.needs_renewal(requested_at) {
-                    true => {
-                        Action::Write { row: new_row(row.fence), expected_version: version, until }
-                    }
+                    true => self.write_action(requested_at, clock, Some(row.fence), version),
                     false => Action::Hold,
                 }
             }
@@ -164,11 +259,65 @@
                     return Action::Wait(Duration::from_millis(free_at_ms - now_ms));
                 }
                 self.last_activity_ms = row.until_ms;
-                Action::Write { row: new_row(row.fence + 1), expected_version: version, until }
+                let fence = match era {
+                    0 => Some(row.fence + 1).filter(|it| token_era(*it) == 0),
+                    _ => self.era_token(version),
+                };
+                self.write_action(requested_at, clock, fence, version)
             }
         }
     }
 
+    /// Returns when any lease of a former era has ended, and the takeover delay after it, if the
+    /// stored row is of a former era. `version` is the row's version, 0 if there is none.
+    fn former_era_end(&mut self, now: Instant, version: u64) -> Instant {
+        if self.is_former_holder(now) {
+            return now;
+        }
+        // A write of a former era may be carried out late and replace the row of a holder of the
+        // present era. So the time counts from when the row is known to have been there.
+        let known_since = match (version, self.store_era.version) {
+            (0, _) => self.store_era.first_seen,
+            (_, Some((newest, at))) if version <= newest => at,
+            _ => match self.former_row {
+                Some((seen, at)) if seen == version => at,
+                _ => now,
+            },
+        };
+        self.former_row = Some((version, known_since));
+        known_since + LEASE_DURATION + self.takeover_delay
+    }
+
+    /// Returns the fencing token of the host that replaces a row with this version in the present
+    /// era. Each version is replaced once in an era, so each token has one holder.
+    fn era_token(&self, version: u64) -> Option<u64> {
+        let fits = self.store_era.era < ERAS_WITH_TOKENS && version < TOKENS_PER_ERA - 1;
+        fits.then(|| self.store_era.era * TOKENS_PER_ERA + version + 1)
+    }
+
+    /// Returns the write that acquires or renews the lease; waits if there is no fencing token.
+    fn write_action(
+        &self,
+        requested_at: Instant,
+        clock: Duration,
+        fence: Option<u64>,
+        expected_version: u64,
+    ) -> Action {
+        let Some(fence) = fence else {
+            log::error!(version = expected_version, era = self.store_era.era;
+                "no fencing token for this era and version of the row store; no orders are given");
+            return Action::Wait(LEASE_DURATION + self.takeover_delay);
+        };
+        let row = LeaseRow {
+            holder: self.host.to_string(),
+            boot: self.boot,
+            fence,
+            until_ms: millis(clock + LEASE_DURATION),
+            targets: self.targets.clone(),
+        };
+        Action::Write { row, expected_version, until: requested_at + LEASE_DURATION }
+    }
+
     /// Decides what to do about a stored row that cannot be read: it is replaced once any lease in it
     /// must have ended. `version` is the row's version; the other arguments are those of
     /// [`next_action`](Self::next_action).
@@ -189,18 +338,12 @@
             return Action::Wait(Duration::from_millis(free_at_ms - now_ms));
         }
         self.last_activity_ms = now_ms;
-        let row = LeaseRow {
-            holder: self.host.to_string(),
-            boot: self.boot,
-            // Each fencing token took a write, and each write a version.
-            fence: version + 1,
-            until_ms: now_ms + millis(LEASE_DURATION),
-            targets: self.targets.clone(),
-        };
-        Action::Write { row, expected_version: version, until: requested_at + LEASE_DURATION }
+        // Each fencing token took a write, and each write a version.
+        self.write_action(requested_at, clock, self.era_token(version), version)
     }
 
-    /// Records that a row was written, so this host holds the lease. `sent_at` is the time before
+    /// Records that a row was written, so this host holds the lease, unless the row store's era has
+    /// risen since the row was decided on. `sent_at` is the time before
     /// the write was sent, `store_clock` the row store's clock in the response.
     pub fn record_write(
         &mut self,
@@ -210,6 +353,11 @@
         sent_at: Instant,
         store_clock: Duration,
     ) {
+        if !self.is_current(&row) {
+            self.held = None;
+            return;
+        }
+        self.former_until = None;
         self.held = Some(Held { row, version, until, sent_at, store_clock });
     }
 
@@ -238,14 +386,14 @@
         Some(held.store_clock + now.since(held.sent_at))
     }
 
-    /// Adds target weight versions to those that are stored with the lease. Versions that are
-    /// known already keep their time.
+    /// Adds target weight versions to those that are stored with the lease. Of two times of the same
+    /// version the earlier one is kept, so that no host takes it for younger than it is.
     pub fn add_targets(&mut self, targets: Vec<Target>) {
         for target in targets {
-            let known =
-                |it: &Target| (it.model == target.model, it.version) == (true, target.version);
-            if !self.targets.iter().any(known) {
-                self.targets.push(target);
+            let known = |it: &&mut Target| it.model == target.model && it.version == target.version;
+            match self.targets.iter_mut().find(known) {
+                Some(known) => known.since_ms = known.since_ms.min(target.since_ms),
+                None => self.targets.push(target),
             }
         }
         self.targets.sort_by_key(|it| it.since_ms);
@@ -279,6 +427,11 @@
     }
 }
 
+/// Returns the era of the row store in which a fencing token was taken.
+fn token_era(fence: u64) -> u64 {
+    fence / TOKENS_PER_ERA
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -301,6 +301,22 @@
     C: Codec,
     L: RowStore,
 {
+    /// Returns whether this host holds the lease, also by the newest answer of the row store.
+    fn holds_lease(&mut self) -> bool {
+        self.observe_era();
+        self.lease.fencing_token(self.gateway.now()).is_some()
+    }
+
+    /// Tells the lease the row store's newest era that this host has seen.
+    fn observe_era(&mut self) {
+        let store_era = self.gateway.store_era();
+        if let Some(rise) = self.lease.observe_era(self.gateway.now(), store_era) {
+            log::info!(era = rise.to, former = rise.from, held = rise.was_held,
+                wait_ms = rise.wait.as_millis() as u64;
+                "row store's era has risen, lease of the former era has ended");
+        }
+    }
+
     /// Acquires the lease, or waits for it to become free, and gives orders while it is held.
     async fn run_under_lease(&mut self) {
         self.give_orders().await;
@@ -311,14 +327,16 @@
     /// Gives orders until none are needed, the lease is lost or this host drains. First acquires
     /// the lease if this host does not hold it.
     async fn give_orders(&mut self) {
-        if self.lease.fencing_token(self.gateway.now()).is_none() {
-            sleep(self.rank_delay()).await;
+        if !self.holds_lease() {
+            if !self.lease.is_former_holder(self.gateway.now()) {
+                sleep(self.rank_delay()).await;
+            }
             if self.gateway.fleet().outdated().is_empty() || self.gateway.draining.is_cancelled() {
                 return;
             }
             self.acquire_lease().await;
         }
-        while self.lease.fencing_token(self.gateway.now()).is_some() {
+        while self.holds_lease() {
             if self.gateway.draining.is_cancelled() {
                 return;
             }
@@ -351,13 +369,15 @@
             let requested_at = self.gateway.now();
             match self.row_store.read_table(Table::Leases).await {
                 Ok(page) => {
-                    let targets = match lease_row(&page) {
-                        StoredLease::Row(row, _) => row.targets,
-                        StoredLease::Missing | StoredLease::Unreadable(_) => Vec::new(),
-                    };
-                    for it in targets {
-                        let age = page.clock.saturating_sub(Duration::from_millis(it.since_ms));
-                        let model = Model::new(it.model);
+                    let StoredLease::Row(row, _) = lease_row(&page) else { return };
+                    for it in &row.targets {
+                        let Some(age) = row.target_age(it, page.clock, page.era) else {
+                            log::warn!(model = it.model.as_str(), version = it.version,
+                                since_ms = it.since_ms, era = page.era;
+                                "row store's clock went back, age of a target version is unknown");
+                            continue;
+                        };
+                        let model = Model::new(it.model.clone());
                         self.gateway.fleet().target_weights.record_age(
                             requested_at,
                             &model,
@@ -379,7 +399,13 @@
     /// Adds the targets whose time of setting this host knows to those written to the lease row.
     fn record_targets(&mut self) {
         let now = self.gateway.now();
-        let Some(clock) = self.lease.store_time(now) else { return };
+        if let Some(clock) = self.lease.store_time(now) {
+            self.record_targets_at(now, clock);
+        }
+    }
+
+    /// Adds these targets, with the row store's clock at the local time `now`.
+    fn record_targets_at(&mut self, now: Instant, clock: Duration) {
         let targets = self.gateway.fleet().target_weights.known_times().into_iter();
         let target = |(model, version, since): (Model, u32, Instant)| Target {
             model: model.to_string(),
@@ -406,6 +432,15 @@
                 return;
             }
         };
+        self.observe_era();
+        if page.era != self.lease.store_era() {
+            log::info!(era = page.era, newest = self.lease.store_era();
+                "lease row of a former era of the row store is not used");
+            sleep(RETRY_DELAY).await;
+            return;
+        }
+        // The row may have lost targets that this host knows.
+        self.record_targets_at(requested_at, page.clock);
         let (action, previous) = match lease_row(&page) {
             StoredLease::Unreadable(version) => {
                 (self.lease.replace_unreadable(requested_at, page.clock, version), String::new())
@@ -465,8 +500,19 @@
     }
 
     /// Writes the lease row if it has the expected version. Returns its new version and the row
-    /// store's clock, or `None` if it was not written or the outcome is unknown.
-    async fn write_row(&self, row: &LeaseRow, expected_version: u64) -> Option<(u64, Duration)> {
+    /// store's clock, or `None` if it was not written, the outcome is unknown, or the row store's era
+    /// has risen since the row was decided on.
+    async fn write_row(
+        &mut self,
+        row: &LeaseRow,
+        expected_version: u64,
+    ) -> Option<(u64, Duration)> {
+        self.observe_era();
+        if !self.lease.is_current(row) {
+            log::info!(fence = row.fence, era = self.lease.store_era();
+                "lease row was decided on in a former era of the row store and is not written");
+            return None;
+        }
         let write = Write {
             table: Table::Leases,
             key: FastStr::from_static_str(LEASE_KEY),
@@ -474,8 +520,19 @@
             value: Some(serde_json::to_vec(row).unwrap_or_default().into()),
             expected_version: Some(expected_version),
         };
-        match self.row_store.write(write).await {
-            Ok(WriteOutcome::Committed { version, clock, .. }) => Some((version, clock)),
+        let result = self.row_store.write(write).await;
+        self.observe_era();
+        match result {
+            Ok(WriteOutcome::Committed { version, clock, era })
+                if era == self.lease.store_era() && self.lease.is_current(row) =>
+            {
+                Some((version, clock))
+            }
+            Ok(WriteOutcome::Committed { era, .. }) => {
+                log::info!(fence = row.fence, era = era, newest = self.lease.store_era();
+                    "lease row was written in another era than it was decided on");
+                None
+            }
             Ok(WriteOutcome::Conflict) => None,
             Err(err) => {
                 log::warn!(error = err.to_string().as_str();
@@ -572,6 +629,10 @@
         WeightState::Busy => return Outcome::NoOrder,
         WeightState::Outdated => {}
     }
+    // The lease may have been lost since this task began: another call may have got an answer of a
+    // newer era of the row store.
+    let mut lease = lease.clone();
+    lease.observe_era(gateway.now(), gateway.store_era());
     let Some(fence) = lease.fencing_token(gateway.now()) else { return Outcome::Failed };
     let order = Order {
         model: model.as_str(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_group_commit;
 mod test_health_tracker;
 mod test_lease;
+mod test_lease_era;
 mod test_log;
 mod test_path;
 mod test_settings;
