rollout: acquire the lease again at once when its own write tells the rise

Cause: after a renewal that gave no lease, the loop pauses for 800 ms. When the renewal's answer was the first of a newer era, the lease of the former era had ended by its own clock after the pause, and the host waited like all others.

Change: no pause if the write itself told the rise and the lease would still run.

--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -473,7 +473,7 @@
     /// `previous` is the former holder, empty for a renewal or if there was no row.
     async fn write_lease(&mut self, action: Action, previous: &str) {
         let Action::Write { row, expected_version, until } = action else { return };
-        let sent_at = self.gateway.now();
+        let (sent_at, era) = (self.gateway.now(), self.lease.store_era());
         match self.write_row(&row, expected_version).await {
             Some((version, clock)) => {
                 if !previous.is_empty() || expected_version == 0 {
@@ -484,7 +484,11 @@
             // The next read shows whether the row was written.
             None => {
                 self.lease.mark_lost();
-                sleep(RETRY_DELAY).await;
+                // A host whose lease would still run has only that long to acquire it again at once.
+                let has_risen = self.lease.store_era() > era;
+                if !(has_risen && self.lease.is_former_holder(self.gateway.now())) {
+                    sleep(RETRY_DELAY).await;
+                }
             }
         }
     }
