--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod control;
 pub mod departure;
 pub mod engine;
+pub mod era_watch;
 pub mod error;
 pub mod ewma;
 pub mod fault;
