row_store: answers carry the store's era

Cause: the store can come back from a copy some seconds old, and then gives its versions out again. Nothing told the versions before from those after.

Pages of two eras are not put together to a table: the read has to start again.

Conclusion: what follows can order what it knows by era, then version.

--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -475,7 +475,7 @@
             expected_version: Some(expected_version),
         };
         match self.row_store.write(write).await {
-            Ok(WriteOutcome::Committed { version, clock }) => Some((version, clock)),
+            Ok(WriteOutcome::Committed { version, clock, .. }) => Some((version, clock)),
             Ok(WriteOutcome::Conflict) => None,
             Err(err) => {
                 log::warn!(error = err.to_string().as_str();
--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -40,6 +40,8 @@
     pub rows: Vec<Row>,
     /// The store's version that the rows are as of.
     pub version: u64,
+    /// How often the store has come back from a copy. Versions are comparable only within an era.
+    pub era: u64,
     /// The store's monotonic clock when it responded.
     pub clock: Duration,
 }
@@ -65,6 +67,8 @@
     Committed {
         /// The store's version after the write.
         version: u64,
+        /// The store's era in which the write was done.
+        era: u64,
         /// The store's monotonic clock when it responded.
         clock: Duration,
     },
@@ -75,7 +79,8 @@
 /// Failure of a call to the row store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ThisError)]
 pub enum RowStoreError {
-    /// The store no longer has all changes after the given version.
+    /// The store no longer has all changes after the given version, or came back from a copy while
+    /// a table was read. The whole table has to be read.
     #[error("the changes were compacted")]
     Compacted,
     /// The store refused the call with this HTTP status; nothing was done.
