replica, table_sync, mesh: era first, then version

Cause: after the store has come back from a copy its versions are lower and are given out again. A replica at version 34 ignored what was written as version 4, asked for whole tables without end, and other hosts that still knew the former rows pulled it back. The property test found two more faults of the same kind, which need no copy: late rows from another host brought a removed row back, and a host that had read a whole table passed changes on as complete although it did not know the removals before them.

Change: `replica::Revision` orders by era, then version, and is used wherever a version of the store is compared, cached or exchanged. A replica refuses changes that do not continue it: of another era, or with a gap. A rise needs a whole read; all tables are read again, spread over 0.3 s, and calls that wait for changes of the former era are given up. A 410 means the same without a rise. Answers of a former era change nothing. Gossip, `Wanted`, `Rows`, `Pull` and `Pulled` carry the era; a sender that does not know all changes since the receiver's revision sends the whole table, and rows of a former era are ignored.

Conclusion: hosts follow the store over its eras, in whatever order they learn of them.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -20,6 +20,7 @@
     configuration::Configuration,
     connection::Pool,
     fleet::{Choice, Denial, Fleet, Outcome, Query},
+    holdover::Holdover,
     host_settings::HostSettings,
     metric::Metrics,
     prelude::*,
@@ -48,6 +49,7 @@
     clock: Clock,
     configuration: ArcSwapOption<Configuration>,
     fleet: Mutex<Fleet>,
+    holdover: Mutex<Holdover>,
     pool: Mutex<Pool>,
     cache_index: Mutex<Index>,
     retry_budgets: Mutex<HashMap<Service, RetryBudget>>,
@@ -81,6 +83,7 @@
     pub fn new(host_settings: HostSettings, codec: C) -> Result<Self, prometheus::Error> {
         Ok(Gateway {
             fleet: Mutex::new(Fleet::new(&host_settings)),
+            holdover: Mutex::new(Holdover::new(&host_settings)),
             host_settings,
             codec,
             metrics: Metrics::new()?,
@@ -115,6 +118,11 @@
         lock(&self.fleet)
     }
 
+    /// Locks what stays in force after the row store has come back from a copy.
+    pub fn holdover(&self) -> MutexGuard<'_, Holdover> {
+        lock(&self.holdover)
+    }
+
     /// Locks the pool of idle connections to upstreams.
     pub fn pool(&self) -> MutexGuard<'_, Pool> {
         lock(&self.pool)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod generated;
 pub mod group_commit;
 pub mod health_tracker;
+pub mod holdover;
 pub mod hop_by_hop;
 pub mod host;
 pub mod host_list;
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -31,7 +31,7 @@
     prelude::*,
     quarantine::{Crash, Fingerprint},
     rendezvous,
-    replica::Row,
+    replica::{Revision, Row},
     row_store::{RowStore, Table},
     store_link::Demands,
     table_sync::{SYNCED_TABLES, TableSync},
@@ -98,8 +98,17 @@
     /// Gossip of the last [`RELAY_WINDOW`], which a leader relays in a large mesh.
     recent_gossip: Mutex<Vec<RecentGossip>>,
     election: Mutex<Election>,
-    /// Decoded rows of the hosts table, with the table version that they were decoded at.
-    host_rows_cache: Mutex<(u64, Arc<HashMap<Host, HostRow>>)>,
+    host_rows_cache: Mutex<HostRowsCache>,
+}
+
+/// Decoded rows of the hosts table.
+#[derive(Default)]
+struct HostRowsCache {
+    /// Revision of the table when they were decoded.
+    revision: Revision,
+    /// Number of rows that the table then retained.
+    retained: usize,
+    rows: Arc<HashMap<Host, HostRow>>,
 }
 
 /// Gossip to relay.
@@ -161,8 +170,9 @@
     fn host_rows(&self) -> Arc<HashMap<Host, HostRow>> {
         let replica = self.table_sync.replicas.table(Table::Hosts);
         let mut cached = self.host_rows_cache.lock().unwrap_or_else(PoisonError::into_inner);
-        if cached.0 == replica.version() {
-            return cached.1.clone();
+        let (revision, retained) = (replica.revision(), replica.retained_count());
+        if (cached.revision, cached.retained) == (revision, retained) {
+            return cached.rows.clone();
         }
         let rows = replica.rows().filter_map(|row| {
             let host = Host::new(row.key.clone());
@@ -175,8 +185,8 @@
                 }
             }
         });
-        *cached = (replica.version(), Arc::new(rows.collect()));
-        cached.1.clone()
+        *cached = HostRowsCache { revision, retained, rows: Arc::new(rows.collect()) };
+        cached.rows.clone()
     }
 
     /// Returns the hosts that this one keeps connections to: all others in a small mesh, otherwise
@@ -355,7 +365,8 @@
                 fingerprint = crash.request; "another host reported an upstream crash");
             gateway.record_remote_crash(&decode_crash(crash));
         }
-        if gossip.operators > self.table_sync.replicas.table(Table::Operators).version() {
+        let operators = Revision { era: gossip.operators_era, version: gossip.operators };
+        if operators > self.revision(Table::Operators) {
             self.table_sync.replicas.set_newer_peer(host);
         }
         let demands = gossip.demands.iter().map(|it| (it.store, it.tokens)).collect();
@@ -396,10 +407,12 @@
             suspected: it.suspected,
         });
         let demands = gateway.cache_index().links().combined(gateway.now(), |_| false);
+        let operators = self.revision(Table::Operators);
         Gossip {
             loads: encode_loads(gateway.fleet().loads()),
             crashes: crashes.collect(),
-            operators: self.table_sync.replicas.table(Table::Operators).version(),
+            operators: operators.version,
+            operators_era: operators.era,
             loading,
             loaded: loaded.collect(),
             zone: false,
@@ -426,14 +439,26 @@
         self.recent_gossip.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the rows of a table that changed after a version, or `None` if there is no table
+    /// Returns the revision up to which this host knows a table.
+    fn revision(&self, table: Table) -> Revision {
+        self.table_sync.replicas.table(table).revision()
+    }
+
+    /// Returns the rows of a table that changed after a revision, or `None` if there is no table
     /// with the requested index.
     fn changed_rows(&self, wanted: &Wanted) -> Option<peer::Rows> {
         let table = *SYNCED_TABLES.get(wanted.table as usize)?;
         let replica = self.table_sync.replicas.table(table);
-        let rows = replica.changes_since(wanted.version).into_iter();
+        let known = Revision { era: wanted.era, version: wanted.version };
+        let rows = replica.changes_since(known).into_iter();
         let row = |it: Row| peer::Row { key: it.key, value: it.value, version: it.version };
-        Some(peer::Rows { version: replica.version(), rows: rows.map(row).collect() })
+        let revision = replica.revision();
+        Some(peer::Rows {
+            version: revision.version,
+            era: revision.era,
+            whole: !replica.has_changes_since(known),
+            rows: rows.map(row).collect(),
+        })
     }
 
     /// Sends gossip to the other hosts. In a large mesh, only leaders send it, to each other, for their
@@ -524,28 +549,36 @@
     /// table's index in [`SYNCED_TABLES`].
     async fn fetch_changes(&self, host: &Host, connection: &Connection, table_index: usize) {
         let table = SYNCED_TABLES[table_index];
-        let known_version = self.table_sync.replicas.table(table).version();
-        let wanted =
-            question::Body::Wanted(Wanted { table: table_index as u32, version: known_version });
-        let Some(bytes) = call(connection, wanted).await else { return };
+        let known = self.revision(table);
+        let wanted = wanted(table_index, known);
+        let Some(bytes) = call(connection, question::Body::Wanted(wanted)).await else { return };
         let Ok(rows) = peer::Rows::decode(bytes) else { return };
-        if rows.version <= known_version {
+        if (Revision { era: rows.era, version: rows.version }) <= known {
             return;
         }
-        log::info!(peer = host.as_str(), table = table.name(), known = known_version,
-            version = rows.version, rows = rows.rows.len(); "received rows from another host");
-        self.apply_changes(table, rows);
+        log::info!(peer = host.as_str(), table = table.name(), known_era = known.era,
+            known = known.version, era = rows.era, version = rows.version,
+            rows = rows.rows.len(); "received rows from another host");
+        self.apply_rows(host, table, known, rows);
     }
 
-    fn apply_changes(&self, table: Table, rows: peer::Rows) {
+    /// Applies rows that another host has sent: all rows of a table, or the changes since the revision
+    /// `known`. Returns whether this host now knows at least what the other one does; it does not if
+    /// the rows are of a former era of the row store.
+    fn apply_rows(&self, host: &Host, table: Table, known: Revision, rows: peer::Rows) -> bool {
+        let revision = Revision { era: rows.era, version: rows.version };
         let row = |it: peer::Row| Row { key: it.key, value: it.value, version: it.version };
         let changes = rows.rows.into_iter().map(row).collect();
-        let (new_rows, initial) = {
-            let mut replica = self.table_sync.replicas.table(table);
-            let initial = replica.version() == 0;
-            (replica.apply_changes(changes, rows.version), initial)
-        };
-        self.table_sync.handle_changes(table, &new_rows, initial);
+        let is_former = revision.era < self.revision(table).era;
+        if is_former || !rows.whole && revision.era != known.era {
+            log::debug!(peer = host.as_str(), table = table.name(), known_era = known.era,
+                era = revision.era, version = revision.version;
+                "rows of another era from another host are ignored");
+            return false;
+        }
+        self.table_sync.record_era(revision.era, host.as_str());
+        self.table_sync.apply(table, changes, known, revision, rows.whole);
+        true
     }
 
     /// Pulls from the leader of the zone what this host would otherwise read itself: the tables of
@@ -604,13 +637,15 @@
         };
         // Each lock is released before the next one is taken.
         let cursors = gateway.cache_index().cursors();
-        let upstreams = self.table_sync.replicas.table(Table::Upstreams).version();
-        let hosts = self.table_sync.replicas.table(Table::Hosts).version();
+        let known_upstreams = self.revision(Table::Upstreams);
+        let known_hosts = self.revision(Table::Hosts);
         let pull = Pull {
-            upstreams,
+            upstreams: known_upstreams.version,
+            upstreams_era: known_upstreams.era,
             stores: cursors.into_iter().map(mark).collect(),
             own: self.is_large_mesh().then(|| self.take_own_gossip()),
-            hosts,
+            hosts: known_hosts.version,
+            hosts_era: known_hosts.era,
         };
         let crashes = pull.own.as_ref().map(|it| it.crashes.clone()).unwrap_or_default();
         let Some(bytes) = call(&connection, question::Body::Pull(pull)).await else {
@@ -624,9 +659,11 @@
             return false;
         }
         let Some(upstreams) = pulled.upstreams else { return false };
-        self.apply_changes(Table::Upstreams, upstreams);
+        if !self.apply_rows(host, Table::Upstreams, known_upstreams, upstreams) {
+            return false;
+        }
         if let Some(hosts) = pulled.hosts {
-            self.apply_changes(Table::Hosts, hosts);
+            self.apply_rows(host, Table::Hosts, known_hosts, hosts);
         }
         if let Some(others) = pulled.others {
             self.apply_gossip(host, others);
@@ -656,7 +693,6 @@
     /// this host is draining.
     fn answer_pull(&self, requester: &Host, pull: Pull) -> Option<peer::Pulled> {
         let gateway = &self.table_sync.gateway;
-        let replicas = &self.table_sync.replicas;
         let now = gateway.now();
         if gateway.draining.is_cancelled() {
             return None;
@@ -665,17 +701,21 @@
             self.apply_gossip(requester, own);
             let loads = gateway.fleet().combined_loads(|it| it != requester);
             let demands = gateway.cache_index().links().combined(now, |it| it != requester);
+            let operators = self.revision(Table::Operators);
             let mut others = Gossip {
                 loads: encode_loads(loads),
                 demands: encode_demands(demands),
-                operators: replicas.table(Table::Operators).version(),
+                operators: operators.version,
+                operators_era: operators.era,
                 ..Gossip::default()
             };
             self.add_recent_gossip(&mut others, true);
             others
         });
         // The tables are given by their index in `SYNCED_TABLES`.
-        let wanted = Wanted { table: 1, version: pull.upstreams };
+        let known = Revision { era: pull.upstreams_era, version: pull.upstreams };
+        let wanted_upstreams = wanted(1, known);
+        let wanted_hosts = wanted(2, Revision { era: pull.hosts_era, version: pull.hosts });
         let stores = pull.stores.iter().filter_map(|it| {
             let address = it.address.parse().ok()?;
             let update = gateway.cache_index().export(now, address, it.boot, it.next)?;
@@ -695,11 +735,11 @@
         // the fleet is released before that.
         let rows_as_of = gateway.fleet().target_weights.rows_as_of();
         Some(peer::Pulled {
-            upstreams: self.changed_rows(&wanted),
+            upstreams: self.changed_rows(&wanted_upstreams),
             age_ms: millis(now.since(rows_as_of)),
             others,
             stores: stores.collect(),
-            hosts: self.changed_rows(&Wanted { table: 2, version: pull.hosts }),
+            hosts: self.changed_rows(&wanted_hosts),
         })
     }
 
@@ -725,6 +765,11 @@
     timeout(CALL_TIMEOUT, response).await.ok()?.map(Bytes::from)
 }
 
+/// Asks for the rows of a table, given by its index in [`SYNCED_TABLES`], since a revision.
+fn wanted(table_index: usize, known: Revision) -> Wanted {
+    Wanted { table: table_index as u32, version: known.version, era: known.era }
+}
+
 fn encode_loads(loads: Loads) -> Vec<peer::Load> {
     let load = |(upstream, (tokens, requests))| peer::Load { upstream, tokens, requests };
     loads.into_iter().map(load).collect()
--- a/lib/src/rendezvous.rs
+++ b/lib/src/rendezvous.rs
@@ -14,6 +14,11 @@
     first_word(&hash.finalize())
 }
 
+/// Returns a number from 0 to 1, exclusive, that is evenly distributed over the parts of a key.
+pub fn fraction(parts: &[&str]) -> f64 {
+    (hash_parts(parts) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// Returns the weight of a name for a key; the highest weight ranks first.
 pub fn weight(key: u64, name: &str) -> u64 {
     let mut hash = Sha256::new();
--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -6,7 +6,10 @@
 
 use thiserror::Error as ThisError;
 
-use crate::{prelude::*, replica::Row};
+use crate::{
+    prelude::*,
+    replica::{Revision, Row},
+};
 
 /// Tables of the row store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -46,6 +49,13 @@
     pub clock: Duration,
 }
 
+impl Page {
+    /// Returns the point in the store's history that the rows are as of.
+    pub fn revision(&self) -> Revision {
+        Revision { era: self.era, version: self.version }
+    }
+}
+
 /// One write of a row.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Write {
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -6,13 +6,17 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use tokio::{sync::Notify, time::sleep};
+use tokio::{
+    sync::{Notify, watch},
+    time::sleep,
+};
 
 use crate::{
     codec::Codec,
     gateway::Gateway,
     prelude::*,
-    replica::{Replica, Row},
+    rendezvous,
+    replica::{Replica, Revision, Row},
     row_store::{RowStore, RowStoreError, Table},
 };
 
@@ -28,15 +32,21 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest pause after a failed read.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Time over which hosts spread whole reads after the store has come back from a copy, or has dropped
+/// its history: it tells all of them at the same moment.
+const WHOLE_READ_SPREAD: Duration = Duration::from_millis(300);
 /// How often a host checks whether the leader of its zone still reads tables for it.
 const DELEGATED_POLL: Duration = Duration::from_millis(100);
-/// How often expired connections and other expired state are dropped.
+/// How often expired connections and other expired state are dropped, and how late the store's word
+/// counts alone again after it has come back from a copy.
 const PURGE_PERIOD: Duration = Duration::from_millis(900);
 
 /// Replicas of the row store's tables, shared with the mesh.
 #[derive(Debug, Default)]
 pub struct Replicas {
     tables: [Mutex<Replica>; 3],
+    /// The newest era of the store that this host has seen; `None` before the first one.
+    era: watch::Sender<Option<u64>>,
     /// Host that has announced newer rows, until it is asked for them.
     newer_peer: Mutex<Option<Host>>,
     /// Time until which another host, the leader of the zone, reads the tables of hosts and upstreams
@@ -77,6 +87,32 @@
         self.delegated_until.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records an era of the store. Returns the former one if this one is newer.
+    pub fn record_era(&self, era: u64) -> Option<u64> {
+        let mut former = None;
+        self.era.send_if_modified(|newest| {
+            let is_newer = newest.is_none_or(|it| it < era);
+            if is_newer {
+                former = newest.replace(era);
+            }
+            is_newer
+        });
+        former
+    }
+
+    /// Returns the newest era of the store that this host has seen, 0 before the first one.
+    pub fn newest_era(&self) -> u64 {
+        self.era.borrow().unwrap_or_default()
+    }
+
+    /// Waits until the store is in a later era than `era`, and returns the newest one.
+    pub async fn wait_for_later_era(&self, era: u64) -> u64 {
+        let mut newest = self.era.subscribe();
+        let later = newest.wait_for(|it| it.is_some_and(|it| it > era)).await;
+        // The sender is part of `self`, so it cannot be gone.
+        later.map_or(era, |it| it.unwrap_or(era))
+    }
+
     /// Records that another host has newer rows than this one.
     pub fn set_newer_peer(&self, host: &Host) {
         *self.newer_peer.lock().unwrap_or_else(PoisonError::into_inner) = Some(host.clone());
@@ -151,35 +187,63 @@
                 continue;
             }
             let requested_at = self.gateway.now();
-            let known_version = self.replicas.table(table).version();
-            let result = match read_snapshot {
-                true => self.row_store.read_table(table).await,
-                false => self.row_store.changes(table, known_version, wait).await,
+            let known = self.replicas.table(table).revision();
+            let newest_era = self.replicas.newest_era();
+            // Rows of a former era are no base for changes of a later one.
+            read_snapshot |= known.era < newest_era;
+            let call = async {
+                match read_snapshot {
+                    true => self.row_store.read_table(table).await,
+                    false => self.row_store.changes(table, known.version, wait).await,
+                }
+            };
+            let result = tokio::select! {
+                result = call => result,
+                // The store may hold a call that waits for changes of the former era.
+                _ = self.replicas.wait_for_later_era(newest_era), if !read_snapshot => {
+                    sleep(self.whole_read_delay(table)).await;
+                    continue;
+                }
             };
             match result {
                 Ok(page) => {
-                    let (is_snapshot, stale) = (read_snapshot, page.version < known_version);
+                    self.record_era(page.era, "row store");
+                    let revision = page.revision();
+                    if revision.era < self.replicas.newest_era() {
+                        log::warn!(table = table.name(), era = revision.era,
+                            version = revision.version, known = self.replicas.newest_era();
+                            "response of a former era of the row store is ignored");
+                        sleep(RETRY_DELAY).await;
+                        continue;
+                    }
                     if failures > 0 {
                         log::info!(table = table.name(), version = page.version,
                             failures = failures; "store reads recovered");
                     }
                     failures = 0;
+                    if !read_snapshot && revision.era != known.era {
+                        read_snapshot = true;
+                        sleep(self.whole_read_delay(table)).await;
+                        continue;
+                    }
+                    let (is_snapshot, stale) = (read_snapshot, revision < known);
                     // A snapshot that is older than the replica is requested again.
                     read_snapshot = is_snapshot && stale;
-                    self.apply(table, page.rows, page.version, is_snapshot);
+                    self.apply(table, page.rows, known, revision, is_snapshot);
                     if table == Table::Upstreams {
                         self.gateway.fleet().set_rows_as_of(requested_at);
                     }
                     sleep(if read_snapshot { RETRY_DELAY } else { poll_interval }).await;
                 }
                 Err(RowStoreError::Compacted) => {
-                    log::info!(table = table.name(), version = known_version;
+                    log::info!(table = table.name(), era = known.era, version = known.version;
                         "changes since the known version were compacted, reading the whole table");
                     read_snapshot = true;
+                    sleep(self.whole_read_delay(table)).await;
                 }
                 Err(err) => {
                     if failures == 0 {
-                        log::warn!(table = table.name(), version = known_version,
+                        log::warn!(table = table.name(), era = known.era, version = known.version,
                             error = err.to_string().as_str(); "store cannot be read");
                     }
                     self.replicas.sync_needed.notify_one();
@@ -195,19 +259,45 @@
         match table {
             Table::Upstreams => true,
             // Without any row, this host does not know whom to pull from.
-            Table::Hosts => self.replicas.table(table).version() > 0,
+            Table::Hosts => !self.replicas.table(table).is_unknown(),
             Table::Operators | Table::Leases => false,
         }
     }
 
-    /// Applies rows from the row store to the replica of a table and acts on those that are new.
-    fn apply(&self, table: Table, rows: Vec<Row>, version: u64, is_snapshot: bool) {
+    /// Returns how long this host waits before it reads a whole table, so that not all hosts do so at
+    /// the same moment.
+    fn whole_read_delay(&self, table: Table) -> Duration {
+        let host = self.gateway.host_settings.host.as_str();
+        WHOLE_READ_SPREAD.mul_f64(rendezvous::fraction(&["whole read", table.name(), host]))
+    }
+
+    /// Records the era of the store that a response or another host, named by `source`, has told.
+    pub fn record_era(&self, era: u64, source: &str) {
+        if let Some(former) = self.replicas.record_era(era) {
+            log::warn!(era = era, former = former, source = source;
+                "row store came back from a copy, reading all tables again");
+        }
+    }
+
+    /// Applies rows to the replica of a table and acts on those that are new: a snapshot as of
+    /// `revision`, or the changes from the revision `known` up to it.
+    pub fn apply(
+        &self,
+        table: Table,
+        rows: Vec<Row>,
+        known: Revision,
+        revision: Revision,
+        is_snapshot: bool,
+    ) {
         let (new_rows, initial) = {
             let mut replica = self.replicas.table(table);
-            let initial = replica.version() == 0;
+            let initial = replica.is_unknown();
+            if is_snapshot && !initial && revision.era > replica.revision().era {
+                self.gateway.holdover().start(self.gateway.now());
+            }
             let new_rows = match is_snapshot {
-                true => replica.apply_snapshot(rows, version),
-                false => replica.apply_changes(rows, version),
+                true => replica.apply_snapshot(rows, revision),
+                false => replica.apply_changes(rows, known, revision),
             };
             (new_rows, initial)
         };
@@ -236,6 +326,21 @@
         loop {
             sleep(PURGE_PERIOD).await;
             self.gateway.purge();
+            if !self.gateway.holdover().is_active(self.gateway.now()) {
+                SYNCED_TABLES.into_iter().for_each(|it| self.release_retained(it));
+            }
+        }
+    }
+
+    /// Drops the rows of a table that the store had lost and does not have again.
+    fn release_retained(&self, table: Table) {
+        let removed = self.replicas.table(table).release_retained();
+        for row in &removed {
+            log::info!(table = table.name(), row = row.key.as_str();
+                "row is not in the store again and counts as removed");
+        }
+        if !removed.is_empty() {
+            self.handle_changes(table, &removed, false);
         }
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_log;
 mod test_path;
 mod test_settings;
+mod test_store_era;
 mod test_store_link;
 mod test_streams;
 mod test_tls;
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -9,7 +9,7 @@
     hop_by_hop,
     prelude::*,
     quarantine::{Crash, Fingerprint, Quarantine},
-    replica::{Replica, Row},
+    replica::{Replica, Revision, Row},
     rollout::{Scheduler, Task, WeightState},
     share,
     sse::Decoder,
@@ -23,6 +23,11 @@
     Row { key: FastStr::new(key), value, version }
 }
 
+/// Returns a version of a store that never came back from a copy.
+fn version(version: u64) -> Revision {
+    Revision { era: 0, version }
+}
+
 trait FromStaticStr {
     fn from_static_str(text: &'static str) -> Bytes;
 }
@@ -36,12 +41,12 @@
 #[test]
 fn replica_ignores_older_rows() {
     let mut replica = Replica::default();
-    replica.apply_snapshot(vec![row("a", Some("1"), 3), row("b", Some("1"), 4)], 4);
+    replica.apply_snapshot(vec![row("a", Some("1"), 3), row("b", Some("1"), 4)], version(4));
     // A snapshot that is older than the replica, after the store has dropped its history.
-    assert!(replica.apply_snapshot(vec![row("a", Some("0"), 2)], 3).is_empty());
-    assert_eq!(replica.version(), 4);
-    assert!(replica.apply_changes(vec![row("a", Some("0"), 2)], 5).is_empty());
-    let changes = replica.apply_snapshot(vec![row("a", Some("2"), 7)], 8);
+    assert!(replica.apply_snapshot(vec![row("a", Some("0"), 2)], version(3)).is_empty());
+    assert_eq!(replica.revision(), version(4));
+    assert!(replica.apply_changes(vec![row("a", Some("0"), 2)], version(4), version(5)).is_empty());
+    let changes = replica.apply_snapshot(vec![row("a", Some("2"), 7)], version(8));
     assert_eq!(changes, [row("a", Some("2"), 7), row("b", None, 8)]);
     assert_eq!(replica.rows().count(), 1);
 }
@@ -49,11 +54,15 @@
 #[test]
 fn replica_passes_removals_on_to_other_hosts() {
     let mut replica = Replica::default();
-    replica.apply_changes(vec![row("a", Some("1"), 1), row("b", Some("1"), 2)], 2);
-    replica.apply_changes(vec![row("a", None, 5)], 6);
-    assert_eq!(replica.changes_since(2), [row("a", None, 5)]);
+    replica.apply_changes(
+        vec![row("a", Some("1"), 1), row("b", Some("1"), 2)],
+        version(0),
+        version(2),
+    );
+    replica.apply_changes(vec![row("a", None, 5)], version(2), version(6));
+    assert_eq!(replica.changes_since(version(2)), [row("a", None, 5)]);
     let mut other = Replica::default();
-    other.apply_changes(replica.changes_since(0), replica.version());
+    other.apply_changes(replica.changes_since(version(0)), version(0), replica.revision());
     assert_eq!(other.rows().map(|it| it.key.as_str()).collect::<Vec<_>>(), ["b"]);
 }
 
