--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -659,16 +659,19 @@
             return false;
         }
         let Some(upstreams) = pulled.upstreams else { return false };
+        let rows_as_of = requested_at.saturating_sub(age);
+        let revision = Revision { era: upstreams.era, version: upstreams.version };
         if !self.apply_rows(host, Table::Upstreams, known_upstreams, upstreams) {
             return false;
         }
+        gateway.record_store_revision(rows_as_of, revision);
         if let Some(hosts) = pulled.hosts {
             self.apply_rows(host, Table::Hosts, known_hosts, hosts);
         }
         if let Some(others) = pulled.others {
             self.apply_gossip(host, others);
         }
-        gateway.fleet().set_rows_as_of(requested_at.saturating_sub(age));
+        gateway.fleet().set_rows_as_of(rows_as_of);
         for store in pulled.stores {
             let Ok(address) = store.address.parse() else { continue };
             let part = |it: peer::StorePart| CachedPart { key: it.key, tokens: it.tokens };
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -229,6 +229,9 @@
                     let (is_snapshot, stale) = (read_snapshot, revision < known);
                     // A snapshot that is older than the replica is requested again.
                     read_snapshot = is_snapshot && stale;
+                    if !stale {
+                        self.gateway.record_store_revision(requested_at, revision);
+                    }
                     self.apply(table, page.rows, known, revision, is_snapshot);
                     if table == Table::Upstreams {
                         self.gateway.fleet().set_rows_as_of(requested_at);
@@ -289,26 +292,23 @@
         revision: Revision,
         is_snapshot: bool,
     ) {
-        let (new_rows, initial) = {
+        let new_rows = {
             let mut replica = self.replicas.table(table);
-            let initial = replica.is_unknown();
-            if is_snapshot && !initial && revision.era > replica.revision().era {
+            if is_snapshot && !replica.is_unknown() && revision.era > replica.revision().era {
                 self.gateway.holdover().start(self.gateway.now());
             }
-            let new_rows = match is_snapshot {
+            match is_snapshot {
                 true => replica.apply_snapshot(rows, revision),
                 false => replica.apply_changes(rows, known, revision),
-            };
-            (new_rows, initial)
+            }
         };
-        self.handle_changes(table, &new_rows, initial);
+        self.handle_changes(table, &new_rows);
     }
 
-    /// Applies new rows of a table to the gateway. `initial` marks the first rows that this host
-    /// gets after it starts.
-    pub fn handle_changes(&self, table: Table, new_rows: &[Row], initial: bool) {
+    /// Applies new rows of a table to the gateway.
+    pub fn handle_changes(&self, table: Table, new_rows: &[Row]) {
         match table {
-            Table::Operators => self.gateway.apply_operator_rows(new_rows, initial),
+            Table::Operators => self.gateway.apply_operator_rows(new_rows),
             Table::Upstreams => self.gateway.apply_upstream_rows(new_rows),
             Table::Hosts if !new_rows.is_empty() => {
                 let replica = self.replicas.table(Table::Hosts);
@@ -340,7 +340,7 @@
                 "row is not in the store again and counts as removed");
         }
         if !removed.is_empty() {
-            self.handle_changes(table, &removed, false);
+            self.handle_changes(table, &removed);
         }
     }
 }
