holdover, gateway_process: the safe side stands after a restore

Cause: a copy says that upstreams are ready which have left since, lacks the host's own row, and the gateway took its word at once.

Change: `Holdover` holds an upstream's row back, for its period, if the row is of an earlier incarnation than the known one, or says ready for the incarnation that was draining or removed; then the store's word counts again. A host writes its own row again after each rise of the era, at a moment within 0.7 of a heartbeat that a hash of its name gives. A gauge tells the era, a counter the rises.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -225,13 +225,20 @@
         let now = self.now();
         for row in rows {
             let id = Upstream::new(row.key.clone());
+            let known = self.fleet().row(&id).cloned();
             let Some(value) = &row.value else {
+                self.holdover().record_removal(now, &id, known.as_ref());
                 self.fleet().remove(&id);
                 self.pool().remove(&id);
                 continue;
             };
             match self.codec.parse_upstream_row(&row.key, value) {
-                Ok(upstream_row) => self.fleet().upsert(now, upstream_row),
+                Ok(upstream_row) => {
+                    let admitted = self.holdover().admit(now, upstream_row, known.as_ref());
+                    if let Some(upstream_row) = admitted {
+                        self.fleet().upsert(now, upstream_row);
+                    }
+                }
                 // Nothing is known of an upstream whose row is invalid, so it is not used.
                 Err(err) => {
                     log::debug!(row = row.key.as_str(), error = err.to_string().as_str();
@@ -245,6 +252,18 @@
         }
     }
 
+    /// Applies the upstreams' rows that were held back after the row store had come back from a copy,
+    /// once its word counts again.
+    pub fn release_upstream_rows(&self) {
+        let now = self.now();
+        let released = self.holdover().release(now);
+        for row in released {
+            log::info!(upstream = row.id.as_str(), draining = row.draining;
+                "upstream's row in the store counts again");
+            self.fleet().upsert(now, row);
+        }
+    }
+
     /// Returns the newest target version of a model; without a target, the version of any upstream
     /// that has the model.
     pub fn target_or_any_weight_version(&self, model: Option<&Model>) -> Option<u32> {
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -25,7 +25,7 @@
     mesh::Mesh,
     pinned_tls::{Identity, PinError},
     prelude::*,
-    rollout,
+    rendezvous, rollout,
     row_store::{RowStore, RowStoreError, Table, Write, WriteOutcome},
     table_sync::{Replicas, TableSync},
 };
@@ -43,6 +43,9 @@
 const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
 /// Pause after a failed attempt to write the host's row.
 const REGISTER_RETRY: Duration = Duration::from_millis(700);
+/// Part of a heartbeat over which hosts spread the writes of their rows after the row store has come back
+/// from a copy; the rest is for the write.
+const REGISTER_SPREAD: f64 = 0.7;
 /// Pause before binding the mesh again.
 const MESH_RETRY: Duration = Duration::from_secs(1);
 /// Timeout for removing the host's row.
@@ -174,7 +177,7 @@
     let registered = AtomicBool::new(false);
     tokio::join!(
         mesh.run(),
-        register(gateway, &row_store, &row, &registered),
+        register(gateway, &row_store, &table_sync.replicas, &row, &registered),
         unregister(gateway, &row_store, &registered),
     );
 }
@@ -213,21 +216,46 @@
     }
 }
 
-/// Writes the host's row, with retries until it succeeds or the host shuts down.
-async fn register<C, L>(gateway: &Gateway<C>, row_store: &L, row: &HostRow, registered: &AtomicBool)
-where
+/// Returns how long a host waits before it writes its row again after the row store has come back from a
+/// copy: hosts write at different times within a heartbeat.
+pub fn rewrite_delay(host: &Host, heartbeat: Duration) -> Duration {
+    let spread = REGISTER_SPREAD * rendezvous::fraction(&["register", host.as_str()]);
+    heartbeat.mul_f64(spread)
+}
+
+/// Writes the host's row, with retries until it succeeds or the host shuts down, and again whenever the
+/// row store has come back from a copy, which may lack the row.
+pub async fn register<C, L>(
+    gateway: &Gateway<C>,
+    row_store: &L,
+    replicas: &Replicas,
+    row: &HostRow,
+    registered: &AtomicBool,
+) where
     C: Codec,
     L: RowStore,
 {
+    let host = gateway.host_settings.host.as_str();
+    let rewrite_delay = rewrite_delay(&gateway.host_settings.host, gateway.host_settings.heartbeat);
     // Serializing a struct of strings cannot fail.
     let value: Bytes = serde_json::to_vec(row).unwrap_or_default().into();
     while !gateway.draining.is_cancelled() {
         let result = write_host_row(gateway, row_store, Some(value.clone())).await;
         match result {
-            Ok(_) => {
+            // The row is written unconditionally, so there is no conflict.
+            Ok(WriteOutcome::Conflict) => return,
+            Ok(WriteOutcome::Committed { era, version, .. }) => {
                 registered.store(true, Ordering::Release);
-                log::info!(host = gateway.host_settings.host.as_str(); "host is registered");
-                return;
+                log::info!(host = host, era = era, version = version; "host is registered");
+                tokio::select! {
+                    era = replicas.wait_for_later_era(era) => {
+                        log::info!(host = host, era = era, delay_ms = rewrite_delay.as_millis() as u64;
+                            "row store came back from a copy, the host's row is written again");
+                    }
+                    () = gateway.draining.cancelled() => return,
+                }
+                sleep(rewrite_delay).await;
+                continue;
             }
             Err(err) => {
                 log::warn!(error = err.to_string().as_str(); "host cannot be registered, retrying");
--- a/lib/src/host_settings.rs
+++ b/lib/src/host_settings.rs
@@ -22,7 +22,7 @@
     pub processor_millis: u32,
     /// Address of the platform's row store.
     pub store_address: SocketAddr,
-    /// How often upstreams renew their rows. Not used.
+    /// How often upstreams renew their rows.
     pub heartbeat: Duration,
     /// Limits that the platform sets for the behaviour of its hosts.
     pub bounds: Bounds,
@@ -46,7 +46,7 @@
     pub cold_overshoot: f64,
     /// Requests per second that a cold upstream may get in addition.
     pub cold_slack: f64,
-    /// Time after which a zone that is evacuated must get no new requests. Not used.
+    /// Time after which a zone that is evacuated must get no new requests.
     pub evacuate: Duration,
     /// How long after the end of a lease the next host must wait before it takes the lease over.
     pub lease_takeover_delay: Duration,
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -37,6 +37,10 @@
     pub in_flight: IntGauge,
     /// Calls to the table service, by outcome.
     pub table_calls: IntCounterVec,
+    /// The row store's newest era that this host has seen.
+    pub store_era: IntGauge,
+    /// How often this host has seen the row store come back from a copy.
+    pub store_restores: IntCounter,
     /// Violations by invariant, copied from [`violations`] when the metrics are exported.
     invariants: IntCounterVec,
 }
@@ -72,7 +76,14 @@
         registry.register(Box::new(token_gap.clone()))?;
         let in_flight = IntGauge::new("mothvale_requests_in_flight", "Requests in flight")?;
         registry.register(Box::new(in_flight.clone()))?;
+        let store_era = IntGauge::new("mothvale_store_era", "Newest era of the row store")?;
+        registry.register(Box::new(store_era.clone()))?;
         Ok(Metrics {
+            store_era,
+            store_restores: counter(
+                "mothvale_store_restores_total",
+                "How often the row store was seen to come back from a copy",
+            )?,
             requests: counters("mothvale_requests_total", "Requests by outcome", &["outcome"])?,
             attempts: counter("mothvale_attempts_total", "Attempts sent to upstreams")?,
             first_token,
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -276,7 +276,11 @@
 
     /// Records the era of the store that a response or another host, named by `source`, has told.
     pub fn record_era(&self, era: u64, source: &str) {
-        if let Some(former) = self.replicas.record_era(era) {
+        let former = self.replicas.record_era(era);
+        let newest = i64::try_from(self.replicas.newest_era()).unwrap_or(i64::MAX);
+        self.gateway.metrics.store_era.set(newest);
+        if let Some(former) = former {
+            self.gateway.metrics.store_restores.inc();
             log::warn!(era = era, former = former, source = source;
                 "row store came back from a copy, reading all tables again");
         }
@@ -328,6 +332,7 @@
             self.gateway.purge();
             if !self.gateway.holdover().is_active(self.gateway.now()) {
                 SYNCED_TABLES.into_iter().for_each(|it| self.release_retained(it));
+                self.gateway.release_upstream_rows();
             }
         }
     }
--- a/lib/tests/test_store_era.rs
+++ b/lib/tests/test_store_era.rs
@@ -4,9 +4,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use mothvale_lib::{
+    fleet::UpstreamRow,
+    gateway_process::rewrite_delay,
+    holdover::Holdover,
     prelude::*,
     replica::{Replica, Revision, Row},
 };
+use mothvale_testutils::gateway::{at as time, engine, host_settings};
 use proptest::prelude::*;
 
 const KEYS: [&str; 5] = ["a", "b", "c", "d", "e"];
@@ -104,6 +108,84 @@
     assert_eq!(keys(&receiver), ["b"]);
 }
 
+fn holdover() -> Holdover {
+    Holdover::new(&host_settings("host0", "hobart"))
+}
+
+fn upstream(start_time_ms: u64, draining: bool) -> UpstreamRow {
+    UpstreamRow { start_time_ms, draining, ..engine("engine0", "hobart") }
+}
+
+#[test]
+fn holdover_lasts_as_long_as_the_longest_bound() {
+    // Four heartbeats of 1.2 s, 5 s for evacuations, 3 s of staleness.
+    assert_eq!(holdover().period(), Duration::from_secs(5));
+    let mut settings = host_settings("host0", "hobart");
+    settings.heartbeat = Duration::from_secs(2);
+    assert_eq!(Holdover::new(&settings).period(), Duration::from_secs(8));
+}
+
+#[test]
+fn drained_upstream_stays_out_in_the_same_incarnation_until_the_period_ends() {
+    let mut holdover = holdover();
+    let (drained, ready) = (upstream(7, true), upstream(7, false));
+    holdover.start(time(1000));
+    assert_eq!(holdover.admit(time(1000), ready.clone(), Some(&drained)), None);
+    assert!(holdover.release(time(5999)).is_empty());
+    assert_eq!(holdover.release(time(6000)).as_slice(), std::slice::from_ref(&ready));
+    // The store's word counts again.
+    assert_eq!(holdover.admit(time(6000), ready.clone(), Some(&drained)), Some(ready));
+}
+
+#[test]
+fn removed_upstream_stays_out_in_the_same_incarnation_until_the_period_ends() {
+    let mut holdover = holdover();
+    let ready = upstream(7, false);
+    holdover.record_removal(time(500), &ready.id, Some(&ready));
+    holdover.start(time(1000));
+    assert_eq!(holdover.admit(time(1500), ready.clone(), None), None);
+    // The store removes it again.
+    holdover.record_removal(time(4000), &ready.id, None);
+    assert!(holdover.release(time(7000)).is_empty());
+}
+
+#[test]
+fn new_incarnation_counts_at_once_and_an_earlier_one_does_not() {
+    let mut holdover = holdover();
+    let (earlier, known) = (upstream(5, false), upstream(7, true));
+    holdover.start(time(1000));
+    assert_eq!(holdover.admit(time(1100), earlier.clone(), Some(&known)), None);
+    let restarted = upstream(9, false);
+    assert_eq!(
+        holdover.admit(time(1200), restarted.clone(), Some(&known)),
+        Some(restarted.clone())
+    );
+    assert!(holdover.release(time(7000)).is_empty(), "the earlier row no longer counts");
+    // The store comes back once more, from the same copy.
+    holdover.start(time(8000));
+    assert_eq!(holdover.admit(time(8100), earlier, Some(&restarted)), None);
+}
+
+#[test]
+fn rows_count_at_once_while_the_store_has_not_come_back_from_a_copy() {
+    let mut holdover = holdover();
+    let (drained, ready) = (upstream(7, true), upstream(7, false));
+    holdover.record_removal(time(500), &ready.id, Some(&drained));
+    assert_eq!(holdover.admit(time(600), ready.clone(), None), Some(ready.clone()));
+    assert_eq!(holdover.admit(time(700), ready.clone(), Some(&drained)), Some(ready));
+}
+
+/// Hundreds of hosts learn at the same moment that the store has come back from a copy.
+#[test]
+fn hosts_write_their_rows_again_within_a_heartbeat_and_not_all_at_once() {
+    const HEARTBEAT: Duration = Duration::from_millis(1200);
+    let delay = |it: u32| rewrite_delay(&Host::new(format!("host{it}")), HEARTBEAT);
+    let delays: Vec<_> = (0..350).map(delay).collect();
+    assert!(delays.iter().all(|it| *it < HEARTBEAT * 3 / 4));
+    let first_half = delays.iter().filter(|it| **it < HEARTBEAT * 35 / 100).count();
+    assert!((120..230).contains(&first_half), "{first_half} of 350 in the first half");
+}
+
 /// One step of a random run.
 #[derive(Clone, Copy, Debug)]
 enum Step {
