target_weights, mesh: all hosts follow the target that a copy lacks

Cause: a host that starts after the store has come back from a copy reads an older target weight version, while the others keep the newer one.

Change: gossip carries the targets that a host follows, with their greatest age: all of them while the time for writing again lasts, afterwards those that are newer than what the store tells. Hosts take a higher version from it, and never go back. Nothing is sent while the store knows the targets.

Without taking targets from gossip, as before, `all_hosts_follow_the_target_weights_that_the_copy_lacks`: timed out waiting until the host that started later follows it.

Conclusion: a lost target is followed by all hosts or written again; the configuration of a host that starts meanwhile is still the copy's.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -212,6 +212,7 @@
 
     fn set_target_weights(&self, model: Model, version: u32, row_version: u64) {
         let set_after = lock(&self.store_history).written_after(row_version);
+        self.fleet().target_weights.record_stored(model.clone(), version);
         if self.fleet().target_weights.set(set_after, model.clone(), version) {
             // Missing if the target was set before this host started.
             let max_age = set_after.map(|it| self.now().since(it).as_millis() as u64);
@@ -220,6 +221,24 @@
         }
     }
 
+    /// Follows a target weight version that another host follows and the row store has lost. `age` is how
+    /// long ago it was set at most, if that is known.
+    pub fn follow_target_weights(
+        &self,
+        peer: &Host,
+        model: Model,
+        version: u32,
+        age: Option<Duration>,
+    ) {
+        let set_after = age.map(|it| self.now().saturating_sub(it));
+        if self.fleet().target_weights.set(set_after, model.clone(), version) {
+            log::warn!(peer = peer.as_str(), model = model.as_str(), version = version,
+                max_age_ms = age.map(|it| it.as_millis() as u64);
+                "target weight version learned from another host");
+            self.rollout_needed.notify_one();
+        }
+    }
+
     /// Applies rows of the upstreams' table.
     pub fn apply_upstream_rows(&self, rows: &[Row]) {
         let now = self.now();
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -369,6 +369,10 @@
         if operators > self.revision(Table::Operators) {
             self.table_sync.replicas.set_newer_peer(host);
         }
+        for it in &gossip.targets {
+            let age = it.age_ms.map(Duration::from_millis);
+            gateway.follow_target_weights(host, Model::new(it.model.clone()), it.version, age);
+        }
         let demands = gossip.demands.iter().map(|it| (it.store, it.tokens)).collect();
         gateway.cache_index().links().record_peer(now, host, demands);
         if self.is_large_mesh() && !self.is_delegated() {
@@ -382,7 +386,8 @@
         if gossip.crashes.is_empty() && gossip.loading.is_empty() && gossip.loaded.is_empty() {
             return;
         }
-        let gossip = Gossip { loads: Vec::new(), demands: Vec::new(), ..gossip };
+        let gossip =
+            Gossip { loads: Vec::new(), demands: Vec::new(), targets: Vec::new(), ..gossip };
         let mut recent = self.recent_gossip();
         recent.retain(|it| received_at.since(it.received_at) < RELAY_WINDOW);
         recent.push(RecentGossip { received_at, known_to_leaders, gossip });
@@ -408,11 +413,14 @@
         });
         let demands = gateway.cache_index().links().combined(gateway.now(), |_| false);
         let operators = self.revision(Table::Operators);
+        // The lock of the fleet is released before it is taken again below.
+        let targets = self.unstored_targets();
         Gossip {
             loads: encode_loads(gateway.fleet().loads()),
             crashes: crashes.collect(),
             operators: operators.version,
             operators_era: operators.era,
+            targets,
             loading,
             loaded: loaded.collect(),
             zone: false,
@@ -420,6 +428,21 @@
         }
     }
 
+    /// Returns the target weight versions that hosts which have just started cannot learn from the row
+    /// store, because it came back from a copy.
+    fn unstored_targets(&self) -> Vec<peer::Target> {
+        let gateway = &self.table_sync.gateway;
+        let now = gateway.now();
+        let all = gateway.holdover().is_active(now);
+        let targets = gateway.fleet().target_weights.unstored(all).into_iter();
+        let target = |(model, version, set_after): (Model, u32, Option<Instant>)| peer::Target {
+            model: FastStr::new(model.as_str()),
+            version,
+            age_ms: set_after.map(|it| millis(now.since(it))),
+        };
+        targets.map(target).collect()
+    }
+
     /// Adds recently received gossip to a message: all of it for a host of this zone, only that
     /// from this zone for other leaders.
     fn add_recent_gossip(&self, gossip: &mut Gossip, within_zone: bool) {
@@ -706,11 +729,13 @@
             let loads = gateway.fleet().combined_loads(|it| it != requester);
             let demands = gateway.cache_index().links().combined(now, |it| it != requester);
             let operators = self.revision(Table::Operators);
+            let targets = self.unstored_targets();
             let mut others = Gossip {
                 loads: encode_loads(loads),
                 demands: encode_demands(demands),
                 operators: operators.version,
                 operators_era: operators.era,
+                targets,
                 ..Gossip::default()
             };
             self.add_recent_gossip(&mut others, true);
--- a/lib/src/target_weights.rs
+++ b/lib/src/target_weights.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Debug)]
 pub struct Targets {
     by_model: HashMap<Model, ModelTarget>,
+    /// Target versions that the row store last told, which a copy may have set back.
+    stored: HashMap<Model, u32>,
     /// Oldest weight version of each model that upstreams had when their rows were read. Never
     /// decreases.
     oldest: HashMap<Model, u32>,
@@ -65,7 +67,7 @@
     /// Creates the state of a host that has just started: no targets are known.
     pub fn new(bounds: Bounds) -> Self {
         let (by_model, oldest) = (HashMap::new(), HashMap::new());
-        Targets { by_model, oldest, rows_as_of: None, bounds }
+        Targets { by_model, stored: HashMap::new(), oldest, rows_as_of: None, bounds }
     }
 
     /// Sets the target version of a model. `set_after` is the latest known time at which it had not
@@ -83,6 +85,27 @@
         true
     }
 
+    /// Records the target version that the row store tells, whether this host follows it or a newer one.
+    pub fn record_stored(&mut self, model: Model, version: u32) {
+        self.stored.insert(model, version);
+    }
+
+    /// Returns the targets that other hosts cannot learn from the row store, with the time after which
+    /// they were set if that is known: those newer than what it tells, or `all` of them.
+    pub fn unstored(&self, all: bool) -> Vec<(Model, u32, Option<Instant>)> {
+        let newest = self.by_model.iter().map(|(model, it)| (model, it.version, &it.deadlines));
+        let is_unstored = |model: &Model, version: u32| {
+            all || self.stored.get(model).is_none_or(|it| *it < version)
+        };
+        let unstored = newest.filter(|it| is_unstored(it.0, it.1));
+        let with_time = unstored.map(|(model, version, deadlines)| {
+            let deadline = deadlines.iter().find(|it| it.0 == version).and_then(|it| it.1);
+            let set_after = deadline.map(|it| it.saturating_sub(self.bounds.rollout));
+            (model.clone(), version, set_after)
+        });
+        with_time.collect()
+    }
+
     /// Records how long ago a version was set: the target that this host found when it started,
     /// or an older one whose transition period may not have ended.
     pub fn record_age(&mut self, now: Instant, model: &Model, version: u32, age: Duration) {
