--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -21,12 +21,13 @@
     connection::Pool,
     era_watch::Sighting,
     fleet::{Choice, Denial, Fleet, Outcome, Query},
+    holdover::Holdover,
     host_settings::HostSettings,
     metric::Metrics,
     obstacle::Obstacle,
     prelude::*,
     quarantine::{Crash, Fingerprint, Quarantine},
-    replica::Row,
+    replica::{Revision, Row},
     store_history::History,
     window::RetryBudget,
 };
@@ -51,6 +52,7 @@
     clock: Clock,
     configuration: ArcSwapOption<Configuration>,
     fleet: Mutex<Fleet>,
+    holdover: Mutex<Holdover>,
     pool: Mutex<Pool>,
     cache_index: Mutex<Index>,
     retry_budgets: Mutex<HashMap<Service, RetryBudget>>,
@@ -86,6 +88,7 @@
     pub fn new(host_settings: HostSettings, codec: C) -> Result<Self, prometheus::Error> {
         Ok(Gateway {
             fleet: Mutex::new(Fleet::new(&host_settings)),
+            holdover: Mutex::new(Holdover::new(&host_settings)),
             host_settings,
             codec,
             metrics: Metrics::new()?,
@@ -122,6 +125,11 @@
         lock(&self.fleet)
     }
 
+    /// Locks what stays in force after the row store has come back from a copy.
+    pub fn holdover(&self) -> MutexGuard<'_, Holdover> {
+        lock(&self.holdover)
+    }
+
     /// Locks the pool of idle connections to upstreams.
     pub fn pool(&self) -> MutexGuard<'_, Pool> {
         lock(&self.pool)
@@ -211,13 +219,14 @@
         }
     }
 
-    /// Records that the row store had `version` at `as_of` or later.
-    pub fn record_store_version(&self, as_of: Instant, version: u64) {
-        lock(&self.store_history).record(as_of, version);
+    /// Records that the row store was at `revision` at `as_of` or later.
+    pub fn record_store_revision(&self, as_of: Instant, revision: Revision) {
+        lock(&self.store_history).record(as_of, revision);
     }
 
     fn set_target_weights(&self, model: Model, version: u32, row_version: u64) {
         let set_after = lock(&self.store_history).written_after(row_version);
+        self.fleet().target_weights.record_stored(model.clone(), version);
         if self.fleet().target_weights.set(set_after, model.clone(), version) {
             // Missing if this host has never seen the store without the target.
             let max_age = set_after.map(|it| self.now().since(it).as_millis() as u64);
@@ -226,18 +235,43 @@
         }
     }
 
+    /// Follows a target weight version that another host follows and the row store has lost. `age` is how
+    /// long ago it was set at most, if that is known.
+    pub fn follow_target_weights(
+        &self,
+        peer: &Host,
+        model: Model,
+        version: u32,
+        age: Option<Duration>,
+    ) {
+        let set_after = age.map(|it| self.now().saturating_sub(it));
+        if self.fleet().target_weights.set(set_after, model.clone(), version) {
+            log::warn!(peer = peer.as_str(), model = model.as_str(), version = version,
+                max_age_ms = age.map(|it| it.as_millis() as u64);
+                "target weight version learned from another host");
+            self.rollout_needed.notify_one();
+        }
+    }
+
     /// Applies rows of the upstreams' table.
     pub fn apply_upstream_rows(&self, rows: &[Row]) {
         let now = self.now();
         for row in rows {
             let id = Upstream::new(row.key.clone());
+            let known = self.fleet().row(&id).cloned();
             let Some(value) = &row.value else {
+                self.holdover().record_removal(now, &id, known.as_ref());
                 self.fleet().remove(&id);
                 self.pool().remove(&id);
                 continue;
             };
             match self.codec.parse_upstream_row(&row.key, value) {
-                Ok(upstream_row) => self.fleet().upsert(now, upstream_row),
+                Ok(upstream_row) => {
+                    let admitted = self.holdover().admit(now, upstream_row, known.as_ref());
+                    if let Some(upstream_row) = admitted {
+                        self.fleet().upsert(now, upstream_row);
+                    }
+                }
                 // Nothing is known of an upstream whose row is invalid, so it is not used.
                 Err(err) => {
                     log::debug!(row = row.key.as_str(), error = err.to_string().as_str();
@@ -251,6 +285,18 @@
         }
     }
 
+    /// Applies the upstreams' rows that were held back after the row store had come back from a copy,
+    /// once its word counts again.
+    pub fn release_upstream_rows(&self) {
+        let now = self.now();
+        let released = self.holdover().release(now);
+        for row in released {
+            log::info!(upstream = row.id.as_str(), draining = row.draining;
+                "upstream's row in the store counts again");
+            self.fleet().upsert(now, row);
+        }
+    }
+
     /// Returns the newest target version of a model; without a target, the version of any upstream
     /// that has the model.
     pub fn target_or_any_weight_version(&self, model: Option<&Model>) -> Option<u32> {
--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -6,7 +6,10 @@
 
 use thiserror::Error as ThisError;
 
-use crate::{prelude::*, replica::Row};
+use crate::{
+    prelude::*,
+    replica::{Revision, Row},
+};
 
 /// Tables of the row store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -40,10 +43,17 @@
     pub rows: Vec<Row>,
     /// The store's version that the rows are as of.
     pub version: u64,
+    /// How often the store has come back from a copy. Versions are comparable only within an era.
+    pub era: u64,
     /// The store's monotonic clock when it responded.
     pub clock: Duration,
-    /// The store's era, which rises each time it comes back from a copy; 0 if it names none.
-    pub era: u64,
+}
+
+impl Page {
+    /// Returns the point in the store's history that the rows are as of.
+    pub fn revision(&self) -> Revision {
+        Revision { era: self.era, version: self.version }
+    }
 }
 
 /// One write of a row.
@@ -67,10 +77,10 @@
     Committed {
         /// The store's version after the write.
         version: u64,
+        /// The store's era in which the write was done.
+        era: u64,
         /// The store's monotonic clock when it responded.
         clock: Duration,
-        /// The store's era; 0 if it names none.
-        era: u64,
     },
     /// The row did not have the expected version; nothing was written.
     Conflict,
@@ -79,7 +89,8 @@
 /// Failure of a call to the row store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ThisError)]
 pub enum RowStoreError {
-    /// The store no longer has all changes after the given version.
+    /// The store no longer has all changes after the given version, or came back from a copy while
+    /// a table was read. The whole table has to be read.
     #[error("the changes were compacted")]
     Compacted,
     /// The store refused the call with this HTTP status; nothing was done.
--- a/lib/src/store_history.rs
+++ b/lib/src/store_history.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use crate::prelude::*;
+use crate::{prelude::*, replica::Revision};
 
 /// Time between two sightings that are kept, so that reads by many callers do not push out old ones.
 const MIN_SPACING: Duration = Duration::from_millis(250);
@@ -21,14 +21,25 @@
 /// Past versions of the row store, as one host saw them.
 #[derive(Clone, Debug, Default)]
 pub struct History {
+    /// Era of the store that the sightings belong to. A version of another era tells nothing about when
+    /// a row of this one was written.
+    era: u64,
     /// Ascending by time and by version.
     sightings: VecDeque<Sighting>,
 }
 
 impl History {
-    /// Records that the store had `version` at `as_of` or later, for example when it responded to a call
-    /// that was sent at `as_of`.
-    pub fn record(&mut self, as_of: Instant, version: u64) {
+    /// Records that the store was at `revision` at `as_of` or later, for example when it responded to a
+    /// call that was sent at `as_of`. The first one of a new era drops those of the former one.
+    pub fn record(&mut self, as_of: Instant, revision: Revision) {
+        let Revision { era, version } = revision;
+        if era < self.era {
+            return;
+        }
+        if era > self.era {
+            self.era = era;
+            self.sightings.clear();
+        }
         // A later sighting of the same or a lower version says more.
         if self.sightings.iter().any(|it| it.as_of >= as_of && it.version <= version) {
             return;
@@ -39,8 +50,8 @@
         self.thin_out();
     }
 
-    /// Returns the latest known time at which the store had not reached `version` yet: the row with this
-    /// version was written after it. Returns `None` if there is no such time.
+    /// Returns the latest known time at which the store had not reached `version` of its era yet: the row
+    /// with this version was written after it. Returns `None` if there is no such time.
     pub fn written_after(&self, version: u64) -> Option<Instant> {
         let older = self.sightings.partition_point(|it| it.version < version);
         older.checked_sub(1).map(|index| self.sightings[index].as_of)
--- a/lib/tests/test_store_history.rs
+++ b/lib/tests/test_store_history.rs
@@ -2,18 +2,23 @@
 
 use std::time::Duration;
 
-use mothvale_lib::store_history::History;
+use mothvale_lib::{replica::Revision, store_history::History};
 use mothvale_testutils::gateway::at;
 use proptest::prelude::*;
 
+/// Returns a version of a store that never came back from a copy.
+fn version(version: u64) -> Revision {
+    Revision { era: 0, version }
+}
+
 #[test]
 fn row_was_written_after_the_last_older_version_was_seen() {
     let mut history = History::default();
     assert_eq!(history.written_after(7), None);
-    history.record(at(1000), 5);
-    history.record(at(2000), 6);
+    history.record(at(1000), version(5));
+    history.record(at(2000), version(6));
     // The host is suspended for four seconds. The first response after that is to another call.
-    history.record(at(6000), 9);
+    history.record(at(6000), version(9));
     assert_eq!(history.written_after(7), Some(at(2000)));
     assert_eq!(history.written_after(6), Some(at(1000)));
     assert_eq!(history.written_after(5), None);
@@ -24,13 +29,26 @@
 #[test]
 fn response_to_an_old_call_changes_no_later_sighting() {
     let mut history = History::default();
-    history.record(at(1000), 5);
-    history.record(at(8000), 5);
-    history.record(at(1000), 6);
+    history.record(at(1000), version(5));
+    history.record(at(8000), version(5));
+    history.record(at(1000), version(6));
     assert_eq!(history.written_after(6), Some(at(8000)));
     assert_eq!(history.written_after(7), Some(at(8000)));
 }
 
+/// The store came back from a copy: row 7 may be of the copy, or the eighth write that was lost.
+#[test]
+fn versions_of_a_former_era_bound_no_row_of_the_new_one() {
+    let mut history = History::default();
+    history.record(at(1000), version(5));
+    history.record(at(2000), Revision { era: 1, version: 7 });
+    assert_eq!(history.written_after(7), None);
+    assert_eq!(history.written_after(8), Some(at(2000)));
+    // A response of the former era that arrives late.
+    history.record(at(1900), version(6));
+    assert_eq!(history.written_after(7), None);
+}
+
 /// Reads a few times a second do not push out what is needed for a row that arrives 22 s late.
 #[test]
 fn history_reaches_back_further_than_a_long_poll_waits() {
@@ -38,11 +56,11 @@
         let mut history = History::default();
         let steps = 60_000 / period;
         for step in 0..steps {
-            history.record(at(step * period), step);
+            history.record(at(step * period), version(step));
         }
-        let version = steps - 22_000 / period;
-        let written = at(version * period);
-        let bound = history.written_after(version).expect("the history reaches back 22 s");
+        let late = steps - 22_000 / period;
+        let written = at(late * period);
+        let bound = history.written_after(late).expect("the history reaches back 22 s");
         assert!(bound < written, "{period}");
         assert!(written.since(bound) <= Duration::from_millis(500), "{period}");
     }
@@ -68,8 +86,8 @@
             .collect();
         responses.sort_unstable();
         let mut history = History::default();
-        for (_, sent, version) in responses {
-            history.record(at(sent), version);
+        for (_, sent, seen) in responses {
+            history.record(at(sent), version(seen));
             for (index, time) in written.iter().enumerate() {
                 if let Some(bound) = history.written_after(index as u64 + 1) {
                     prop_assert!(bound < at(*time), "version {} of {time} ms", index + 1);
