--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod process;
 mod random;
 mod slopes;
+mod soak_command;
 mod standins;
 
 use std::process::ExitCode;
@@ -34,6 +35,9 @@
       Randomised runs of claims on several hosts beside each other, in virtual time.
   slopes
       How memory, messages and processor time grow with upstreams, workspaces and records.
+  soak [--seed N] [--seeds N] [--seconds N] [--hosts N] [--program FILE] [--folder FOLDER]
+       [--mutant NAME]
+      Gateway processes under faults that are drawn from the seed, with checks of what they promise.
 ";
 
 fn main() -> ExitCode {
@@ -53,6 +57,7 @@
         Some(Value(name)) if name == "standins" => standins::run(args),
         Some(Value(name)) if name == "claims" => claims::run(args),
         Some(Value(name)) if name == "random" => random::run(args),
+        Some(Value(name)) if name == "soak" => soak_command::run(args),
         Some(Value(name)) if name == "slopes" => slopes::run(args),
         Some(Long("help")) | None => {
             print!("{HELP}");
--- /dev/null
+++ b/bench/src/soak/plan.rs
@@ -0,0 +1,212 @@
+//! The faults of a run, drawn from its seed: which, where, when and for how long.
+
+use std::time::Duration;
+
+use mothvale_platform_standin::{engine, store::Health};
+use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand_pcg::Pcg64;
+
+use super::link::Weather;
+
+/// Time before the first fault, for the hosts to start.
+const WARM_UP_MS: u64 = 1500;
+/// Time between the starts of two faults of one series.
+const SERIES_GAP_MS: std::ops::Range<u64> = 150..2500;
+/// Probability that a family of faults takes part in a run.
+const FAMILY_PROBABILITY: f64 = 0.4;
+/// Probability that all hosts get the faults of one series, one after the other.
+const ROLLING_PROBABILITY: f64 = 0.3;
+
+/// A process signal and what follows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Interruption {
+    /// SIGSTOP, and SIGCONT at the end.
+    Suspend,
+    /// SIGKILL, and a new process at the end.
+    Kill,
+    /// SIGTERM, and a new process at the end, but not before the old one has ended.
+    Terminate,
+    /// SIGHUP.
+    Reload,
+}
+
+/// What a fault does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Interrupts the process of a host.
+    Interrupt(usize, Interruption),
+    /// Disturbs the link of a host to the store.
+    StoreLink(usize, Weather),
+    /// Disturbs the link of callers to a host.
+    CallerLink(usize, Weather),
+    /// Disturbs the link of all hosts to an upstream.
+    UpstreamLink(usize, Weather),
+    /// Disturbs the store.
+    Store(Health),
+    /// An upstream treats requests badly.
+    Misbehave(usize, engine::Mode),
+    /// An upstream turns orders away.
+    IgnoreOrders(usize),
+    /// An upstream crashes and comes back at the end; `true`: with a new id.
+    Crash(usize, bool),
+    /// An upstream reports that it leaves; a new one takes its address at the end.
+    Drain(usize),
+    /// A zone is evacuated, and taken back at the end.
+    Evacuate(usize),
+    /// The second key is revoked, and added again at the end.
+    Revoke,
+    /// New weights are named.
+    NewWeights,
+}
+
+/// One fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// When it begins, from the start of the run.
+    pub start: Duration,
+    /// When it ends.
+    pub end: Duration,
+    /// What it does.
+    pub action: Action,
+}
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Number of gateway hosts.
+    pub hosts: usize,
+    /// Number of upstreams, of all services.
+    pub upstreams: usize,
+    /// Number of zones.
+    pub zones: usize,
+    /// How long callers send requests.
+    pub time: Duration,
+}
+
+/// Families of faults. Each run has some of them, so that rules which bind only without other
+/// disturbances are tested as well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Family {
+    Suspension,
+    Restart,
+    StoreLinks,
+    CallerLinks,
+    UpstreamLinks,
+    Store,
+    Upstreams,
+    Fleet,
+    Operator,
+    Weights,
+}
+
+const FAMILIES: [Family; 10] = [
+    Family::Suspension,
+    Family::Restart,
+    Family::StoreLinks,
+    Family::CallerLinks,
+    Family::UpstreamLinks,
+    Family::Store,
+    Family::Upstreams,
+    Family::Fleet,
+    Family::Operator,
+    Family::Weights,
+];
+
+/// Draws the faults of a run; the same seed and size give the same faults, sorted by their start.
+pub fn draw(seed: u64, size: &Size) -> Vec<Fault> {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    for family in FAMILIES {
+        if random.random_bool(FAMILY_PROBABILITY) {
+            series(&mut random, family, size, &mut faults);
+        }
+    }
+    faults.sort_by_key(|it| (it.start, it.end));
+    faults
+}
+
+fn series(random: &mut Pcg64, family: Family, size: &Size, faults: &mut Vec<Fault>) {
+    let total = size.time.as_millis() as u64;
+    let last_start = total * 7 / 10;
+    let rolling = random.random_bool(ROLLING_PROBABILITY);
+    let mut order: Vec<usize> = (0..size.hosts).collect();
+    order.shuffle(random);
+    let mut start = WARM_UP_MS + random.random_range(0..total / 5);
+    let mut turn = 0;
+    while start < last_start {
+        let host =
+            if rolling { order[turn % size.hosts] } else { random.random_range(0..size.hosts) };
+        let (action, length) = fault(random, family, host, size);
+        let (start_time, end) =
+            (Duration::from_millis(start), Duration::from_millis(start + length));
+        faults.push(Fault { start: start_time, end, action });
+        turn += 1;
+        start += match family {
+            // Each of these needs some seconds to take effect.
+            Family::Weights | Family::Operator | Family::Fleet => random.random_range(800..6000),
+            _ => random.random_range(SERIES_GAP_MS),
+        };
+    }
+}
+
+/// Draws one fault of a family, and how long it lasts in milliseconds.
+fn fault(random: &mut Pcg64, family: Family, host: usize, size: &Size) -> (Action, u64) {
+    let upstream = random.random_range(0..size.upstreams);
+    let length = random.random_range(200..3000);
+    let weather = [
+        Weather::Delay(random.random_range(5..400)),
+        Weather::Reset,
+        Weather::CutToServer,
+        Weather::CutToClient,
+        Weather::Silence,
+        Weather::DropAfter(random.random_range(0..4000)),
+    ][random.random_range(0..6)];
+    match family {
+        Family::Suspension => {
+            (Action::Interrupt(host, Interruption::Suspend), random.random_range(300..7000))
+        }
+        Family::Restart => {
+            let kinds = [Interruption::Kill, Interruption::Terminate, Interruption::Reload];
+            (Action::Interrupt(host, kinds[random.random_range(0..3)]), length)
+        }
+        Family::StoreLinks => (Action::StoreLink(host, weather), length),
+        Family::CallerLinks => (Action::CallerLink(host, weather), length),
+        Family::UpstreamLinks if random.random_bool(0.2) => {
+            (Action::UpstreamLink(upstream, Weather::Garble), length)
+        }
+        Family::UpstreamLinks => (Action::UpstreamLink(upstream, weather), length),
+        Family::Store => {
+            let healths = [
+                Health::Down,
+                Health::Silent,
+                Health::Compacted,
+                Health::LosesResponses,
+                Health::Slow(random.random_range(20..900)),
+            ];
+            (Action::Store(healths[random.random_range(0..healths.len())]), length)
+        }
+        Family::Upstreams => {
+            let modes = [
+                engine::Mode::Refuse,
+                engine::Mode::Late(random.random_range(100..5000)),
+                engine::Mode::LoseAnswer,
+                engine::Mode::CutAnswer,
+                engine::Mode::WrongId,
+                engine::Mode::Fail,
+            ];
+            (Action::Misbehave(upstream, modes[random.random_range(0..modes.len())]), length)
+        }
+        Family::Fleet => match random.random_range(0..3) {
+            0 => (Action::Drain(upstream), random.random_range(3000..6000)),
+            it => (Action::Crash(upstream, it == 1), length),
+        },
+        Family::Operator => match random.random_range(0..2) {
+            0 => (Action::Revoke, random.random_range(2000..6000)),
+            _ => (Action::Evacuate(random.random_range(0..size.zones)), length + 5000),
+        },
+        Family::Weights => match random.random_range(0..2) {
+            0 => (Action::NewWeights, 0),
+            _ => (Action::IgnoreOrders(upstream), random.random_range(1000..20_000)),
+        },
+    }
+}
--- /dev/null
+++ b/bench/src/soak/record.rs
@@ -0,0 +1,177 @@
+//! What a run has seen: requests of callers with their outcomes, disturbances, and what operators
+//! have asked for.
+
+use std::time::{Duration, Instant};
+
+use mothvale_platform_standin::{engine::Journal, operator::Bounds};
+
+/// How a request ended at its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole response.
+    Answered(u16),
+    /// A connection that ended or broke before the end of the response, with the status if any.
+    Cut(Option<u16>),
+    /// A response that must not be: not the caller's own, or incomplete while it looks complete.
+    Wrong(String),
+    /// No end of the response until the caller's deadline.
+    TimedOut,
+    /// The caller left before.
+    Left,
+}
+
+/// One attempt of a caller.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Its id.
+    pub id: String,
+    /// Position of its route in the table of routes.
+    pub route: usize,
+    /// Host that it was sent to.
+    pub host: usize,
+    /// Which of the keys it carried.
+    pub key: usize,
+    /// When it was sent.
+    pub at: Instant,
+    /// How long the caller waits.
+    pub deadline: Duration,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// When it ended.
+    pub ended: Instant,
+}
+
+/// What a disturbance concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// The process of one host.
+    Host(usize),
+    /// The link of one host to the store.
+    StoreLink(usize),
+    /// The link of callers to one host.
+    CallerLink(usize),
+    /// The store.
+    Store,
+    /// A link that all hosts use.
+    Link,
+}
+
+/// A time during which something was disturbed.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    /// What it concerned.
+    pub scope: Scope,
+    /// Its start.
+    pub start: Instant,
+    /// Its end, once it is over.
+    pub end: Option<Instant>,
+}
+
+/// A time during which a request of the operator was acknowledged and not taken back.
+#[derive(Clone, Debug)]
+pub struct Period<T> {
+    /// What was asked for.
+    pub what: T,
+    /// When the store had acknowledged it.
+    pub from: Instant,
+    /// When it began to be taken back.
+    pub until: Option<Instant>,
+}
+
+impl<T> Period<T> {
+    /// Returns whether `at` is later than `bound` after the start and before the end.
+    pub fn binds(&self, at: Instant, bound: Duration) -> bool {
+        at > self.from + bound && self.until.is_none_or(|it| at < it)
+    }
+}
+
+/// The end of a process after SIGTERM.
+#[derive(Clone, Copy, Debug)]
+pub struct Exit {
+    /// Host of the process.
+    pub host: usize,
+    /// When it got the signal.
+    pub signalled: Instant,
+    /// Time until its end, without suspensions; `None` if it did not end in time.
+    pub took: Option<Duration>,
+    /// Whether its exit status was 0.
+    pub success: bool,
+}
+
+/// All that a run has seen.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// All attempts, in the order of their ends.
+    pub attempts: Vec<Attempt>,
+    /// All disturbances.
+    pub disturbances: Vec<Disturbance>,
+    /// Target weight versions.
+    pub targets: Vec<Period<u32>>,
+    /// Upstreams that reported that they leave, by id.
+    pub drains: Vec<Period<String>>,
+    /// Evacuated zones.
+    pub evacuations: Vec<Period<String>>,
+    /// Revoked keys, by position.
+    pub revocations: Vec<Period<usize>>,
+    /// Ends after SIGTERM.
+    pub exits: Vec<Exit>,
+    /// SIGKILLs by host.
+    pub kills: Vec<(usize, Instant)>,
+    /// Processes that ended without a signal.
+    pub own_ends: Vec<(usize, Instant)>,
+    /// Largest resident memory in bytes and number of open files, by host.
+    pub usage: Vec<(u64, u64)>,
+}
+
+/// What the checks judge by.
+#[derive(Debug)]
+pub struct Evidence {
+    /// What the run has seen itself.
+    pub record: Record,
+    /// What upstreams have received.
+    pub journal: Journal,
+    /// Text of the hosts' logs.
+    pub logs: Vec<String>,
+    /// Names of the hosts.
+    pub host_names: Vec<String>,
+    /// Zones of the upstreams.
+    pub upstream_zones: Vec<String>,
+    /// Keys of callers.
+    pub keys: Vec<String>,
+    /// The deployment's bounds.
+    pub bounds: Bounds,
+    /// Largest resident memory of a host, in bytes.
+    pub max_memory: u64,
+    /// Largest number of open files of a host.
+    pub max_files: u64,
+}
+
+impl Evidence {
+    /// Returns whether a host was without disturbance for the contact bound before `at`.
+    pub fn in_contact(&self, host: usize, at: Instant) -> bool {
+        self.is_calm(at, |scope| match scope {
+            Scope::Host(it) | Scope::StoreLink(it) | Scope::CallerLink(it) => it == host,
+            Scope::Store | Scope::Link => true,
+        })
+    }
+
+    /// Returns whether nothing that `concerns` selects was disturbed for the contact bound before
+    /// `at`.
+    pub fn is_calm<F>(&self, at: Instant, concerns: F) -> bool
+    where
+        F: Fn(Scope) -> bool,
+    {
+        let contact = Duration::from_millis(self.bounds.contact_ms);
+        !self.record.disturbances.iter().any(|it| {
+            concerns(it.scope) && it.start <= at && it.end.is_none_or(|end| end + contact > at)
+        })
+    }
+
+    /// Returns the last end of a disturbance of the store or of any link before `at`, or `at` if
+    /// there is one now.
+    pub fn last_link_disturbance(&self, at: Instant) -> Option<Instant> {
+        let shared = self.record.disturbances.iter().filter(|it| it.start <= at);
+        let shared = shared.filter(|it| !matches!(it.scope, Scope::Host(_)));
+        shared.map(|it| it.end.map_or(at, |end| end.min(at))).max()
+    }
+}
--- /dev/null
+++ b/cli/tests/runner.rs
@@ -0,0 +1,3 @@
+//! Combines all tests that start the `mothvale` program into one test binary.
+
+mod test_soak;
