soak: planned stops, log lines of ends, suspensions that miss an operator

Cause: nothing checked that a planned stop cuts no request and that the last log line of a process is written. A suspension seldom covered the moment at which a target weight version is set.

Change: checks clean-stops and logged-ends with mutants; half of the suspensions begin just before something that operators ask for; half of the runs leave links and the store alone.

--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -4,7 +4,7 @@
 pub mod check;
 mod client;
 mod conductor;
-mod host;
+pub mod host;
 mod link;
 pub mod mutant;
 pub mod plan;
@@ -42,8 +42,9 @@
 const MIN_ENGINES: usize = 3;
 /// Upstreams of the plain service.
 const PLAIN_UPSTREAMS: usize = 3;
-/// Callers for each host.
+/// Callers for each host, and most callers of a run.
 const CALLERS_PER_HOST: usize = 8;
+const MAX_CALLERS: usize = 96;
 /// Longest wait for all hosts to be ready at the start.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Memory limit of a host in the deployments that the platform's pages describe.
@@ -88,12 +89,13 @@
 ///
 /// Returns an error when something cannot be started.
 pub async fn run(options: &Options) -> io::Result<Report> {
-    let _turn = TURN.lock().await;
+    let _turn = take_turn().await;
     fs::create_dir_all(&options.folder)?;
     let bounds = Bounds::default();
     let engine_count = MIN_ENGINES + options.hosts / 2;
     let size = plan::Size {
         hosts: options.hosts,
+        engines: engine_count,
         upstreams: engine_count + PLAIN_UPSTREAMS,
         zones: ZONES,
         time: options.time,
@@ -172,9 +174,10 @@
     for (index, address) in probed.into_iter().enumerate() {
         tokio::spawn(client::probe(population.clone(), index, address));
     }
-    let callers: Vec<_> = (0..CALLERS_PER_HOST * options.hosts)
-        .map(|index| tokio::spawn(client::run(population.clone(), options.seed, index)))
-        .collect();
+    let callers: Vec<_> =
+        (0..(CALLERS_PER_HOST * options.hosts).min(MAX_CALLERS).max(options.hosts))
+            .map(|index| tokio::spawn(client::run(population.clone(), options.seed, index)))
+            .collect();
     conductor.play(start, &faults, || callers.iter().all(JoinHandle::is_finished)).await?;
     for caller in callers {
         caller.await.map_err(io::Error::other)?;
@@ -203,6 +206,11 @@
     Ok(Report { summary, broken, faults })
 }
 
+/// Waits until no other run of this process uses the hosts' addresses, and takes them.
+pub async fn take_turn() -> tokio::sync::MutexGuard<'static, ()> {
+    TURN.lock().await
+}
+
 /// Returns the program that was built beside the running one.
 ///
 /// # Errors
@@ -218,7 +226,7 @@
 
 /// Returns an address of the loopback network that no other host of this process has; processes that
 /// run at the same time differ by their process id.
-fn host_ip(index: usize) -> IpAddr {
+pub fn host_ip(index: usize) -> IpAddr {
     let [_, _, high, low] = process::id().to_be_bytes();
     // 127.0.x.x is left to other programs.
     IpAddr::V4(Ipv4Addr::new(127, high % 127 + 1, low, index as u8 + 1))
--- a/bench/src/soak/record.rs
+++ b/bench/src/soak/record.rs
@@ -54,6 +54,8 @@
     Store,
     /// A link that all hosts use.
     Link,
+    /// One upstream.
+    Upstream(usize),
 }
 
 /// A time during which something was disturbed.
@@ -94,8 +96,10 @@
     pub signalled: Instant,
     /// Time until its end, without suspensions; `None` if it did not end in time.
     pub took: Option<Duration>,
-    /// Whether its exit status was 0.
+    /// Whether its exit status was 0, or the signal ended it before it handled signals.
     pub success: bool,
+    /// Whether it had run long enough to handle signals.
+    pub had_started: bool,
 }
 
 /// All that a run has seen.
@@ -152,6 +156,7 @@
         self.is_calm(at, |scope| match scope {
             Scope::Host(it) | Scope::StoreLink(it) | Scope::CallerLink(it) => it == host,
             Scope::Store | Scope::Link => true,
+            Scope::Upstream(_) => false,
         })
     }
 
@@ -171,7 +176,7 @@
     /// there is one now.
     pub fn last_link_disturbance(&self, at: Instant) -> Option<Instant> {
         let shared = self.record.disturbances.iter().filter(|it| it.start <= at);
-        let shared = shared.filter(|it| !matches!(it.scope, Scope::Host(_)));
+        let shared = shared.filter(|it| !matches!(it.scope, Scope::Host(_) | Scope::Upstream(_)));
         shared.map(|it| it.end.map_or(at, |end| end.min(at))).max()
     }
 }
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Combines all tests that start the `mothvale` program into one test binary.
 
+mod test_gateway_process;
 mod test_soak;
