--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -83,6 +83,8 @@
     pub priority: u8,
     /// Hash of the request's id, the random sample for admission.
     pub request_hash: u64,
+    /// How long the request may wait at an upstream before it starts.
+    pub max_wait: Duration,
     /// Upstreams that must not be chosen, because an earlier attempt there failed or was refused.
     pub tried: &'a [Upstream],
 }
@@ -534,7 +536,8 @@
             0 => u32::MAX,
             max => (f64::from(max) * CONNECTION_FRACTION / self.hosts.len() as f64).max(1.0) as u32,
         };
-        let min_version = query.model.map(|it| (it, self.target_weights.min_version(now, it)));
+        let min_version =
+            query.model.map(|it| (it, self.target_weights.min_version(now, query.max_wait, it)));
         let max_tokens = service
             .engine
             .as_ref()
@@ -550,7 +553,9 @@
                 || state.in_flight >= max_in_flight
                 || (state.half_open && state.in_flight > 0)
                 || min_version.is_some_and(|(model, min)| {
-                    state.row.weight_version(model).is_some_and(|it| it < min)
+                    // Weights of an engine that are unknown may be too old.
+                    let known = state.row.weight_version(model);
+                    known.map_or(service.engine.is_some(), |it| it < min)
                 })
                 || (state.total_requests() > 0
                     && state.total_tokens() + u64::from(query.tokens) > max_tokens)
