--- a/bench/src/soak/check.rs
+++ b/bench/src/soak/check.rs
@@ -335,7 +335,7 @@
             Scope::Host(host) | Scope::StoreLink(host) | Scope::CallerLink(host) => {
                 host == attempt.host
             }
-            Scope::Store | Scope::Link => true,
+            Scope::Store | Scope::Link | Scope::Machine => true,
             Scope::Upstream(upstream) => runs.iter().any(|run| run.engine == upstream),
         });
         (concerning.count() == 1).then(|| {
--- a/bench/src/soak/client.rs
+++ b/bench/src/soak/client.rs
@@ -21,7 +21,7 @@
 use rand_pcg::Pcg64;
 use tokio::time::{sleep, timeout};
 
-use super::record::{Attempt, Outcome, Record};
+use super::record::{Attempt, Disturbance, Outcome, Record, Scope};
 
 /// Model of all generations.
 pub const MODEL: &str = "m1";
@@ -37,6 +37,10 @@
 const SESSIONS: u64 = 40;
 /// Time between two readiness probes of the balancer, and longest wait for a response.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
+/// Period of the timer that shows stalls of the machine.
+const STALL_PERIOD: Duration = Duration::from_millis(10);
+/// How late that timer, or a thread that waits for a processor, may be on a machine that is not slow.
+pub const MAX_LATENESS: Duration = Duration::from_millis(150);
 /// Probes without success in a row after which a host gets no new connections.
 const MAX_MISSES: u32 = 2;
 
@@ -83,6 +87,22 @@
     response.is_ok_and(|it| it.status().is_success())
 }
 
+/// Notes when the machine is too slow to run the soak's own timers in time. Hosts are then not in
+/// contact, as on a machine that is slowed down.
+pub async fn watch_stalls(population: Arc<Population>) {
+    while Instant::now() < population.end + Duration::from_secs(10) {
+        let start = Instant::now();
+        sleep(STALL_PERIOD).await;
+        let late = start.elapsed().saturating_sub(STALL_PERIOD);
+        let mut record = lock(&population.record);
+        record.longest_stall = record.longest_stall.max(late);
+        if late > MAX_LATENESS {
+            let (scope, end) = (Scope::Machine, Some(Instant::now()));
+            record.disturbances.push(Disturbance { scope, start, end });
+        }
+    }
+}
+
 /// Runs one caller until the end.
 pub async fn run(population: Arc<Population>, seed: u64, index: usize) {
     let mut random = Pcg64::seed_from_u64(seed ^ (index as u64 + 1) << 32);
--- a/bench/src/soak/conductor.rs
+++ b/bench/src/soak/conductor.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 use super::{
-    client::{MODEL, lock},
+    client::{MAX_LATENESS, MODEL, lock},
     host::Host,
     link::{Link, Weather},
     mutant::Mutant,
@@ -43,6 +43,8 @@
     terminated: Option<(Instant, Duration)>,
     /// When the process started.
     started: Option<Instant>,
+    /// For how long its traffic thread has waited for a processor.
+    waited: Duration,
     killed: bool,
 }
 
@@ -367,6 +369,16 @@
                 let mut open = record.disturbances.iter_mut().filter(same);
                 open.by_ref().filter(|it| it.end.is_none()).for_each(|it| it.end = Some(now));
             }
+            if let Some(waited) = host.processor_wait() {
+                let longer = waited.saturating_sub(intent.waited);
+                intent.waited = waited;
+                record.longest_stall = record.longest_stall.max(longer);
+                if longer > MAX_LATENESS {
+                    let (start, end) = (now.checked_sub(longer).unwrap_or(now), Some(now));
+                    let scope = Scope::Machine;
+                    record.disturbances.push(Disturbance { scope, start, end });
+                }
+            }
             if let Some((memory, files)) = host.usage() {
                 let most = &mut record.usage[index];
                 *most = (most.0.max(memory), most.1.max(files));
--- a/bench/src/soak/host.rs
+++ b/bench/src/soak/host.rs
@@ -6,6 +6,7 @@
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
+    time::Duration,
 };
 
 use mothvale_platform_standin::operator::{CALLER_PORT, READINESS_PORT, SETTINGS_VARIABLE};
@@ -110,4 +111,14 @@
         let files = fs::read_dir(process.join("fd")).ok()?.count();
         Some((pages * PAGE_BYTES, files as u64))
     }
+
+    /// Returns for how long the process's first thread, which carries the traffic, has waited for a
+    /// processor since its start.
+    pub fn processor_wait(&self) -> Option<Duration> {
+        let file = format!("/proc/{}/schedstat", self.child.as_ref()?.id()?);
+        let text = fs::read_to_string(file).ok()?;
+        // Time on the processor, time waiting for one, and number of turns.
+        let nanos = text.split_whitespace().nth(1)?.parse().ok()?;
+        Some(Duration::from_nanos(nanos))
+    }
 }
--- a/bench/src/soak/record.rs
+++ b/bench/src/soak/record.rs
@@ -56,6 +56,8 @@
     Link,
     /// One upstream.
     Upstream(usize),
+    /// The machine that the soak runs on, which was too slow for a moment.
+    Machine,
 }
 
 /// A time during which something was disturbed.
@@ -123,6 +125,8 @@
     pub kills: Vec<(usize, Instant)>,
     /// Processes that ended without a signal.
     pub own_ends: Vec<(usize, Instant)>,
+    /// Longest delay of the soak's own timers, or wait of a host for a processor.
+    pub longest_stall: Duration,
     /// Largest resident memory in bytes and number of open files, by host.
     pub usage: Vec<(u64, u64)>,
 }
@@ -155,7 +159,7 @@
     pub fn in_contact(&self, host: usize, at: Instant) -> bool {
         self.is_calm(at, |scope| match scope {
             Scope::Host(it) | Scope::StoreLink(it) | Scope::CallerLink(it) => it == host,
-            Scope::Store | Scope::Link => true,
+            Scope::Store | Scope::Link | Scope::Machine => true,
             Scope::Upstream(_) => false,
         })
     }
--- /dev/null
+++ b/bench/src/soak/regressions.rs
@@ -0,0 +1,46 @@
+//! Cases that once broke a promise, each with its faults alone, so that they stay the same when the
+//! drawing of faults changes.
+
+use std::time::Duration;
+
+use super::plan::{Action, Fault, Interruption};
+
+/// A case that once broke a promise.
+#[derive(Clone, Debug)]
+pub struct Case {
+    /// Its name.
+    pub name: &'static str,
+    /// Seed with which it was found.
+    pub seed: u64,
+    /// What was wrong.
+    pub cause: &'static str,
+    /// How long callers send requests.
+    pub time: Duration,
+    /// Its faults, sorted by their start.
+    pub faults: Vec<Fault>,
+}
+
+/// Returns all cases, for runs of at least 3 hosts.
+pub fn cases() -> Vec<Case> {
+    let suspend = Action::Interrupt(0, Interruption::Suspend);
+    vec![Case {
+        name: "target-set-during-suspension",
+        seed: 1478,
+        cause: "a host that was suspended while a target weight version was set counted the \
+                transition from when it woke",
+        time: Duration::from_secs(16),
+        faults: vec![
+            fault(1900, 20_000, Action::IgnoreOrders(0)),
+            fault(1900, 20_000, Action::IgnoreOrders(1)),
+            fault(1900, 20_000, Action::IgnoreOrders(2)),
+            fault(1900, 20_000, Action::IgnoreOrders(3)),
+            fault(2000, 9000, suspend),
+            fault(2100, 2100, Action::NewWeights),
+        ],
+    }]
+}
+
+fn fault(start_ms: u64, end_ms: u64, action: Action) -> Fault {
+    let (start, end) = (Duration::from_millis(start_ms), Duration::from_millis(end_ms));
+    Fault { start, end, action }
+}
--- a/bench/src/soak_command.rs
+++ b/bench/src/soak_command.rs
@@ -3,7 +3,7 @@
 use std::{env, error::Error, io, path::PathBuf, time::Duration};
 
 use lexopt::{Arg::Long, Parser, ValueExt};
-use mothvale_bench::soak::{self, Options, Report, mutant};
+use mothvale_bench::soak::{self, Options, Report, mutant, regressions};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Broken promises that are printed of one run.
@@ -13,7 +13,7 @@
 pub fn run(mut args: Parser) -> Result<(), Box<dyn Error>> {
     let (mut first_seed, mut seed_count, mut seconds, mut hosts) = (1_u64, 1, 20.0, 3);
     let (mut program, mut folder, mut mutant) = (None, env::temp_dir(), None);
-    let mut passed_over = Vec::new();
+    let (mut passed_over, mut case) = (Vec::new(), None);
     while let Some(arg) = args.next()? {
         match arg {
             Long("seed") => first_seed = args.value()?.parse()?,
@@ -22,6 +22,11 @@
             Long("hosts") => hosts = args.value()?.parse()?,
             Long("program") => program = Some(PathBuf::from(args.value()?)),
             Long("folder") => folder = PathBuf::from(args.value()?),
+            Long("case") => {
+                let name = args.value()?.string()?;
+                let found = regressions::cases().into_iter().find(|it| it.name == name);
+                case = Some(found.ok_or(format!("{name}: no such case"))?);
+            }
             Long("pass-over") => passed_over.push(args.value()?.string()?),
             Long("mutant") => {
                 let name = args.value()?.string()?;
@@ -46,8 +51,9 @@
             folder: folder.join(format!("mothvale-soak-{seed}-{}", std::process::id())),
             seed,
             hosts,
-            time: Duration::from_secs_f64(seconds),
+            time: case.as_ref().map_or(Duration::from_secs_f64(seconds), |it| it.time),
             mutant,
+            faults: case.as_ref().map(|it| it.faults.clone()),
         };
         let report = runtime.block_on(run_unless_stopped(&options))?;
         println!("{}", report.summary);
