log_setup: the last lines are written before the process ends

Cause: lines are written by a thread of their own, and the logger's flush, called at the end, does not know its queue. Change: flush() of log_setup puts a mark into the queue and waits for it, for at most 0.5 s.

--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -23,6 +23,7 @@
     gateway::Gateway,
     gateway_server,
     host_settings::HostSettings,
+    log_setup,
     mesh::Mesh,
     pinned_tls::{Identity, PinError},
     prelude::*,
@@ -343,7 +344,7 @@
     // Likewise for requests that ended during the loop.
     sleep(SHUTDOWN_POLL * 2).await;
     log::info!(active = gateway.active_requests(); "stopped");
-    log::logger().flush();
+    log_setup::flush();
     Ok(())
 }
 
--- a/lib/src/log_setup.rs
+++ b/lib/src/log_setup.rs
@@ -4,8 +4,9 @@
     io::Write,
     iter,
     sync::{
+        OnceLock,
         atomic::{AtomicU64, Ordering},
-        mpsc,
+        mpsc::{self, Receiver, SyncSender},
     },
     thread,
     time::{Duration, Instant},
@@ -23,6 +24,9 @@
 /// Most lines written per second. A host answers about fifty requests per second.
 const MAX_LINES_PER_SECOND: u64 = 400;
 
+/// Longest wait for the thread that writes the lines when the process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Prefix of the module paths of this crate.
 const CRATE_PREFIX: &str = "mothvale_lib::";
 /// Modules whose logged name differs from their module name, as pairs of module name and logged
@@ -44,6 +48,16 @@
 /// Lines that were dropped and not yet reported in the log.
 static UNREPORTED_DROPS: AtomicU64 = AtomicU64::new(0);
 
+/// Queue of the thread that writes the lines, once there is one.
+static QUEUE: OnceLock<SyncSender<Entry>> = OnceLock::new();
+
+/// Entry in the queue of the thread that writes the lines.
+enum Entry {
+    Line(String),
+    /// All lines before this are to be written; then a message is sent.
+    Flush(SyncSender<()>),
+}
+
 /// Why the logger cannot be installed.
 #[derive(Debug, ThisError)]
 pub enum LogError {
@@ -72,18 +86,41 @@
 ///
 /// Returns an error when a logger is already installed or the thread cannot be started.
 pub fn install_stdout(settings: &Log) -> Result<(), LogError> {
-    let (lines, queued) = mpsc::sync_channel(MAX_QUEUED_LINES);
+    let (queue, queued) = mpsc::sync_channel(MAX_QUEUED_LINES);
     thread::Builder::new().name("log".into()).spawn(move || write_lines(&queued))?;
+    let lines = queue.clone();
     let output = fern::Output::call(move |record| {
-        if lines.try_send(record.args().to_string()).is_err() {
+        if lines.try_send(Entry::Line(record.args().to_string())).is_err() {
             UNREPORTED_DROPS.fetch_add(1, Ordering::Relaxed);
         }
     });
-    Ok(dispatch(settings).chain(output).apply()?)
+    dispatch(settings).chain(output).apply()?;
+    // Set once, as a process has one logger.
+    QUEUE.get_or_init(|| queue);
+    Ok(())
+}
+
+/// Waits until the lines logged so far are written, for at most [`FLUSH_TIMEOUT`]. For the end of the
+/// process; the logger's own `flush` does not know the queue.
+pub fn flush() {
+    let Some(queue) = QUEUE.get() else { return log::logger().flush() };
+    let (written, done) = mpsc::sync_channel(1);
+    let deadline = Instant::now() + FLUSH_TIMEOUT;
+    let mut entry = Entry::Flush(written);
+    // The queue may be full for a moment.
+    while let Err(mpsc::TrySendError::Full(returned)) = queue.try_send(entry) {
+        if Instant::now() >= deadline {
+            return;
+        }
+        entry = returned;
+        thread::sleep(Duration::from_millis(5));
+    }
+    // Without an answer in time, the rest of the lines is lost with the process.
+    let _ = done.recv_timeout(deadline.saturating_duration_since(Instant::now()));
 }
 
 /// Writes lines until the logger is gone. All queued lines are written in one call.
-fn write_lines(queued: &mpsc::Receiver<String>) {
+fn write_lines(queued: &Receiver<Entry>) {
     let mut second_start = Instant::now();
     let mut written = 0;
     while let Ok(first) = queued.recv() {
@@ -91,7 +128,15 @@
             (second_start, written) = (Instant::now(), 0);
         }
         let mut text = String::new();
-        for line in iter::once(first).chain(queued.try_iter()) {
+        let mut waiting = Vec::new();
+        for entry in iter::once(first).chain(queued.try_iter()) {
+            let line = match entry {
+                Entry::Line(line) => line,
+                Entry::Flush(flushed) => {
+                    waiting.push(flushed);
+                    continue;
+                }
+            };
             written += 1;
             if written > MAX_LINES_PER_SECOND {
                 UNREPORTED_DROPS.fetch_add(1, Ordering::Relaxed);
@@ -112,6 +157,10 @@
             // Nobody reads standard output, so there is nowhere to report it.
             UNREPORTED_DROPS.fetch_add(1, Ordering::Relaxed);
         }
+        for flushed in waiting {
+            // Whoever waits may have given up.
+            let _ = flushed.try_send(());
+        }
     }
 }
 
