table_sync: a host that reads for others notices a silent store within the staleness bound

Cause: a long poll of the operators' table waits 20 s, and 1.3 s more for its answer. Change: hosts that no other host reads for wait as long as the staleness bound allows (3 to 5 s); the others still wait 20 s and hear of changes from these, so that calls to the store grow by one in three seconds a zone. Conclusion: fixed for a reading host; a host that takes over in the middle of a long poll still waits it out.

--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -169,16 +169,28 @@
         let upstreams_interval =
             self.gateway.host_settings.bounds.drain.mul_f64(UPSTREAMS_POLL_FRACTION);
         tokio::join!(
-            self.sync_table(Table::Operators, LONG_POLL_WAIT, Duration::ZERO),
-            self.sync_table(Table::Hosts, LONG_POLL_WAIT, HOSTS_POLL_PAUSE),
-            self.sync_table(Table::Upstreams, Duration::ZERO, upstreams_interval),
+            self.sync_table(Table::Operators, Duration::ZERO),
+            self.sync_table(Table::Hosts, HOSTS_POLL_PAUSE),
+            self.sync_table(Table::Upstreams, upstreams_interval),
             self.purge_expired(),
         );
     }
 
-    /// Keeps the replica of one table up to date, with calls that wait up to `wait` for a change,
-    /// and a pause of `poll_interval` between calls.
-    async fn sync_table(&self, table: Table, wait: Duration, poll_interval: Duration) {
+    /// Returns how long a call for changes of a table waits for one.
+    fn poll_wait(&self, table: Table) -> Duration {
+        match table {
+            Table::Upstreams => Duration::ZERO,
+            // A connection may be silent without an error. A host that reads for others finds that out
+            // within the staleness bound, and the others hear of changes from it.
+            Table::Operators if !self.replicas.is_delegated(self.gateway.now()) => {
+                LONG_POLL_WAIT.min(self.gateway.host_settings.bounds.max_staleness)
+            }
+            Table::Operators | Table::Hosts | Table::Leases => LONG_POLL_WAIT,
+        }
+    }
+
+    /// Keeps the replica of one table up to date, with a pause of `poll_interval` between calls.
+    async fn sync_table(&self, table: Table, poll_interval: Duration) {
         let mut read_snapshot = true;
         let mut failures = 0_u32;
         loop {
@@ -188,6 +200,7 @@
             }
             let requested_at = self.gateway.now();
             let known = self.replicas.table(table).revision();
+            let wait = self.poll_wait(table);
             let newest_era = self.replicas.newest_era();
             // Rows of a former era are no base for changes of a later one.
             read_snapshot |= known.era < newest_era;
