lease, rollout: targets in the lease row are dated by a lower bound of the store's clock

The holder dated targets by an upper bound of the row store's clock, late by up to the duration of its last write (1.1 s), so hosts that start later gave older weights as much more time. Change: the lease knows a lower bound as well, from when a response had come. Run: a new test with responses that tell the clock of any moment between call and response; by the upper bound it does not hold (from reading).

--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -120,6 +120,8 @@
     former_until: Option<Instant>,
     /// Version of a stored row that was written in a former era, and when this host first saw it.
     former_row: Option<(u64, Instant)>,
+    /// The row store's clock in the newest response, and a local time after which it came.
+    clock_seen: Option<(Instant, Duration)>,
     /// Latest time at which this host may have acted, or the previous holder if this one has not,
     /// in milliseconds of the row store's clock.
     last_activity_ms: u64,
@@ -154,6 +156,7 @@
             store_era: Sighting::default(),
             former_until: None,
             former_row: None,
+            clock_seen: None,
             last_activity_ms: 0,
         }
     }
@@ -177,6 +180,7 @@
         self.targets.clear();
         self.unreadable = None;
         self.former_row = None;
+        self.clock_seen = None;
         let free_at = match self.is_former_holder(now) {
             true => now,
             false => store_era.first_seen + LEASE_DURATION + self.takeover_delay,
@@ -386,6 +390,18 @@
         Some(held.store_clock + now.since(held.sent_at))
     }
 
+    /// Records the row store's clock in a response that has come before `now`.
+    pub fn observe_clock(&mut self, now: Instant, clock: Duration) {
+        self.clock_seen = Some((now, clock));
+    }
+
+    /// Returns a lower bound of the row store's clock at a local time, or `None` if no response has been
+    /// observed in this era. Targets are dated by it: no host may take one for younger than it is.
+    pub fn min_store_time(&self, now: Instant) -> Option<Duration> {
+        let (seen_at, clock) = self.clock_seen?;
+        Some(clock + now.since(seen_at))
+    }
+
     /// Adds target weight versions to those that are stored with the lease. Of two times of the same
     /// version the earlier one is kept, so that no host takes it for younger than it is.
     pub fn add_targets(&mut self, targets: Vec<Target>) {
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -399,13 +399,7 @@
     /// Adds the targets whose time of setting this host knows to those written to the lease row.
     fn record_targets(&mut self) {
         let now = self.gateway.now();
-        if let Some(clock) = self.lease.store_time(now) {
-            self.record_targets_at(now, clock);
-        }
-    }
-
-    /// Adds these targets, with the row store's clock at the local time `now`.
-    fn record_targets_at(&mut self, now: Instant, clock: Duration) {
+        let Some(clock) = self.lease.min_store_time(now) else { return };
         let targets = self.gateway.fleet().target_weights.known_times().into_iter();
         let target = |(model, version, since): (Model, u32, Instant)| Target {
             model: model.to_string(),
@@ -440,7 +434,8 @@
             return;
         }
         // The row may have lost targets that this host knows.
-        self.record_targets_at(requested_at, page.clock);
+        self.lease.observe_clock(self.gateway.now(), page.clock);
+        self.record_targets();
         let (action, previous) = match lease_row(&page) {
             StoredLease::Unreadable(version) => {
                 (self.lease.replace_unreadable(requested_at, page.clock, version), String::new())
@@ -479,6 +474,7 @@
                 if !previous.is_empty() || expected_version == 0 {
                     log::info!(fence = row.fence, former = previous; "lease acquired");
                 }
+                self.lease.observe_clock(self.gateway.now(), clock);
                 self.lease.record_write(row, version, until, sent_at, clock);
             }
             // The next read shows whether the row was written.
--- a/lib/tests/test_lease.rs
+++ b/lib/tests/test_lease.rs
@@ -228,3 +228,22 @@
         Action::Wait(_)
     ));
 }
+
+/// A target that is dated by a clock that is ahead would give older weights more time on hosts that start
+/// later. The response to a slow write tells a clock of any moment between call and response.
+#[test]
+fn store_clock_lies_between_its_bounds() {
+    for answered in [1_000, 1_700, 2_100] {
+        let mut lease = Lease::new(Host::new("host0"), 1, Duration::from_secs(3));
+        let clock = Duration::from_millis(50_000 + answered);
+        let Action::Write { row, until, .. } = lease.next_action(at(1_000), clock, None) else {
+            panic!("the lease is free");
+        };
+        assert_eq!(lease.min_store_time(at(2_100)), None);
+        lease.observe_clock(at(2_100), clock);
+        lease.record_write(row, 1, until, at(1_000), clock);
+        let truth = Duration::from_millis(50_000 + 2_200);
+        assert!(lease.min_store_time(at(2_200)).unwrap() <= truth, "{answered}");
+        assert!(lease.store_time(at(2_200)).unwrap() >= truth, "{answered}");
+    }
+}
