store_history: the response to a held call tells when a row was written

Change: the store answers a waiting call as soon as a row changes. If it has held the call for half a second, the row was written just before the store's clock in the answer, which is mapped to local time by the latest bound of all responses. It does not matter when the host reads the answer. Conclusion: the bound stays before the write, and is closer to it.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -27,7 +27,7 @@
     obstacle::Obstacle,
     prelude::*,
     quarantine::{Crash, Fingerprint, Quarantine},
-    replica::{Revision, Row},
+    replica::Row,
     store_history::History,
     window::RetryBudget,
 };
@@ -219,13 +219,13 @@
         }
     }
 
-    /// Records that the row store was at `revision` at `as_of` or later.
-    pub fn record_store_revision(&self, as_of: Instant, revision: Revision) {
-        lock(&self.store_history).record(as_of, revision);
+    /// Locks what this host remembers of past versions of the row store.
+    pub fn store_history(&self) -> MutexGuard<'_, History> {
+        lock(&self.store_history)
     }
 
     fn set_target_weights(&self, model: Model, version: u32, row_version: u64) {
-        let set_after = lock(&self.store_history).written_after(row_version);
+        let set_after = self.store_history().written_after(row_version);
         self.fleet().target_weights.record_stored(model.clone(), version);
         if self.fleet().target_weights.set(set_after, model.clone(), version) {
             // Missing if this host has never seen the store without the target.
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -705,7 +705,7 @@
         if !self.apply_rows(host, Table::Upstreams, known_upstreams, upstreams) {
             return false;
         }
-        gateway.record_store_revision(rows_as_of, revision);
+        gateway.store_history().record(rows_as_of, revision);
         if let Some(hosts) = pulled.hosts {
             self.apply_rows(host, Table::Hosts, known_hosts, hosts);
         }
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -17,7 +17,7 @@
     prelude::*,
     rendezvous,
     replica::{Replica, Revision, Row},
-    row_store::{RowStore, RowStoreError, Table},
+    row_store::{Page, RowStore, RowStoreError, Table},
 };
 
 /// Longest wait of one long-poll call, for tables that change rarely.
@@ -243,7 +243,7 @@
                     // A snapshot that is older than the replica is requested again.
                     read_snapshot = is_snapshot && stale;
                     if !stale {
-                        self.gateway.record_store_revision(requested_at, revision);
+                        self.record_sighting(requested_at, &page, !is_snapshot && !wait.is_zero());
                     }
                     self.apply(table, page.rows, known, revision, is_snapshot);
                     if table == Table::Upstreams {
@@ -270,6 +270,19 @@
         }
     }
 
+    /// Records at which revision the store was seen, and when. `waited` marks the response to a call
+    /// that waits for changes.
+    fn record_sighting(&self, requested_at: Instant, page: &Page, waited: bool) {
+        let mut history = self.gateway.store_history();
+        history.record(requested_at, page.revision());
+        history.observe_clock(requested_at, page.clock);
+        let first_change = page.rows.iter().map(|it| it.version).min().filter(|_| waited);
+        if let Some(version) = first_change {
+            let first_change = Revision { era: page.era, version };
+            history.record_held_call(requested_at, page.clock, first_change);
+        }
+    }
+
     /// Returns whether a table comes with pulls from the leader of the zone, if there is one.
     fn is_pulled(&self, table: Table) -> bool {
         match table {
--- a/lib/tests/test_store_history.rs
+++ b/lib/tests/test_store_history.rs
@@ -49,6 +49,28 @@
     assert_eq!(history.written_after(7), None);
 }
 
+/// The store answers a waiting call as soon as a row changes, and the host reads that answer after a
+/// suspension of four seconds.
+#[test]
+fn held_call_tells_when_a_row_was_written() {
+    let clock = |millis: u64| Duration::from_millis(70_000 + millis);
+    let mut history = History::default();
+    history.record(at(1000), version(5));
+    history.observe_clock(at(1000), clock(1004));
+    // The row was written at 3,000.
+    history.record_held_call(at(1100), clock(3002), version(6));
+    let bound = history.written_after(6).unwrap();
+    assert!(bound < at(3000) && at(3000).since(bound) < Duration::from_millis(200), "{bound:?}");
+    // A call that was answered at once came after the write.
+    history.record_held_call(at(4000), clock(4006), version(8));
+    assert_eq!(history.written_after(8), Some(bound));
+    // Its clock says more than the first one; nothing is known of the clock of another era.
+    history.observe_clock(at(4000), clock(4001));
+    history.record(at(5000), Revision { era: 1, version: 3 });
+    history.record_held_call(at(5000), clock(9000), Revision { era: 1, version: 5 });
+    assert_eq!(history.written_after(5), Some(at(5000)));
+}
+
 /// Reads a few times a second do not push out what is needed for a row that arrives 22 s late.
 #[test]
 fn history_reaches_back_further_than_a_long_poll_waits() {
@@ -67,6 +89,27 @@
 }
 
 proptest! {
+    /// A call waits until a row changes. Other calls, which take a while to arrive, tell the store's
+    /// clock. No bound is later than the write, and that of a held call is
+    /// close to it.
+    #[test]
+    fn held_calls_bound_the_write_closely(
+        write in 600_u64..20_000,
+        calls in prop::collection::vec((0_u64..500, 0_u64..80), 1..20),
+    ) {
+        let clock = |time: u64| Duration::from_millis(time + 5_000);
+        let mut history = History::default();
+        for (sent, there) in &calls {
+            history.observe_clock(at(*sent), clock(sent + there));
+            history.record(at(*sent), version(4));
+        }
+        // Answered at the write; when the host reads the answer does not matter.
+        history.record_held_call(at(0), clock(write), version(5));
+        let bound = history.written_after(5).unwrap();
+        prop_assert!(bound < at(write));
+        prop_assert!(write < 700 || at(write).since(bound) <= Duration::from_millis(240));
+    }
+
     /// The store's version rises at random times. Calls are answered late and out of order, and the
     /// version is that of any moment between call and response. No bound is later than the write.
     #[test]
