gateway: target weights from gossip are not dated by its age

After the store has come back from a copy, hosts pass on targets with their age. A message that has waited while its reader was suspended tells too small an age, and older weights would get as much more time. Change: the time of such a target is unknown, and is read from the lease row.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -236,7 +236,8 @@
     }
 
     /// Follows a target weight version that another host follows and the row store has lost. `age` is how
-    /// long ago it was set at most, if that is known.
+    /// long ago it was set at most, if that is known. It is not relied on: the message may have waited while
+    /// this host was suspended. The lease row tells when the target was set.
     pub fn follow_target_weights(
         &self,
         peer: &Host,
@@ -244,8 +245,7 @@
         version: u32,
         age: Option<Duration>,
     ) {
-        let set_after = age.map(|it| self.now().saturating_sub(it));
-        if self.fleet().target_weights.set(set_after, model.clone(), version) {
+        if self.fleet().target_weights.set(None, model.clone(), version) {
             log::warn!(peer = peer.as_str(), model = model.as_str(), version = version,
                 max_age_ms = age.map(|it| it.as_millis() as u64);
                 "target weight version learned from another host");
