forward, stream: breaks are logged with the request's prompt parts

Cause: the lines of a request whose upstream broke off did not tell which parts its prompt had, nor whether an event of the response had arrived.

Change: a line `upstream broke off` with hashes of the shared parts, the process of the upstream and whether an event had arrived. No ids of parts are logged.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -18,7 +18,7 @@
     fault::Delivery,
     fleet::{Choice, Denial, Outcome, Query},
     gateway::Gateway,
-    hop_by_hop,
+    hop_by_hop, poison,
     prelude::*,
     quarantine::Fingerprint,
     response_body::Body,
@@ -104,6 +104,12 @@
         Some(crate::rendezvous::hash_parts(&["session", &shared.id]))
     }
 
+    /// Returns the keys of the prompt parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> SmallVec<[poison::Key; 4]> {
+        let parts = self.metadata.parts.split_last().map_or(&[][..], |it| it.1);
+        parts.iter().take(poison::MAX_REQUEST_PARTS).map(|it| poison::Key::new(&it.id)).collect()
+    }
+
     /// Returns how long the request may wait at an upstream before it starts: its caller leaves then.
     fn max_wait(&self) -> Duration {
         match self.route.retry_policy {
@@ -192,6 +198,8 @@
     pub(crate) gateway: Arc<Gateway<C>>,
     pub(crate) job: Arc<Job>,
     pub(crate) session_key: Option<u64>,
+    /// The prompt parts that other requests may share.
+    pub(crate) shared_parts: SmallVec<[poison::Key; 4]>,
     /// Upstreams that get no further attempt.
     pub(crate) tried: SmallVec<[Upstream; 4]>,
     /// Attempts that reached an upstream, whether it ran the request or not.
@@ -234,11 +242,12 @@
 {
     /// Creates the state of a request that has not been sent yet.
     pub fn new(gateway: Arc<Gateway<C>>, job: Job) -> Self {
-        let session_key = job.session_key();
+        let (session_key, shared_parts) = (job.session_key(), job.shared_parts());
         Forwarder {
             gateway,
             job: Arc::new(job),
             session_key,
+            shared_parts,
             tried: SmallVec::new(),
             times_sent: 0,
             runs: 0,
@@ -484,6 +493,7 @@
         self.runs += 1;
         let id = attempt.choice.id.clone();
         self.log_attempt(&attempt.choice, "broken");
+        self.log_break(&attempt.choice, false);
         self.gateway.record_crash(self.job.fingerprint(), &id, pooled);
         if pooled {
             // Possibly only the pooled connection was closed, so this does not count against
@@ -726,4 +736,16 @@
             arrivals = self.times_sent, runs = self.runs,
             left_ms = self.job.time_left().as_millis() as u64; "attempt ended");
     }
+
+    /// Logs what tells a request that may have crashed its upstream from one that only ran beside it:
+    /// its prompt parts, and whether the upstream had sent an event of the response.
+    pub(crate) fn log_break(&self, choice: &Choice, had_event: bool) {
+        if self.shared_parts.is_empty() {
+            return;
+        }
+        let parts: Vec<_> = self.shared_parts.iter().map(poison::Key::to_string).collect();
+        log::info!(request = self.job.metadata.id.as_str(), upstream = choice.id.as_str(),
+            start_time_ms = choice.incarnation.start_time_ms, had_event = had_event,
+            parts = parts.join(",").as_str(); "upstream broke off");
+    }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod pause;
 pub mod peer;
 pub mod pinned_tls;
+pub mod poison;
 pub mod popularity;
 pub mod prelude;
 pub mod problem;
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -87,10 +87,12 @@
                 Err(_) => return RunEnd::TimedOut,
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) if decoder.take_remaining().is_empty() => break,
-                Ok(None | Some(Err(_))) => return self.handle_broken_stream(attempt),
+                Ok(None | Some(Err(_))) => {
+                    return self.handle_broken_stream(attempt, first_event_time.is_some());
+                }
             };
             if !decoder.push(&data) {
-                return self.handle_broken_stream(attempt);
+                return self.handle_broken_stream(attempt, first_event_time.is_some());
             }
             let events = self.drain_events(&mut decoder, last_event_id);
             if events.is_empty() {
@@ -158,8 +160,10 @@
     }
 
     /// Records that a run broke off, and excludes its upstream from further attempts.
-    fn handle_broken_stream(&mut self, attempt: InFlightAttempt<C>) -> RunEnd {
+    /// `had_event` tells whether a complete event had arrived.
+    fn handle_broken_stream(&mut self, attempt: InFlightAttempt<C>, had_event: bool) -> RunEnd {
         self.log_attempt(&attempt.choice, "stream_broken");
+        self.log_break(&attempt.choice, had_event);
         self.gateway.record_crash(self.job.fingerprint(), &attempt.choice.id, false);
         self.tried.push(attempt.choice.id.clone());
         attempt.complete(Outcome::Broken);
