poison, forward, mesh: prompt parts that crash upstreams are found and kept away

Cause: the quarantine knows a request by path, key and whole body. Requests that share a fatal prompt part differ in that, so nothing was learned from one to the next, and each could crash `max_runs` upstreams. Class of fault: the unit of blame is not the unit that causes the failure.

Change: `poison::Detector`, without I/O. A request whose upstream breaks off before an event puts its shared parts under suspicion; an answer clears its parts, on all hosts; a part left after three separate crashes is a cause, unless another part explains its crashes and more. Parts that were always together count as one cause until one is answered. Upstreams that end together count once. Causes are told to other hosts in every gossip message, so hosts that start later know them. A host refuses requests that hold a cause at once, with the time of the next trial as Retry-After, and withdraws those that wait at upstreams. Trials come after 20 s, then four times as long, spread over the hosts. Bystanders of an explained crash are taken out of the quarantine.

--- /dev/null
+++ b/lib/src/crash_gossip.rs
@@ -0,0 +1,119 @@
+//! The part of gossip that is about crashes of upstreams: requests whose upstream broke off, prompt
+//! parts that were answered since, and prompt parts that crash upstreams.
+//!
+//! Times travel as ages, because hosts have no common clock. A relay adds the time for which it kept a
+//! message.
+
+use crate::{
+    codec::Codec,
+    gateway::Gateway,
+    generated::peer::{self, Gossip},
+    poison::{Break, CauseReport, Key},
+    prelude::*,
+    quarantine::{Crash, Fingerprint},
+};
+
+/// Adds what this host has to tell about crashes to a message. Breaks and answers are told once, causes
+/// in every message.
+pub(crate) fn write<C>(gateway: &Gateway<C>, gossip: &mut Gossip)
+where
+    C: Codec,
+{
+    let now = gateway.now();
+    gossip.crashes.extend(gateway.take_breaks().iter().map(|it| encode_break(now, it)));
+    let answered = gateway.take_answered_parts().into_iter();
+    gossip.answered_parts.extend(
+        answered
+            .map(|(part, at)| peer::AnsweredPart { part: part.0, age_ms: millis(now.since(at)) }),
+    );
+    write_causes(gateway, gossip);
+}
+
+/// Adds the prompt parts that this host knows to crash upstreams to a message.
+pub(crate) fn write_causes<C>(gateway: &Gateway<C>, gossip: &mut Gossip)
+where
+    C: Codec,
+{
+    gossip.causes.extend(gateway.crash_causes().into_iter().map(|it| peer::Cause {
+        parts: it.parts.iter().map(|it| it.0).collect(),
+        last_crash_age_ms: millis(it.last_crash_age),
+        trials: it.trials,
+        next_trial_ms: millis(it.next_trial_in),
+    }));
+}
+
+/// Applies what another host tells about crashes. Answers come first: they may be newer than a cause
+/// that the other host still follows.
+pub(crate) fn apply<C>(gateway: &Gateway<C>, peer: &Host, gossip: &Gossip)
+where
+    C: Codec,
+{
+    let now = gateway.now();
+    for it in &gossip.answered_parts {
+        let at = now.saturating_sub(Duration::from_millis(it.age_ms));
+        gateway.record_remote_answer(peer, Key(it.part), at);
+    }
+    for crash in &gossip.crashes {
+        log::debug!(peer = peer.as_str(), upstream = crash.upstream.as_str(),
+            fingerprint = crash.request; "another host reported an upstream crash");
+        gateway.record_remote_break(peer, &decode_break(now, crash));
+    }
+    for cause in &gossip.causes {
+        let report = CauseReport {
+            parts: cause.parts.iter().map(|it| Key(*it)).collect(),
+            last_crash_age: Duration::from_millis(cause.last_crash_age_ms),
+            trials: cause.trials,
+            next_trial_in: Duration::from_millis(cause.next_trial_ms),
+        };
+        gateway.follow_cause(peer, &report);
+    }
+}
+
+/// Returns whether a message has anything about crashes to relay. Causes are not relayed: a host that
+/// has learned one tells it itself.
+pub(crate) fn has_news(gossip: &Gossip) -> bool {
+    !gossip.crashes.is_empty() || !gossip.answered_parts.is_empty()
+}
+
+/// Adds the news about crashes in a message that a relay has kept for `kept` to another message.
+pub(crate) fn relay(from: &Gossip, kept: Duration, to: &mut Gossip) {
+    let kept_ms = millis(kept);
+    let crashes = from.crashes.iter().cloned();
+    to.crashes
+        .extend(crashes.map(|it| peer::Crash { age_ms: it.age_ms.saturating_add(kept_ms), ..it }));
+    let answered = from.answered_parts.iter().cloned();
+    to.answered_parts.extend(
+        answered.map(|it| peer::AnsweredPart { age_ms: it.age_ms.saturating_add(kept_ms), ..it }),
+    );
+}
+
+/// Decodes a break that a message of `sent_at` tells of.
+pub(crate) fn decode_break(sent_at: Instant, crash: &peer::Crash) -> Break {
+    Break {
+        crash: Crash {
+            request: Fingerprint(crash.request),
+            upstream: Upstream::new(crash.upstream.clone()),
+            suspected: crash.suspected,
+        },
+        start_time_ms: crash.start_time_ms,
+        parts: crash.parts.iter().map(|it| Key(*it)).collect(),
+        broke_at: sent_at.saturating_sub(Duration::from_millis(crash.age_ms)),
+        silence: crash.silence_ms.map(Duration::from_millis),
+    }
+}
+
+fn encode_break(now: Instant, report: &Break) -> peer::Crash {
+    peer::Crash {
+        request: report.crash.request.0,
+        upstream: FastStr::new(report.crash.upstream.as_str()),
+        suspected: report.crash.suspected,
+        start_time_ms: report.start_time_ms,
+        parts: report.parts.iter().map(|it| it.0).collect(),
+        age_ms: millis(now.since(report.broke_at)),
+        silence_ms: report.silence.map(millis),
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -120,8 +120,8 @@
     RouteUnknown: 404 INVALID "route_not_found" NotRun false;
     /// This host has not received the configuration yet.
     NotConfigured: 503 SERVER "not_configured" NotRun true;
-    /// Upstreams broke the connection each time they ran this request, so it is not sent to
-    /// others.
+    /// Upstreams broke the connection each time they ran this request, or requests with the same
+    /// prompt parts, so it is not sent to others.
     Quarantined: 503 SERVER "quarantined" NotRun true;
     /// The request was given up before it was sent; it will not be sent later either.
     NotRun: 503 SERVER "not_run" NotRun true;
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -15,12 +15,13 @@
     codec::{Codec, Metadata, Outgoing, ResponseMetadata},
     configuration::{Configuration, KeyHolder, RetryPolicy, Route},
     connection::{self, Connection},
-    fault::Delivery,
+    fault::{Cause, Delivery},
     fleet::{Choice, Denial, Outcome, Query},
     gateway::Gateway,
-    hop_by_hop, poison,
+    hop_by_hop,
+    poison::{self, Admission, Break},
     prelude::*,
-    quarantine::Fingerprint,
+    quarantine::{Crash, Fingerprint},
     response_body::Body,
     salt,
 };
@@ -105,7 +106,7 @@
     }
 
     /// Returns the keys of the prompt parts that other requests may share: all but the last one.
-    pub fn shared_parts(&self) -> SmallVec<[poison::Key; 4]> {
+    pub fn shared_parts(&self) -> poison::Keys {
         let parts = self.metadata.parts.split_last().map_or(&[][..], |it| it.1);
         parts.iter().take(poison::MAX_REQUEST_PARTS).map(|it| poison::Key::new(&it.id)).collect()
     }
@@ -177,11 +178,33 @@
     pub(crate) head: Parts,
     pub(crate) body: Incoming,
     pub(crate) started: TokioInstant,
+    /// When the head was received.
+    pub(crate) head_at: TokioInstant,
     /// Whether the upstream turned the request away and asked for a pause, without the statement that
     /// the request did not run.
     pub(crate) pause_requested: bool,
 }
 
+/// What an attempt showed of its upstream until it ended without a whole response.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Signs {
+    /// Whether the connection broke. Otherwise the response was not valid.
+    pub(crate) is_break: bool,
+    /// Whether the connection came from the pool, and nothing was received on it since.
+    pub(crate) pooled: bool,
+    /// Whether an event of the response had arrived.
+    pub(crate) had_event: bool,
+    /// Time from the upstream's last sign of life on the connection; `None` if there was none since the
+    /// request was sent.
+    pub(crate) silence: Option<Duration>,
+}
+
+impl Signs {
+    /// Signs of an upstream that responded, but not with a valid response.
+    const INVALID_RESPONSE: Signs =
+        Signs { is_break: false, pooled: false, had_event: false, silence: None };
+}
+
 /// An attempt that gave no response for the caller.
 enum AttemptError {
     /// Another attempt may follow.
@@ -199,7 +222,9 @@
     pub(crate) job: Arc<Job>,
     pub(crate) session_key: Option<u64>,
     /// The prompt parts that other requests may share.
-    pub(crate) shared_parts: SmallVec<[poison::Key; 4]>,
+    pub(crate) shared_parts: poison::Keys,
+    /// Whether the current attempt is to show whether the prompt still crashes upstreams.
+    pub(crate) is_trial: bool,
     /// Upstreams that get no further attempt.
     pub(crate) tried: SmallVec<[Upstream; 4]>,
     /// Attempts that reached an upstream, whether it ran the request or not.
@@ -248,6 +273,7 @@
             job: Arc::new(job),
             session_key,
             shared_parts,
+            is_trial: false,
             tried: SmallVec::new(),
             times_sent: 0,
             runs: 0,
@@ -313,6 +339,11 @@
             if self.gateway.is_quarantined(self.job.fingerprint()) {
                 return Err(self.refusal_error(Kind::Quarantined, Duration::from_secs(60)));
             }
+            let admission = self.gateway.admit_parts(&self.shared_parts);
+            self.is_trial = match admission {
+                Ok(admission) => admission == Admission::Trial,
+                Err(rejection) => return Err(self.rejection_error(&rejection)),
+            };
             let choice = self.choose();
             let choice = choice.map_err(|denial| self.denial_error(denial))?;
             self.placed = true;
@@ -400,7 +431,10 @@
         let started = TokioInstant::now();
         let request = self.build_request(&choice, last_event_id).map_err(AttemptError::Fail)?;
         let limit = self.attempt_timeout();
-        let sent = timeout(limit, connection.send(request)).await;
+        let sent = tokio::select! {
+            sent = timeout(limit, connection.send(request)) => sent,
+            () = self.wait_fatal() => return Err(self.withdraw(attempt)),
+        };
         let Ok(sent) = sent else {
             self.times_sent += 1;
             self.runs += 1;
@@ -424,10 +458,32 @@
                     Kind::NoUpstream,
                 ))
             }
-            Err(_) => Err(self.handle_break(attempt, pooled)),
+            Err(err) => {
+                let is_break = err.0.cause == Cause::Broken;
+                let silence = (!pooled).then(|| started.elapsed());
+                let signs = Signs { is_break, pooled, had_event: false, silence };
+                Err(self.handle_break(attempt, signs))
+            }
         }
     }
 
+    /// Waits until prompts like this one are known to crash upstreams, unless this attempt is a trial.
+    pub(crate) async fn wait_fatal(&self) {
+        let parts = if self.is_trial { &[] } else { &self.shared_parts[..] };
+        self.gateway.wait_fatal(parts).await;
+    }
+
+    /// Gives up an attempt whose upstream would crash when it begins to respond. The upstream drops the
+    /// request when its connection closes.
+    fn withdraw(&mut self, attempt: InFlightAttempt<C>) -> AttemptError {
+        self.times_sent += 1;
+        self.runs += 1;
+        self.count_withdrawal(&attempt.choice);
+        attempt.complete(Outcome::Cancelled);
+        let message = "prompts with the same part have crashed several upstreams";
+        AttemptError::Fail(Error::new(Kind::UpstreamFailed, message))
+    }
+
     /// Checks a response head. After a refusal, another upstream may be tried. A response to
     /// another request, or a successful one without a signature, is treated like a broken
     /// connection.
@@ -480,22 +536,22 @@
                 "response is unsigned or for another request");
             // Counted again in `handle_break`.
             self.times_sent -= 1;
-            return Err(self.handle_break(attempt, false));
+            return Err(self.handle_break(attempt, Signs::INVALID_RESPONSE));
         }
         self.runs += 1;
-        Ok(UpstreamResponse { attempt, connection, head, body, started, pause_requested })
+        let head_at = TokioInstant::now();
+        Ok(UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested })
     }
 
     /// Handles a connection that broke, or gave no valid response, after the upstream may have run
-    /// the request. `pooled` says whether the connection came from the pool.
-    fn handle_break(&mut self, attempt: InFlightAttempt<C>, pooled: bool) -> AttemptError {
+    /// the request.
+    fn handle_break(&mut self, attempt: InFlightAttempt<C>, signs: Signs) -> AttemptError {
         self.times_sent += 1;
         self.runs += 1;
         let id = attempt.choice.id.clone();
         self.log_attempt(&attempt.choice, "broken");
-        self.log_break(&attempt.choice, false);
-        self.gateway.record_crash(self.job.fingerprint(), &id, pooled);
-        if pooled {
+        self.report_break(&attempt.choice, signs);
+        if signs.pooled {
             // Possibly only the pooled connection was closed, so this does not count against
             // the upstream. It stays eligible, and the next attempt opens a new connection.
             self.gateway.pool().remove(&id);
@@ -519,7 +575,7 @@
         &mut self,
         upstream_response: UpstreamResponse<C>,
     ) -> Result<Option<Response<Body>>, Error> {
-        let UpstreamResponse { attempt, connection, head, body, started, pause_requested } =
+        let UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested } =
             upstream_response;
         let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let read = match timeout_at(self.job.deadline, read).await {
@@ -533,13 +589,16 @@
             // Both are counted again in `handle_break`.
             self.times_sent -= 1;
             self.runs -= 1;
-            return match self.handle_break(attempt, false) {
+            let silence = Some(head_at.elapsed());
+            let signs = Signs { is_break: true, pooled: false, had_event: false, silence };
+            return match self.handle_break(attempt, signs) {
                 AttemptError::Retry => Ok(None),
                 AttemptError::Fail(err) => Err(err),
             };
         };
         let choice = attempt.choice.clone();
         self.gateway.forget_crashes(self.job.fingerprint());
+        self.gateway.record_answer(&self.shared_parts);
         self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let response = self.build_response(&head, Body::Buffered(Full::new(read.to_bytes())));
         if !head.status.is_server_error() {
@@ -723,6 +782,24 @@
         Error::new(kind, message).with_retry_after(wait)
     }
 
+    /// Logs and counts an attempt that was given up because its upstream would crash.
+    pub(crate) fn count_withdrawal(&self, choice: &Choice) {
+        self.log_attempt(choice, "withdrawn");
+        self.gateway.metrics.fatal_prompts.with_label_values(&["withdrawn"]).inc();
+    }
+
+    /// Returns the error of a request whose prompt crashes upstreams.
+    fn rejection_error(&self, rejection: &poison::Rejection) -> Error {
+        log::info!(request = self.job.metadata.id.as_str(),
+            parts = poison::format_keys(&rejection.parts).as_str(),
+            next_trial_ms = rejection.retry_after.as_millis() as u64;
+            "request holds prompt parts that crash upstreams");
+        self.gateway.metrics.fatal_prompts.with_label_values(&["refused"]).inc();
+        let kind = if self.runs == 0 { Kind::Quarantined } else { Kind::UpstreamFailed };
+        let message = "prompts with the same part have crashed several upstreams";
+        Error::new(kind, message).with_retry_after(rejection.retry_after)
+    }
+
     /// Returns the error of a request whose deadline has passed.
     fn deadline_error(&self) -> Error {
         let kind = if self.runs == 0 { Kind::NotRun } else { Kind::TimedOut };
@@ -737,15 +814,27 @@
             left_ms = self.job.time_left().as_millis() as u64; "attempt ended");
     }
 
-    /// Logs what tells a request that may have crashed its upstream from one that only ran beside it:
-    /// its prompt parts, and whether the upstream had sent an event of the response.
-    pub(crate) fn log_break(&self, choice: &Choice, had_event: bool) {
-        if self.shared_parts.is_empty() {
-            return;
+    /// Records that the upstream broke off, and logs what tells a request that may have crashed it from
+    /// one that only ran beside that: its prompt parts, and whether an event of the response had arrived.
+    pub(crate) fn report_break(&self, choice: &Choice, signs: Signs) {
+        let start_time_ms = choice.incarnation.start_time_ms;
+        if !self.shared_parts.is_empty() {
+            log::info!(request = self.job.metadata.id.as_str(), upstream = choice.id.as_str(),
+                start_time_ms = start_time_ms, had_event = signs.had_event,
+                is_break = signs.is_break, parts = poison::format_keys(&self.shared_parts).as_str();
+                "upstream broke off");
         }
-        let parts: Vec<_> = self.shared_parts.iter().map(poison::Key::to_string).collect();
-        log::info!(request = self.job.metadata.id.as_str(), upstream = choice.id.as_str(),
-            start_time_ms = choice.incarnation.start_time_ms, had_event = had_event,
-            parts = parts.join(",").as_str(); "upstream broke off");
+        let may_be_cause = signs.is_break && !signs.had_event;
+        self.gateway.record_break(Break {
+            crash: Crash {
+                request: self.job.fingerprint(),
+                upstream: choice.id.clone(),
+                suspected: signs.pooled || signs.had_event,
+            },
+            start_time_ms,
+            parts: if may_be_cause { self.shared_parts.clone() } else { poison::Keys::new() },
+            broke_at: self.gateway.now(),
+            silence: signs.silence,
+        });
     }
 }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -25,8 +25,9 @@
     host_settings::HostSettings,
     metric::Metrics,
     obstacle::Obstacle,
+    poison::{self, Admission, Break, CauseReport, Detector, Key, Rejection},
     prelude::*,
-    quarantine::{Crash, Fingerprint, Quarantine},
+    quarantine::{Fingerprint, Quarantine},
     replica::Row,
     store_history::History,
     window::RetryBudget,
@@ -57,7 +58,13 @@
     cache_index: Mutex<Index>,
     retry_budgets: Mutex<HashMap<Service, RetryBudget>>,
     quarantine: Mutex<Quarantine>,
-    crashes: Mutex<Vec<Crash>>,
+    poison: Mutex<Detector>,
+    /// Changed when prompt parts are found to crash upstreams, or no longer.
+    cause_changes: watch::Sender<()>,
+    /// Breaks that were not sent to the other hosts yet.
+    breaks: Mutex<Vec<Break>>,
+    /// Prompt parts that were answered after a crash, of which the other hosts were not told yet.
+    answered_parts: Mutex<Vec<(Key, Instant)>>,
     rollout: Mutex<Rollout>,
     store_history: Mutex<History>,
     store_era: Mutex<Sighting>,
@@ -101,7 +108,10 @@
             cache_index: Mutex::default(),
             retry_budgets: Mutex::default(),
             quarantine: Mutex::default(),
-            crashes: Mutex::default(),
+            poison: Mutex::default(),
+            cause_changes: watch::Sender::new(()),
+            breaks: Mutex::default(),
+            answered_parts: Mutex::default(),
             rollout: Mutex::default(),
             store_history: Mutex::default(),
             store_era: Mutex::default(),
@@ -375,18 +385,101 @@
         lock(&self.quarantine).is_quarantined(self.now(), request)
     }
 
-    /// Records that an upstream broke the connection while it ran a request, and queues the
-    /// crash for the other hosts.
-    pub fn record_crash(&self, request: Fingerprint, upstream: &Upstream, suspected: bool) {
-        let crash = Crash { request, upstream: upstream.clone(), suspected };
-        if lock(&self.quarantine).record_crash(self.now(), &crash) {
-            lock(&self.crashes).push(crash);
+    /// Records that an upstream broke the connection while it ran a request, and queues that for the
+    /// other hosts.
+    pub fn record_break(&self, report: Break) {
+        let is_new_for_request = lock(&self.quarantine).record_crash(self.now(), &report.crash);
+        self.apply_break("own connection", &report);
+        if is_new_for_request || !report.parts.is_empty() {
+            lock(&self.breaks).push(report);
         }
     }
 
-    /// Records a crash that another host reported.
-    pub fn record_remote_crash(&self, crash: &Crash) {
-        lock(&self.quarantine).record_crash(self.now(), crash);
+    /// Records a break that another host reported.
+    pub fn record_remote_break(&self, peer: &Host, report: &Break) {
+        lock(&self.quarantine).record_crash(self.now(), &report.crash);
+        self.apply_break(peer.as_str(), report);
+    }
+
+    fn apply_break(&self, source: &str, report: &Break) {
+        let answered = self.update_poison(source, |it| it.record_break(self.now(), report));
+        self.tell_answered(&answered);
+        let bystanders = lock(&self.poison).bystanders();
+        let mut quarantine = lock(&self.quarantine);
+        for (request, upstream) in bystanders {
+            quarantine.forgive(request, &upstream);
+        }
+    }
+
+    /// Records that an upstream began to answer a request whose prompt has these shared parts.
+    pub fn record_answer(&self, parts: &[Key]) {
+        if !parts.is_empty() {
+            let cleared = self.update_poison("answer", |it| it.record_answer(self.now(), parts));
+            self.tell_answered(&cleared);
+        }
+    }
+
+    /// Records that another host has seen a prompt part answered.
+    pub fn record_remote_answer(&self, peer: &Host, part: Key, at: Instant) {
+        self.update_poison(peer.as_str(), |it| it.clear(at, part));
+    }
+
+    /// Follows a cause of crashes that another host has found.
+    pub fn follow_cause(&self, peer: &Host, report: &CauseReport) {
+        let answered = self.update_poison(peer.as_str(), |it| it.follow(self.now(), report));
+        self.tell_answered(&answered);
+    }
+
+    /// Returns the prompt parts that are known to crash upstreams.
+    pub fn crash_causes(&self) -> Vec<CauseReport> {
+        lock(&self.poison).causes(self.now()).collect()
+    }
+
+    /// Decides whether a request whose prompt has these shared parts may be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns what keeps it from being sent.
+    pub fn admit_parts(&self, parts: &[Key]) -> Result<Admission, Rejection> {
+        let host_count = self.fleet().host_count();
+        let host = &self.host_settings.host;
+        lock(&self.poison).admit(self.now(), host, host_count, parts)
+    }
+
+    /// Waits until prompts with these parts are known to crash upstreams.
+    pub async fn wait_fatal(&self, parts: &[Key]) {
+        let mut changes = self.cause_changes.subscribe();
+        while parts.is_empty() || !lock(&self.poison).is_fatal(parts) {
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Changes what is known of prompt parts that crash upstreams. A change of the causes is logged, and
+    /// wakes the requests that wait for an answer.
+    fn update_poison<F, R>(&self, source: &str, f: F) -> R
+    where
+        F: FnOnce(&mut Detector) -> R,
+    {
+        let mut detector = lock(&self.poison);
+        let before = detector.revision();
+        let result = f(&mut detector);
+        if detector.revision() != before {
+            let causes: Vec<_> = detector.causes(self.now()).collect();
+            let parts: Vec<_> = causes.iter().map(|it| poison::format_keys(&it.parts)).collect();
+            log::warn!(source = source, causes = parts.join(" ").as_str(),
+                crashes = detector.crash_count();
+                "prompt parts that crash upstreams have changed");
+            self.metrics.crash_causes.set(i64::try_from(causes.len()).unwrap_or(i64::MAX));
+            self.cause_changes.send_replace(());
+        }
+        result
+    }
+
+    fn tell_answered(&self, parts: &[Key]) {
+        let now = self.now();
+        lock(&self.answered_parts).extend(parts.iter().map(|it| (*it, now)));
     }
 
     /// Forgets the crashes of a request, because an upstream ran it to its end.
@@ -394,17 +487,23 @@
         lock(&self.quarantine).clear(request);
     }
 
-    /// Removes and returns the crashes that have not been sent to the other hosts yet.
-    pub fn take_crashes(&self) -> Vec<Crash> {
-        std::mem::take(&mut *lock(&self.crashes))
+    /// Removes and returns the breaks that have not been sent to the other hosts yet.
+    pub fn take_breaks(&self) -> Vec<Break> {
+        std::mem::take(&mut *lock(&self.breaks))
     }
 
-    /// Puts crashes back that could not be sent to the other hosts.
-    pub fn return_crashes<I>(&self, crashes: I)
+    /// Puts breaks back that could not be sent to the other hosts.
+    pub fn return_breaks<I>(&self, breaks: I)
     where
-        I: Iterator<Item = Crash>,
+        I: Iterator<Item = Break>,
     {
-        lock(&self.crashes).extend(crashes);
+        lock(&self.breaks).extend(breaks);
+    }
+
+    /// Removes and returns the prompt parts that were answered after a crash, with the times of the
+    /// answers, which have not been sent to the other hosts yet.
+    pub fn take_answered_parts(&self) -> Vec<(Key, Instant)> {
+        std::mem::take(&mut *lock(&self.answered_parts))
     }
 
     /// Drops expired connections, quarantine entries and responses' notices, and logs which weight
@@ -416,6 +515,7 @@
         }
         self.pool().purge();
         lock(&self.quarantine).purge(self.now());
+        self.update_poison("age", |it| it.purge(self.now()));
         self.fleet().purge(self.now());
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod configuration;
 pub mod connection;
 pub mod control;
+mod crash_gossip;
 pub mod departure;
 pub mod engine;
 pub mod era_watch;
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -23,6 +23,7 @@
 use crate::{
     cache_index::{CachedPart, StoreUpdate},
     codec::Codec,
+    crash_gossip,
     departure::Departure,
     fleet::Loads,
     gateway_process::HostRow,
@@ -30,7 +31,6 @@
     peer::{encode, transport_config},
     pinned_tls::{self, Identity, PinError, Pins},
     prelude::*,
-    quarantine::{Crash, Fingerprint},
     rendezvous,
     replica::{Revision, Row},
     row_store::{RowStore, Table},
@@ -361,11 +361,7 @@
             let (id, model) = (Upstream::new(it.upstream.clone()), Model::new(it.model.clone()));
             gateway.fleet().record_weight_version(&id, &model, it.version);
         }
-        for crash in &gossip.crashes {
-            log::debug!(peer = host.as_str(), upstream = crash.upstream.as_str(),
-                fingerprint = crash.request; "another host reported an upstream crash");
-            gateway.record_remote_crash(&decode_crash(crash));
-        }
+        crash_gossip::apply(gateway, host, &gossip);
         let operators = Revision { era: gossip.operators_era, version: gossip.operators };
         if operators > self.revision(Table::Operators) {
             self.table_sync.replicas.set_newer_peer(host);
@@ -391,17 +387,23 @@
 
     /// Keeps gossip about crashes and rollouts, if it has any, to relay it for [`RELAY_WINDOW`].
     fn relay_gossip(&self, received_at: Instant, known_to_leaders: bool, gossip: Gossip) {
-        if gossip.crashes.is_empty() && gossip.loading.is_empty() && gossip.loaded.is_empty() {
+        if !crash_gossip::has_news(&gossip) && gossip.loading.is_empty() && gossip.loaded.is_empty()
+        {
             return;
         }
-        let gossip =
-            Gossip { loads: Vec::new(), demands: Vec::new(), targets: Vec::new(), ..gossip };
+        let gossip = Gossip {
+            loads: Vec::new(),
+            demands: Vec::new(),
+            targets: Vec::new(),
+            causes: Vec::new(),
+            ..gossip
+        };
         let mut recent = self.recent_gossip();
         recent.retain(|it| received_at.since(it.received_at) < RELAY_WINDOW);
         recent.push(RecentGossip { received_at, known_to_leaders, gossip });
     }
 
-    /// Returns gossip about this host's own requests and observations. Each crash is returned
+    /// Returns gossip about this host's own requests and observations. Each break is returned
     /// once. Also backs off from the upstreams that this host's rollout is loading.
     fn take_own_gossip(&self) -> Gossip {
         let gateway = &self.table_sync.gateway;
@@ -414,20 +416,14 @@
             model: FastStr::new(model.as_str()),
             version,
         });
-        let crashes = gateway.take_crashes().into_iter().map(|it| peer::Crash {
-            request: it.request.0,
-            upstream: FastStr::new(it.upstream.as_str()),
-            suspected: it.suspected,
-        });
         let demands = gateway.cache_index().links().combined(gateway.now(), |_| false);
         // Locks the fleet, as the loads below do.
         let departures = self.recent_departures();
         let operators = self.revision(Table::Operators);
         // The lock of the fleet is released before it is taken again below.
         let targets = self.unstored_targets();
-        Gossip {
+        let mut gossip = Gossip {
             loads: encode_loads(gateway.fleet().loads()),
-            crashes: crashes.collect(),
             operators: operators.version,
             operators_era: operators.era,
             targets,
@@ -436,7 +432,10 @@
             zone: false,
             demands: encode_demands(demands),
             departures,
-        }
+            ..Gossip::default()
+        };
+        crash_gossip::write(gateway, &mut gossip);
+        gossip
     }
 
     /// Returns the departures that this host has learned a moment ago, from upstreams or from other
@@ -467,10 +466,10 @@
         let now = self.table_sync.gateway.now();
         let mut recent = self.recent_gossip();
         recent.retain(|it| now.since(it.received_at) < RELAY_WINDOW);
-        for RecentGossip { gossip: it, .. } in
+        for RecentGossip { gossip: it, received_at, .. } in
             recent.iter().filter(|it| within_zone || !it.known_to_leaders)
         {
-            gossip.crashes.extend(it.crashes.iter().cloned());
+            crash_gossip::relay(it, now.since(*received_at), gossip);
             gossip.loading.extend(&it.loading);
             gossip.loaded.extend(it.loaded.iter().cloned());
         }
@@ -691,7 +690,9 @@
         let crashes = pull.own.as_ref().map(|it| it.crashes.clone()).unwrap_or_default();
         let Some(bytes) = call(&connection, question::Body::Pull(pull)).await else {
             // Told again with the next pull.
-            gateway.return_crashes(crashes.iter().map(decode_crash));
+            gateway.return_breaks(
+                crashes.iter().map(|it| crash_gossip::decode_break(requested_at, it)),
+            );
             return false;
         };
         let Ok(pulled) = peer::Pulled::decode(bytes) else { return false };
@@ -758,6 +759,7 @@
                 departures,
                 ..Gossip::default()
             };
+            crash_gossip::write_causes(gateway, &mut others);
             self.add_recent_gossip(&mut others, true);
             others
         });
@@ -826,14 +828,6 @@
     demands.into_iter().map(|(store, tokens)| peer::Demand { store, tokens }).collect()
 }
 
-fn decode_crash(crash: &peer::Crash) -> Crash {
-    Crash {
-        request: Fingerprint(crash.request),
-        upstream: Upstream::new(crash.upstream.clone()),
-        suspected: crash.suspected,
-    }
-}
-
 fn member(host: &Host, row: &HostRow) -> Member {
     Member { host: host.clone(), processor_millis: row.processor_millis }
 }
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -43,6 +43,10 @@
     pub pause_refusals: IntCounter,
     /// Attempts that were not sent because the chosen upstream changed meanwhile, by reason.
     pub unsent_attempts: IntCounterVec,
+    /// Known causes of crashes: sets of prompt parts that crash upstreams.
+    pub crash_causes: IntGauge,
+    /// Requests that were not sent, or withdrawn from an upstream, because their prompts crash upstreams.
+    pub fatal_prompts: IntCounterVec,
     /// Calls to the table service, by outcome.
     pub table_calls: IntCounterVec,
     /// The row store's newest era that this host has seen.
@@ -86,7 +90,16 @@
         registry.register(Box::new(in_flight.clone()))?;
         let store_era = IntGauge::new("mothvale_store_era", "Newest era of the row store")?;
         registry.register(Box::new(store_era.clone()))?;
+        let crash_causes =
+            IntGauge::new("mothvale_crash_causes", "Sets of prompt parts that crash upstreams")?;
+        registry.register(Box::new(crash_causes.clone()))?;
         Ok(Metrics {
+            crash_causes,
+            fatal_prompts: counters(
+                "mothvale_fatal_prompts_total",
+                "Requests whose prompts crash upstreams, by what was done",
+                &["action"],
+            )?,
             store_era,
             store_restores: counter(
                 "mothvale_store_restores_total",
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -11,7 +11,7 @@
 const CRASH_LIMIT: u32 = 4;
 /// Weight of a crash.
 const CERTAIN_WEIGHT: u32 = 2;
-/// Weight of a connection from the pool that broke: the upstream may only have closed it while idle.
+/// Weight of a break that something else may explain, see [`Crash::suspected`].
 const SUSPECTED_WEIGHT: u32 = 1;
 /// How long a request is remembered after its last crash.
 const RETENTION: Duration = Duration::from_secs(120);
@@ -41,7 +41,8 @@
     pub request: Fingerprint,
     /// The upstream.
     pub upstream: Upstream,
-    /// Whether the connection came from the pool, so that the upstream may only have closed it.
+    /// Whether the connection came from the pool, so that the upstream may only have closed it, or the
+    /// upstream had begun to respond, so that another request may have crashed it.
     pub suspected: bool,
 }
 
@@ -93,6 +94,13 @@
         }
     }
 
+    /// Forgets a crash of an upstream on a request, because another request caused it.
+    pub fn forgive(&mut self, request: Fingerprint, upstream: &Upstream) {
+        if let Some(entry) = self.crashed.get_mut(&request) {
+            entry.upstreams.retain(|it| it.0 != *upstream);
+        }
+    }
+
     /// Returns whether a request must not be sent to any upstream.
     pub fn is_quarantined(&self, now: Instant, request: Fingerprint) -> bool {
         let Some(entry) = self.crashed.get(&request) else { return false };
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -3,13 +3,16 @@
 
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use tokio::{sync::mpsc, time::timeout_at};
+use tokio::{
+    sync::mpsc,
+    time::{Instant as TokioInstant, timeout_at},
+};
 
 use crate::{
     cache_index::Plan,
     codec::Codec,
     fleet::Outcome,
-    forward::{Forwarder, InFlightAttempt, UpstreamResponse},
+    forward::{Forwarder, InFlightAttempt, Signs, UpstreamResponse},
     prelude::*,
     response_body::{Body, Truncated},
     sse::Decoder,
@@ -43,7 +46,7 @@
             let end = self.forward_run(upstream_response, &chunks, &mut last_event_id).await;
             let retry = match end {
                 RunEnd::Completed | RunEnd::CallerLeft => return,
-                RunEnd::TimedOut => false,
+                RunEnd::TimedOut | RunEnd::Withdrawn => false,
                 RunEnd::Broken => !self.unnumbered_sent && self.may_retry(),
             };
             if !retry {
@@ -74,13 +77,17 @@
         chunks: &mpsc::Sender<Result<Bytes, Truncated>>,
         last_event_id: &mut Option<u64>,
     ) -> RunEnd {
-        let UpstreamResponse { attempt, connection, head, mut body, started, .. } =
+        let UpstreamResponse { attempt, connection, head, mut body, started, head_at, .. } =
             upstream_response;
         let mut decoder = Decoder::default();
         let mut first_event_time = None;
         loop {
             let frame = tokio::select! {
                 () = chunks.closed() => return RunEnd::CallerLeft,
+                () = self.wait_fatal(), if first_event_time.is_none() => {
+                    self.count_withdrawal(&attempt.choice);
+                    return RunEnd::Withdrawn;
+                }
                 frame = timeout_at(self.job.deadline, body.frame()) => frame,
             };
             let data = match frame {
@@ -88,11 +95,11 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) if decoder.take_remaining().is_empty() => break,
                 Ok(None | Some(Err(_))) => {
-                    return self.handle_broken_stream(attempt, first_event_time.is_some());
+                    return self.handle_broken_stream(attempt, head_at, first_event_time);
                 }
             };
             if !decoder.push(&data) {
-                return self.handle_broken_stream(attempt, first_event_time.is_some());
+                return self.handle_broken_stream(attempt, head_at, first_event_time);
             }
             let events = self.drain_events(&mut decoder, last_event_id);
             if events.is_empty() {
@@ -102,6 +109,7 @@
                 let elapsed = started.elapsed();
                 first_event_time = Some(elapsed);
                 self.report_wait();
+                self.gateway.record_answer(&self.shared_parts);
                 if let Some(plan) = &self.cache_plan {
                     let mean_latency = self.gateway.fleet().mean_latency(&attempt.choice.id);
                     self.gateway.cache_index().record_first_token(
@@ -160,11 +168,21 @@
     }
 
     /// Records that a run broke off, and excludes its upstream from further attempts.
-    /// `had_event` tells whether a complete event had arrived.
-    fn handle_broken_stream(&mut self, attempt: InFlightAttempt<C>, had_event: bool) -> RunEnd {
+    /// `head_at` and `first_event_time` tell when the head and the first complete event had arrived.
+    fn handle_broken_stream(
+        &mut self,
+        attempt: InFlightAttempt<C>,
+        head_at: TokioInstant,
+        first_event_time: Option<Duration>,
+    ) -> RunEnd {
         self.log_attempt(&attempt.choice, "stream_broken");
-        self.log_break(&attempt.choice, had_event);
-        self.gateway.record_crash(self.job.fingerprint(), &attempt.choice.id, false);
+        let signs = Signs {
+            is_break: true,
+            pooled: false,
+            had_event: first_event_time.is_some(),
+            silence: Some(head_at.elapsed()),
+        };
+        self.report_break(&attempt.choice, signs);
         self.tried.push(attempt.choice.id.clone());
         attempt.complete(Outcome::Broken);
         RunEnd::Broken
@@ -179,6 +197,8 @@
     CallerLeft,
     /// The request's deadline has passed.
     TimedOut,
+    /// The prompt is known to crash upstreams when they begin to respond.
+    Withdrawn,
     /// The connection broke, or the stream was not valid.
     Broken,
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_log;
 mod test_path;
 mod test_pause;
+mod test_poison;
 mod test_settings;
 mod test_store_era;
 mod test_store_history;
