forward: a refusal of another request does not count for this one

Cause: the response's request id was checked after refusals were, so a stray 503 with `not-run` counted as the refusal of the request that runs on the connection now.

Change: the id is compared first. A response to another request is handled like a broken connection: unknown outcome, connection dropped, no weights learned from it. What it says of the upstream itself (that it leaves, or wants a pause) still holds, as test_leaving demands.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -499,6 +499,7 @@
         let metadata = self.gateway.codec.parse_response(head.status, &head.headers);
         let choice = attempt.choice.clone();
         let request = self.job.metadata.id.as_str();
+        // What it says of the upstream holds in any case.
         let pause_requested = self.gateway.apply_notices(
             &choice.id,
             choice.incarnation,
@@ -506,6 +507,11 @@
             head.status,
             &metadata,
         );
+        // The rest of a response to another request does not concern this one, also not a refusal.
+        let wrong_id = metadata.id.as_ref().is_some_and(|it| *it != self.job.metadata.id);
+        if wrong_id {
+            return Err(self.handle_invalid_head(attempt, wrong_id, metadata.signed));
+        }
         self.record_weight_version(&choice, &metadata);
         // The chosen upstream itself also rejects a request as misdirected if it does not have
         // the requested weights.
@@ -529,20 +535,28 @@
             self.refusals += 1;
             return Err(self.retry_or_refuse(self.refusals < MAX_REFUSALS, Kind::Overloaded));
         }
-        let wrong_id = metadata.id.as_ref().is_some_and(|it| *it != self.job.metadata.id);
-        if wrong_id || (head.status.is_success() && !metadata.signed) {
-            log::warn!(request = self.job.metadata.id.as_str(), upstream = choice.id.as_str(),
-                strange = wrong_id, signed = metadata.signed;
-                "response is unsigned or for another request");
-            // Counted again in `handle_break`.
-            self.times_sent -= 1;
-            return Err(self.handle_break(attempt, Signs::INVALID_RESPONSE));
+        if head.status.is_success() && !metadata.signed {
+            return Err(self.handle_invalid_head(attempt, wrong_id, metadata.signed));
         }
         self.runs += 1;
         let head_at = TokioInstant::now();
         Ok(UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested })
     }
 
+    /// Handles a response head that is unsigned or for another request.
+    fn handle_invalid_head(
+        &mut self,
+        attempt: InFlightAttempt<C>,
+        wrong_id: bool,
+        signed: bool,
+    ) -> AttemptError {
+        log::warn!(request = self.job.metadata.id.as_str(), upstream = attempt.choice.id.as_str(),
+            strange = wrong_id, signed = signed; "response is unsigned or for another request");
+        // Counted again in `handle_break`.
+        self.times_sent -= 1;
+        self.handle_break(attempt, Signs::INVALID_RESPONSE)
+    }
+
     /// Handles a connection that broke, or gave no valid response, after the upstream may have run
     /// the request.
     fn handle_break(&mut self, attempt: InFlightAttempt<C>, signs: Signs) -> AttemptError {
