sse: each byte of an event is searched once for its end

Cause: an event that never ends, in many small pieces, was searched from its start with each piece, up to 256 KB of it: quadratic in what an upstream in trouble sends. Change: the decoder remembers how far it has searched.

--- a/lib/src/sse.rs
+++ b/lib/src/sse.rs
@@ -20,6 +20,11 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     buffer: BytesMut,
+    /// Start of the first line that has not been searched for the end of an event. An event that never
+    /// ends may come in very many pieces, so each byte is searched only once.
+    line_start: usize,
+    /// Bytes that hold no end of a line from `line_start` on.
+    searched: usize,
 }
 
 impl Decoder {
@@ -31,7 +36,8 @@
 
     /// Removes and returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = find_event_end(&self.buffer)?;
+        let end = self.find_event_end()?;
+        (self.line_start, self.searched) = (0, 0);
         let bytes = self.buffer.split_to(end).freeze();
         let id = parse_id(&bytes);
         Some(Event { bytes, id })
@@ -39,25 +45,24 @@
 
     /// Removes and returns the bytes of an incomplete event.
     pub fn take_remaining(&mut self) -> Bytes {
+        (self.line_start, self.searched) = (0, 0);
         self.buffer.split().freeze()
     }
-}
 
-/// Returns the offset behind the empty line that ends the first event, or `None` if that is
-/// incomplete.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let empty = matches!(&bytes[line_start..at], b"" | b"\r");
-        if empty {
-            return Some(at + 1);
+    /// Returns the offset behind the empty line that ends the first event, or `None` if that is
+    /// incomplete.
+    fn find_event_end(&mut self) -> Option<usize> {
+        while let Some(length) = self.buffer[self.searched..].iter().position(|it| *it == b'\n') {
+            let line_end = self.searched + length;
+            let is_empty = matches!(&self.buffer[self.line_start..line_end], b"" | b"\r");
+            (self.line_start, self.searched) = (line_end + 1, line_end + 1);
+            if is_empty {
+                return Some(line_end + 1);
+            }
         }
-        line_start = at + 1;
+        self.searched = self.buffer.len();
+        None
     }
-    None
 }
 
 /// Returns the value of the first `id` field, if it is a number.
