forward: responses that never end take a bounded part of a host's memory

Cause: each response that is no stream was buffered up to 8 MB, without a bound for all together. Some ten upstreams that send bytes without end take more than the 88 MB of the smallest hosts. Change: what a host buffers is counted. Beyond 16 MB, a body of over 64 KB counts as broken off; a small one is still read to its end.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -5,7 +5,7 @@
 //! are streams of events are forwarded by `stream`.
 
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response::Parts};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
@@ -35,6 +35,11 @@
 const MAX_CONNECT_FAILURES: u32 = 5;
 /// Largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Bytes of bodies that a host buffers at a time. Beyond it, a larger body than `SMALL_RESPONSE_BYTES` counts
+/// as broken off: upstreams that send without end must not take the memory of the others' responses.
+const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Size of a body that is read to its end however much the host buffers.
+const SMALL_RESPONSE_BYTES: usize = 64 << 10;
 /// Timeout of an attempt that may be followed by another one, as a multiple of the route's
 /// latency objective.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
@@ -213,6 +218,35 @@
     Fail(Error),
 }
 
+/// Bytes of a body that are buffered until it is complete; counted at the gateway until it is dropped.
+struct Buffered<C> {
+    gateway: Arc<Gateway<C>>,
+    bytes: usize,
+}
+
+impl<C> Buffered<C>
+where
+    C: Codec,
+{
+    fn new(gateway: Arc<Gateway<C>>) -> Self {
+        Buffered { gateway, bytes: 0 }
+    }
+
+    /// Counts more bytes. Returns false if the body may not become that large.
+    fn grow(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let all_bytes = self.gateway.add_buffered_bytes(bytes);
+        self.bytes <= SMALL_RESPONSE_BYTES
+            || self.bytes <= MAX_RESPONSE_BYTES && all_bytes <= MAX_BUFFERED_BYTES
+    }
+}
+
+impl<C> Drop for Buffered<C> {
+    fn drop(&mut self) {
+        self.gateway.remove_buffered_bytes(self.bytes);
+    }
+}
+
 /// Forwards one request and holds its state across attempts.
 pub struct Forwarder<C>
 where
@@ -591,7 +625,7 @@
     ) -> Result<Option<Response<Body>>, Error> {
         let UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested } =
             upstream_response;
-        let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let read = self.read_body(body);
         let read = match timeout_at(self.job.deadline, read).await {
             Err(_) => {
                 attempt.complete(Outcome::Failed);
@@ -599,7 +633,7 @@
             }
             Ok(read) => read,
         };
-        let Ok(read) = read else {
+        let Some(read) = read else {
             // Both are counted again in `handle_break`.
             self.times_sent -= 1;
             self.runs -= 1;
@@ -614,7 +648,7 @@
         self.gateway.forget_crashes(self.job.fingerprint());
         self.gateway.record_answer(&self.shared_parts);
         self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
-        let response = self.build_response(&head, Body::Buffered(Full::new(read.to_bytes())));
+        let response = self.build_response(&head, Body::Buffered(Full::new(read)));
         if !head.status.is_server_error() {
             attempt.complete(Outcome::Served(started.elapsed()));
             return Ok(Some(response));
@@ -633,6 +667,26 @@
         Ok(Some(response))
     }
 
+    /// Reads a body to its end. Returns `None` if it breaks off, or is larger than one response may be, or
+    /// than all that this host buffers at a time.
+    async fn read_body(&self, mut body: Incoming) -> Option<Bytes> {
+        let mut buffered = Buffered::new(self.gateway.clone());
+        let mut frames: SmallVec<[Bytes; 4]> = SmallVec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else { continue };
+            if !buffered.grow(data.len()) {
+                log::warn!(request = self.job.metadata.id.as_str(), bytes = buffered.bytes,
+                    all_bytes = self.gateway.buffered_bytes(); "response body is too large");
+                return None;
+            }
+            frames.push(data);
+        }
+        Some(match frames.len() {
+            1 => frames.remove(0),
+            _ => frames.concat().into(),
+        })
+    }
+
     /// Takes a connection from the pool or opens a new one; the flag is true for a pooled one.
     /// Returns `None` if the upstream cannot be reached.
     async fn connect(&self, choice: &Choice) -> Option<(Connection, bool)> {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
     },
 };
 
@@ -69,6 +69,8 @@
     store_history: Mutex<History>,
     store_era: Mutex<Sighting>,
     active_requests: AtomicU32,
+    /// Bytes of responses' bodies that are buffered until they are complete.
+    buffered_bytes: AtomicUsize,
     /// Whether this host exchanges messages with other hosts.
     mesh_joined: AtomicBool,
 }
@@ -116,6 +118,7 @@
             store_history: Mutex::default(),
             store_era: Mutex::default(),
             active_requests: AtomicU32::new(0),
+            buffered_bytes: AtomicUsize::new(0),
             mesh_joined: AtomicBool::new(false),
         })
     }
@@ -520,6 +523,23 @@
     }
 }
 
+impl<C> Gateway<C> {
+    /// Returns how many bytes of responses' bodies are buffered until they are complete.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered_bytes.load(Ordering::Acquire)
+    }
+
+    /// Counts buffered bytes, and returns how many there are now.
+    pub fn add_buffered_bytes(&self, bytes: usize) -> usize {
+        self.buffered_bytes.fetch_add(bytes, Ordering::AcqRel) + bytes
+    }
+
+    /// Counts buffered bytes that are no longer there.
+    pub fn remove_buffered_bytes(&self, bytes: usize) {
+        self.buffered_bytes.fetch_sub(bytes, Ordering::AcqRel);
+    }
+}
+
 /// Counts a request as in progress until it is dropped.
 pub struct RequestGuard<C> {
     gateway: Arc<Gateway<C>>,
