stream: a caller that stops reading frees the upstream at the request's deadline

What happened (found while looking for the operators' reports of streams that never end): a caller that is connected and reads nothing kept its upstream, and one of its slots, busy without end. Cause: the deadline was watched while waiting for the upstream, not while waiting for the caller. Change: both waits end at the deadline. The caller's response still ends visibly cut. Test: caller_that_stops_reading_frees_the_upstream_at_its_deadline failed before: the connection to the upstream was open after 10 s, for a route of 3 s.

--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -65,7 +65,8 @@
             last_event = last_event_id.unwrap_or_default(), runs = self.runs;
             "stream was cut off and cannot be resumed");
         self.gateway.metrics.count_outcome("stream_cut");
-        // Sending fails only if the caller has disconnected and needs no error.
+        // Sending fails only if the caller has disconnected and needs no error. To one that reads nothing
+        // the response must not look complete later, so this waits for as long as it is connected.
         let _ = chunks.send(Err(Truncated)).await;
     }
 
@@ -120,8 +121,11 @@
                     );
                 }
             }
-            if chunks.send(Ok(events)).await.is_err() {
-                return RunEnd::CallerLeft;
+            // A caller that stops reading holds the upstream no longer than the request may take.
+            match timeout_at(self.job.deadline, chunks.send(Ok(events))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return RunEnd::CallerLeft,
+                Err(_) => return RunEnd::TimedOut,
             }
         }
         let choice = attempt.choice.clone();
