gateway_server, gateway_process: a planned stop answers what has arrived

Causes: the listener was dropped with connections in the kernel's queue, which are reset. A kept connection was closed as idle although its next request lay in the socket: the loop looked at the stop before the runtime had looked at the socket, in random order. And the process ended some fixed time after requests had been handled, whether or not their responses were written.

Change: `accept` takes what the kernel has accepted before it drops the listener. A connection closes only after the runtime has looked at its socket once more. The process ends when no connection that had a request is left, or at the end of the grace period. Between a look at a socket and its close a few microseconds remain, as HTTP/1.1 has no way to announce a close.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -69,6 +69,8 @@
     store_history: Mutex<History>,
     store_era: Mutex<Sighting>,
     active_requests: AtomicU32,
+    /// Callers' connections on which a request was read, until they end.
+    unfinished_connections: AtomicU32,
     /// Bytes of responses' bodies that are buffered until they are complete.
     buffered_bytes: AtomicUsize,
     /// Whether this host exchanges messages with other hosts.
@@ -118,6 +120,7 @@
             store_history: Mutex::default(),
             store_era: Mutex::default(),
             active_requests: AtomicU32::new(0),
+            unfinished_connections: AtomicU32::new(0),
             buffered_bytes: AtomicUsize::new(0),
             mesh_joined: AtomicBool::new(false),
         })
@@ -197,6 +200,18 @@
         RequestGuard { gateway: self.clone() }
     }
 
+    /// Returns the number of callers' connections on which a request was read. Once the host closes its
+    /// connections, each of them ends when its last response is written.
+    pub fn unfinished_connections(&self) -> u32 {
+        self.unfinished_connections.load(Ordering::Acquire)
+    }
+
+    /// Counts a caller's connection as unfinished until the returned guard is dropped.
+    pub fn track_connection(self: &Arc<Self>) -> ConnectionGuard<C> {
+        self.unfinished_connections.fetch_add(1, Ordering::AcqRel);
+        ConnectionGuard { gateway: self.clone() }
+    }
+
     /// Applies rows of the operators' table, which hold the configuration, evacuated zones and
     /// target weight versions.
     pub fn apply_operator_rows(&self, rows: &[Row]) {
@@ -551,6 +566,17 @@
     }
 }
 
+/// Counts a caller's connection as unfinished until it is dropped.
+pub struct ConnectionGuard<C> {
+    gateway: Arc<Gateway<C>>,
+}
+
+impl<C> Drop for ConnectionGuard<C> {
+    fn drop(&mut self) {
+        self.gateway.unfinished_connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Locks a mutex, also one that a panic has poisoned.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -332,18 +332,20 @@
     log::info!(active = gateway.active_requests(); "stopping");
     gateway.draining.cancel();
     sleep(BALANCER_DELAY.min(host_settings.bounds.grace / 2)).await;
-    accepting.abort();
     gateway.closing.cancel();
+    if let Err(err) = accepting.await {
+        log::error!(error = err.to_string().as_str(); "accepting connections ended with an error");
+    }
     let deadline = stop_time + host_settings.bounds.grace.saturating_sub(GRACE_MARGIN);
-    // A request stops counting as active before its connection has written the whole response. This
-    // leaves time for that.
+    // A connection ends after its response is written, a request only has been handled by then. This
+    // leaves time for connections that were accepted last.
     sleep(SHUTDOWN_POLL * 4).await;
-    while gateway.active_requests() > 0 && TokioInstant::now() < deadline {
+    let is_busy = || gateway.active_requests() > 0 || gateway.unfinished_connections() > 0;
+    while is_busy() && TokioInstant::now() < deadline {
         sleep(SHUTDOWN_POLL).await;
     }
-    // Likewise for requests that ended during the loop.
-    sleep(SHUTDOWN_POLL * 2).await;
-    log::info!(active = gateway.active_requests(); "stopped");
+    log::info!(active = gateway.active_requests(), connections = gateway.unfinished_connections();
+        "stopped");
     log_setup::flush();
     Ok(())
 }
--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -4,7 +4,10 @@
 
 use std::{
     convert::Infallible,
-    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+    sync::{
+        OnceLock,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
 };
 
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
@@ -14,6 +17,7 @@
 use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
+    task::yield_now,
     time::{Instant as TokioInstant, sleep, sleep_until, timeout_at},
 };
 
@@ -21,7 +25,7 @@
     codec::{Codec, Metadata},
     configuration::Configuration,
     forward::{Forwarder, Job},
-    gateway::Gateway,
+    gateway::{ConnectionGuard, Gateway},
     prelude::*,
     response_body::Body,
 };
@@ -42,22 +46,28 @@
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Activity of one connection, from which its idle time follows.
-#[derive(Debug, Default)]
-struct Activity {
+struct Activity<C> {
+    /// Counts the connection as unfinished, from its first request on.
+    guard: OnceLock<ConnectionGuard<C>>,
     /// Requests in progress.
     active_requests: AtomicU32,
     /// Milliseconds from the connection's start to the end of its last request.
     last_ended_ms: AtomicU64,
 }
 
-/// Accepts callers' connections and serves each in a task of its own. It runs until it is
-/// cancelled, which does not end the connections.
+/// Accepts callers' connections and serves each in a task of its own, until the host closes its
+/// connections. Those that the kernel has accepted by then are served as well: their requests may have
+/// arrived. The connections themselves go on.
 pub async fn accept<C>(gateway: Arc<Gateway<C>>, listener: TcpListener)
 where
     C: Codec,
 {
     loop {
-        let accepted = listener.accept().await;
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = gateway.closing.cancelled() => break,
+        };
         match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_connection(gateway.clone(), stream));
@@ -68,6 +78,27 @@
             }
         }
     }
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(err) => {
+            log::warn!(error = err.to_string().as_str(); "waiting connections cannot be accepted");
+            return;
+        }
+    };
+    let mut count = 0;
+    // It does not block, so it ends with an error once no connection waits.
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        match stream {
+            Ok(stream) => {
+                tokio::spawn(serve_connection(gateway.clone(), stream));
+                count += 1;
+            }
+            Err(err) => log::warn!(error = err.to_string().as_str();
+                "connection that waited to be accepted is lost"),
+        }
+    }
+    log::info!(waiting = count; "no longer accepting connections");
 }
 
 /// Serves the requests of one connection until it ends, has been idle for too long, or the host
@@ -87,11 +118,16 @@
         limits.map_or(DEFAULT_HEADER_BYTES, |it| it.header_bytes).max(MIN_HEADER_BYTES);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.idle_timeout) + IDLE_MARGIN;
     let start = TokioInstant::now();
-    let activity = Arc::new(Activity::default());
+    let activity = Arc::new(Activity {
+        guard: OnceLock::new(),
+        active_requests: AtomicU32::new(0),
+        last_ended_ms: AtomicU64::new(0),
+    });
     let service = {
         let (gateway, activity) = (gateway.clone(), activity.clone());
         service_fn(move |request| {
             let (gateway, activity) = (gateway.clone(), activity.clone());
+            activity.guard.get_or_init(|| gateway.track_connection());
             async move {
                 let _connection_guard = ConnectionRequestGuard::new(activity, start);
                 Ok::<_, Infallible>(handle(gateway, request).await)
@@ -102,11 +138,12 @@
         .max_buf_size(header_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let mut shutting_down = false;
+    let (mut closing, mut shutting_down) = (false, false);
     loop {
         let ended = Duration::from_millis(activity.last_ended_ms.load(Ordering::Acquire));
         let expiry = start + ended + idle;
         tokio::select! {
+            biased;
             end = connection.as_mut() => {
                 if let Err(err) = end {
                     log::debug!(error = err.to_string().as_str();
@@ -123,29 +160,31 @@
             }
             // Does not expire while a request is running. Checks again after an idle period.
             () = sleep(idle), if activity.active_requests.load(Ordering::Acquire) > 0 => {}
-            () = gateway.closing.cancelled(), if !shutting_down => {
+            // Lets the runtime look at the socket first: the next request may have arrived on it.
+            () = yield_now(), if closing && !shutting_down => {
                 shutting_down = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = gateway.closing.cancelled(), if !closing => closing = true,
         }
     }
 }
 
 /// Counts one request of a connection as active until it is dropped. Unlike the host's
 /// [`RequestGuard`](crate::gateway::RequestGuard), it serves to find idle connections.
-struct ConnectionRequestGuard {
-    activity: Arc<Activity>,
+struct ConnectionRequestGuard<C> {
+    activity: Arc<Activity<C>>,
     start: TokioInstant,
 }
 
-impl ConnectionRequestGuard {
-    fn new(activity: Arc<Activity>, start: TokioInstant) -> Self {
+impl<C> ConnectionRequestGuard<C> {
+    fn new(activity: Arc<Activity<C>>, start: TokioInstant) -> Self {
         activity.active_requests.fetch_add(1, Ordering::AcqRel);
         ConnectionRequestGuard { activity, start }
     }
 }
 
-impl Drop for ConnectionRequestGuard {
+impl<C> Drop for ConnectionRequestGuard<C> {
     fn drop(&mut self) {
         let elapsed = self.start.elapsed().as_millis() as u64;
         self.activity.last_ended_ms.store(elapsed, Ordering::Release);
