--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -334,6 +334,30 @@
     assert!(detector.causes(at(20_000)).count() <= 64);
 }
 
+/// Messages of other hosts may hold any numbers.
+#[test]
+fn extreme_numbers_from_other_hosts_do_no_harm() {
+    let mut detector = Detector::default();
+    let longest = Duration::from_millis(u64::MAX);
+    for parts in [keys(&["bad"]), Keys::new(), (0..1000).map(Key).collect()] {
+        let report = CauseReport {
+            parts: parts.clone(),
+            last_crash_age: Duration::ZERO,
+            trials: u32::MAX,
+            next_trial_in: longest,
+        };
+        detector.follow(at(1000), &report);
+        detector.follow(at(1000), &CauseReport { last_crash_age: longest, ..report });
+        let silence = Some(longest);
+        detector.record_break(at(1000), &Break { silence, parts, ..broken(1000, "e0", 1, &[]) });
+    }
+    assert!(is_rejected(&mut detector, 1100, &["bad"]));
+    assert!(!is_rejected(&mut detector, 1100, &["first"]));
+    assert!(!is_rejected(&mut detector, 1100, &[]));
+    detector.record_answer(at(1200), &keys(&["bad"]));
+    assert!(!is_rejected(&mut detector, 1300, &["bad"]));
+}
+
 /// Why upstreams of a simulated fleet crash, besides requests with a fatal part.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Trouble {
