gateway, forward: a host that has just started learns fatal parts before it sends

Cause: causes of crashes come with gossip, and the first connection to another host stands 0.4 to 0.8 s after the start; requests came before. Change: a request with shared parts waits until a host that knows the causes has told them, for a second after the process started at most. A host that runs alone serves after that. Plain requests do not wait. Test: host_that_has_just_started_learns_fatal_parts_before_it_sends; without the wait it fails, since the request reaches an upstream.

--- a/lib/src/crash_gossip.rs
+++ b/lib/src/crash_gossip.rs
@@ -34,6 +34,7 @@
 where
     C: Codec,
 {
+    gossip.knows_causes = gateway.knows_causes();
     gossip.causes.extend(gateway.crash_causes().into_iter().map(|it| peer::Cause {
         parts: it.parts.iter().map(|it| it.0).collect(),
         last_crash_age_ms: millis(it.last_crash_age),
@@ -67,6 +68,9 @@
         };
         gateway.follow_cause(peer, &report);
     }
+    if gossip.knows_causes {
+        gateway.set_knows_causes();
+    }
 }
 
 /// Returns whether a message has anything about crashes to relay. Causes are not relayed: a host that
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -339,6 +339,9 @@
     /// Returns the error for the caller if no upstream gave a response.
     pub async fn run(mut self) -> Result<Response<Body>, Error> {
         self.gateway.count_request(&self.job.service);
+        if !self.shared_parts.is_empty() {
+            self.gateway.wait_for_causes().await;
+        }
         loop {
             let upstream_response = match self.send_with_retries(None).await {
                 Ok(upstream_response) => upstream_response,
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -10,7 +10,10 @@
 };
 
 use arc_swap::ArcSwapOption;
-use tokio::sync::{Notify, watch};
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -61,6 +64,8 @@
     poison: Mutex<Detector>,
     /// Changed when prompt parts are found to crash upstreams, or no longer.
     cause_changes: watch::Sender<()>,
+    /// Whether another host has told this one, since its start, which prompt parts crash upstreams.
+    knows_causes: watch::Sender<bool>,
     /// Breaks that were not sent to the other hosts yet.
     breaks: Mutex<Vec<Break>>,
     /// Prompt parts that were answered after a crash, of which the other hosts were not told yet.
@@ -77,6 +82,10 @@
     mesh_joined: AtomicBool,
 }
 
+/// How long after its start a host may hold a request whose prompt has shared parts, until another host has
+/// told it which parts crash upstreams.
+const CAUSES_WAIT: Duration = Duration::from_secs(1);
+
 /// Progress of a weight rollout, which the holder of the weights lease sends to the other
 /// hosts.
 #[derive(Clone, Debug, Default)]
@@ -114,6 +123,7 @@
             quarantine: Mutex::default(),
             poison: Mutex::default(),
             cause_changes: watch::Sender::new(()),
+            knows_causes: watch::Sender::new(false),
             breaks: Mutex::default(),
             answered_parts: Mutex::default(),
             rollout: Mutex::default(),
@@ -448,6 +458,30 @@
         self.tell_answered(&answered);
     }
 
+    /// Records that another host has told all causes of crashes that it knows.
+    pub fn set_knows_causes(&self) {
+        if !self.knows_causes.send_replace(true) {
+            log::info!(since_start_ms = self.now().since(Instant::ZERO).as_millis() as u64;
+                "causes of crashes are known from another host");
+        }
+    }
+
+    /// Returns whether this host knows which prompt parts crash upstreams, as far as any host does: it was
+    /// told, or has run for long enough.
+    pub fn knows_causes(&self) -> bool {
+        *self.knows_causes.borrow() || self.now().since(Instant::ZERO) >= CAUSES_WAIT
+    }
+
+    /// Waits until a host that has just started knows from another one which prompt parts crash upstreams,
+    /// or for [`CAUSES_WAIT`]: it may be the only one.
+    pub async fn wait_for_causes(&self) {
+        let left = CAUSES_WAIT.saturating_sub(self.now().since(Instant::ZERO));
+        let mut known = self.knows_causes.subscribe();
+        if !left.is_zero() && timeout(left, known.wait_for(|it| *it)).await.is_err() {
+            log::info!("no other host has told the causes of crashes");
+        }
+    }
+
     /// Returns the prompt parts that are known to crash upstreams.
     pub fn crash_causes(&self) -> Vec<CauseReport> {
         lock(&self.poison).causes(self.now()).collect()
