forward, gateway: split into body_buffer, crash_causes and fatal_prompt

Moves, so that each file has one job: bodies that are buffered (`body_buffer`), what a host knows of fatal parts (`crash_causes`), and a request as far as its prompt may be fatal (`fatal_prompt`). forward has 785 lines instead of 911, gateway 459 instead of 620.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -5,23 +5,25 @@
 //! are streams of events are forwarded by `stream`.
 
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response::Parts};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use crate::{
     admission::Pressure,
+    body_buffer::{Buffer, ReadError},
     cache_index::{Plan, Prompt, Source},
     codec::{Codec, Metadata, Outgoing, ResponseMetadata},
     configuration::{Configuration, KeyHolder, RetryPolicy, Route},
     connection::{self, Connection},
+    fatal_prompt::Signs,
     fault::{Cause, Delivery},
     fleet::{Choice, Denial, Outcome, Query},
     gateway::Gateway,
     hop_by_hop,
-    poison::{self, Admission, Break},
+    poison::{self, Admission},
     prelude::*,
-    quarantine::{Crash, Fingerprint},
+    quarantine::Fingerprint,
     response_body::Body,
     salt,
 };
@@ -33,13 +35,6 @@
 const MAX_REFUSALS: u32 = 3;
 /// Attempts without a usable connection after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 5;
-/// Largest body of a response that is not a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Bytes of bodies that a host buffers at a time. Beyond it, a larger body than `SMALL_RESPONSE_BYTES` counts
-/// as broken off: upstreams that send without end must not take the memory of the others' responses.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
-/// Size of a body that is read to its end however much the host buffers.
-const SMALL_RESPONSE_BYTES: usize = 64 << 10;
 /// Timeout of an attempt that may be followed by another one, as a multiple of the route's
 /// latency objective.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
@@ -190,63 +185,14 @@
     pub(crate) pause_requested: bool,
 }
 
-/// What an attempt showed of its upstream until it ended without a whole response.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Signs {
-    /// Whether the connection broke. Otherwise the response was not valid.
-    pub(crate) is_break: bool,
-    /// Whether the connection came from the pool, and nothing was received on it since.
-    pub(crate) pooled: bool,
-    /// Whether an event of the response had arrived.
-    pub(crate) had_event: bool,
-    /// Time from the upstream's last sign of life on the connection; `None` if there was none since the
-    /// request was sent.
-    pub(crate) silence: Option<Duration>,
-}
-
-impl Signs {
-    /// Signs of an upstream that responded, but not with a valid response.
-    pub(crate) const INVALID_RESPONSE: Signs =
-        Signs { is_break: false, pooled: false, had_event: false, silence: None };
-}
-
 /// An attempt that gave no response for the caller.
-enum AttemptError {
+pub(crate) enum AttemptError {
     /// Another attempt may follow.
     Retry,
     /// The request fails with this error.
     Fail(Error),
 }
 
-/// Bytes of a body that are buffered until it is complete; counted at the gateway until it is dropped.
-struct Buffered<C> {
-    gateway: Arc<Gateway<C>>,
-    bytes: usize,
-}
-
-impl<C> Buffered<C>
-where
-    C: Codec,
-{
-    fn new(gateway: Arc<Gateway<C>>) -> Self {
-        Buffered { gateway, bytes: 0 }
-    }
-
-    /// Counts more bytes. Returns false if the body may not become that large.
-    fn grow(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        let all_bytes = self.gateway.add_buffered_bytes(bytes);
-        self.bytes <= SMALL_RESPONSE_BYTES
-            || self.bytes <= MAX_RESPONSE_BYTES && all_bytes <= MAX_BUFFERED_BYTES
-    }
-}
-
-impl<C> Drop for Buffered<C> {
-    fn drop(&mut self) {
-        self.gateway.remove_buffered_bytes(self.bytes);
-    }
-}
-
 /// Forwards one request and holds its state across attempts.
 pub struct Forwarder<C>
 where
@@ -504,23 +450,6 @@
         }
     }
 
-    /// Waits until prompts like this one are known to crash upstreams, unless this attempt is a trial.
-    pub(crate) async fn wait_fatal(&self) {
-        let parts = if self.is_trial { &[] } else { &self.shared_parts[..] };
-        self.gateway.wait_fatal(parts).await;
-    }
-
-    /// Gives up an attempt whose upstream would crash when it begins to respond. The upstream drops the
-    /// request when its connection closes.
-    fn withdraw(&mut self, attempt: InFlightAttempt<C>) -> AttemptError {
-        self.times_sent += 1;
-        self.runs += 1;
-        self.count_withdrawal(&attempt.choice);
-        attempt.complete(Outcome::Cancelled);
-        let message = "prompts with the same part have crashed several upstreams";
-        AttemptError::Fail(Error::new(Kind::UpstreamFailed, message))
-    }
-
     /// Checks a response head. After a refusal, another upstream may be tried. A response to
     /// another request, or a successful one without a signature, is treated like a broken
     /// connection.
@@ -628,7 +557,7 @@
     ) -> Result<Option<Response<Body>>, Error> {
         let UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested } =
             upstream_response;
-        let read = self.read_body(body);
+        let read = Buffer::new(self.gateway.body_usage.clone()).read(body);
         let read = match timeout_at(self.job.deadline, read).await {
             Err(_) => {
                 attempt.complete(Outcome::Failed);
@@ -636,16 +565,23 @@
             }
             Ok(read) => read,
         };
-        let Some(read) = read else {
-            // Both are counted again in `handle_break`.
-            self.times_sent -= 1;
-            self.runs -= 1;
-            let silence = Some(head_at.elapsed());
-            let signs = Signs { is_break: true, pooled: false, had_event: false, silence };
-            return match self.handle_break(attempt, signs) {
-                AttemptError::Retry => Ok(None),
-                AttemptError::Fail(err) => Err(err),
-            };
+        let read = match read {
+            Ok(read) => read,
+            Err(err) => {
+                log::info!(request = self.job.metadata.id.as_str(),
+                    upstream = attempt.choice.id.as_str(), error = err.to_string().as_str();
+                    "response body cannot be read");
+                // Both are counted again in `handle_break`.
+                self.times_sent -= 1;
+                self.runs -= 1;
+                let silence = Some(head_at.elapsed());
+                let is_break = matches!(err, ReadError::Broken);
+                let signs = Signs { is_break, pooled: false, had_event: false, silence };
+                return match self.handle_break(attempt, signs) {
+                    AttemptError::Retry => Ok(None),
+                    AttemptError::Fail(err) => Err(err),
+                };
+            }
         };
         let choice = attempt.choice.clone();
         self.gateway.forget_crashes(self.job.fingerprint());
@@ -670,26 +606,6 @@
         Ok(Some(response))
     }
 
-    /// Reads a body to its end. Returns `None` if it breaks off, or is larger than one response may be, or
-    /// than all that this host buffers at a time.
-    async fn read_body(&self, mut body: Incoming) -> Option<Bytes> {
-        let mut buffered = Buffered::new(self.gateway.clone());
-        let mut frames: SmallVec<[Bytes; 4]> = SmallVec::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.ok()?.into_data() else { continue };
-            if !buffered.grow(data.len()) {
-                log::warn!(request = self.job.metadata.id.as_str(), bytes = buffered.bytes,
-                    all_bytes = self.gateway.buffered_bytes(); "response body is too large");
-                return None;
-            }
-            frames.push(data);
-        }
-        Some(match frames.len() {
-            1 => frames.remove(0),
-            _ => frames.concat().into(),
-        })
-    }
-
     /// Takes a connection from the pool or opens a new one; the flag is true for a pooled one.
     /// Returns `None` if the upstream cannot be reached.
     async fn connect(&self, choice: &Choice) -> Option<(Connection, bool)> {
@@ -853,24 +769,6 @@
         Error::new(kind, message).with_retry_after(wait)
     }
 
-    /// Logs and counts an attempt that was given up because its upstream would crash.
-    pub(crate) fn count_withdrawal(&self, choice: &Choice) {
-        self.log_attempt(choice, "withdrawn");
-        self.gateway.metrics.fatal_prompts.with_label_values(&["withdrawn"]).inc();
-    }
-
-    /// Returns the error of a request whose prompt crashes upstreams.
-    fn rejection_error(&self, rejection: &poison::Rejection) -> Error {
-        log::info!(request = self.job.metadata.id.as_str(),
-            parts = poison::format_keys(&rejection.parts).as_str(),
-            next_trial_ms = rejection.retry_after.as_millis() as u64;
-            "request holds prompt parts that crash upstreams");
-        self.gateway.metrics.fatal_prompts.with_label_values(&["refused"]).inc();
-        let kind = if self.runs == 0 { Kind::Quarantined } else { Kind::UpstreamFailed };
-        let message = "prompts with the same part have crashed several upstreams";
-        Error::new(kind, message).with_retry_after(rejection.retry_after)
-    }
-
     /// Returns the error of a request whose deadline has passed.
     fn deadline_error(&self) -> Error {
         let kind = if self.runs == 0 { Kind::NotRun } else { Kind::TimedOut };
@@ -884,28 +782,4 @@
             arrivals = self.times_sent, runs = self.runs,
             left_ms = self.job.time_left().as_millis() as u64; "attempt ended");
     }
-
-    /// Records that the upstream broke off, and logs what tells a request that may have crashed it from
-    /// one that only ran beside that: its prompt parts, and whether an event of the response had arrived.
-    pub(crate) fn report_break(&self, choice: &Choice, signs: Signs) {
-        let start_time_ms = choice.incarnation.start_time_ms;
-        if !self.shared_parts.is_empty() {
-            log::info!(request = self.job.metadata.id.as_str(), upstream = choice.id.as_str(),
-                start_time_ms = start_time_ms, had_event = signs.had_event,
-                is_break = signs.is_break, parts = poison::format_keys(&self.shared_parts).as_str();
-                "upstream broke off");
-        }
-        let may_be_cause = signs.is_break && !signs.had_event;
-        self.gateway.record_break(Break {
-            crash: Crash {
-                request: self.job.fingerprint(),
-                upstream: choice.id.clone(),
-                suspected: signs.pooled || signs.had_event,
-            },
-            start_time_ms,
-            parts: if may_be_cause { self.shared_parts.clone() } else { poison::Keys::new() },
-            broke_at: self.gateway.now(),
-            silence: signs.silence,
-        });
-    }
 }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -5,18 +5,16 @@
     collections::HashMap,
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
 };
 
 use arc_swap::ArcSwapOption;
-use tokio::{
-    sync::{Notify, watch},
-    time::timeout,
-};
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    body_buffer::Usage,
     cache_index::Index,
     clock::Clock,
     codec::{Codec, OperatorUpdate},
@@ -28,7 +26,7 @@
     host_settings::HostSettings,
     metric::Metrics,
     obstacle::Obstacle,
-    poison::{self, Admission, Break, CauseReport, Detector, Key, Rejection},
+    poison::{Break, Detector, Key},
     prelude::*,
     quarantine::{Fingerprint, Quarantine},
     replica::Row,
@@ -60,16 +58,16 @@
     pool: Mutex<Pool>,
     cache_index: Mutex<Index>,
     retry_budgets: Mutex<HashMap<Service, RetryBudget>>,
-    quarantine: Mutex<Quarantine>,
-    poison: Mutex<Detector>,
+    pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) poison: Mutex<Detector>,
     /// Changed when prompt parts are found to crash upstreams, or no longer.
-    cause_changes: watch::Sender<()>,
+    pub(crate) cause_changes: watch::Sender<()>,
     /// Whether another host has told this one, since its start, which prompt parts crash upstreams.
-    knows_causes: watch::Sender<bool>,
+    pub(crate) knows_causes: watch::Sender<bool>,
     /// Breaks that were not sent to the other hosts yet.
-    breaks: Mutex<Vec<Break>>,
+    pub(crate) breaks: Mutex<Vec<Break>>,
     /// Prompt parts that were answered after a crash, of which the other hosts were not told yet.
-    answered_parts: Mutex<Vec<(Key, Instant)>>,
+    pub(crate) answered_parts: Mutex<Vec<(Key, Instant)>>,
     rollout: Mutex<Rollout>,
     store_history: Mutex<History>,
     store_era: Mutex<Sighting>,
@@ -77,15 +75,11 @@
     /// Callers' connections on which a request was read, until they end.
     unfinished_connections: AtomicU32,
     /// Bytes of responses' bodies that are buffered until they are complete.
-    buffered_bytes: AtomicUsize,
+    pub(crate) body_usage: Arc<Usage>,
     /// Whether this host exchanges messages with other hosts.
     mesh_joined: AtomicBool,
 }
 
-/// How long after its start a host may hold a request whose prompt has shared parts, until another host has
-/// told it which parts crash upstreams.
-const CAUSES_WAIT: Duration = Duration::from_secs(1);
-
 /// Progress of a weight rollout, which the holder of the weights lease sends to the other
 /// hosts.
 #[derive(Clone, Debug, Default)]
@@ -131,7 +125,7 @@
             store_era: Mutex::default(),
             active_requests: AtomicU32::new(0),
             unfinished_connections: AtomicU32::new(0),
-            buffered_bytes: AtomicUsize::new(0),
+            body_usage: Arc::default(),
             mesh_joined: AtomicBool::new(false),
         })
     }
@@ -222,6 +216,11 @@
         ConnectionGuard { gateway: self.clone() }
     }
 
+    /// Returns how many bytes of responses' bodies are buffered until they are complete.
+    pub fn buffered_bytes(&self) -> usize {
+        self.body_usage.bytes()
+    }
+
     /// Applies rows of the operators' table, which hold the configuration, evacuated zones and
     /// target weight versions.
     pub fn apply_operator_rows(&self, rows: &[Row]) {
@@ -413,154 +412,11 @@
         lock(&self.quarantine).is_quarantined(self.now(), request)
     }
 
-    /// Records that an upstream broke the connection while it ran a request, and queues that for the
-    /// other hosts.
-    pub fn record_break(&self, report: Break) {
-        let is_new_for_request = lock(&self.quarantine).record_crash(self.now(), &report.crash);
-        self.apply_break("own connection", &report);
-        if is_new_for_request || !report.parts.is_empty() {
-            lock(&self.breaks).push(report);
-        }
-    }
-
-    /// Records a break that another host reported.
-    pub fn record_remote_break(&self, peer: &Host, report: &Break) {
-        lock(&self.quarantine).record_crash(self.now(), &report.crash);
-        self.apply_break(peer.as_str(), report);
-    }
-
-    fn apply_break(&self, source: &str, report: &Break) {
-        let answered = self.update_poison(source, |it| it.record_break(self.now(), report));
-        self.tell_answered(&answered);
-        let bystanders = lock(&self.poison).bystanders();
-        let mut quarantine = lock(&self.quarantine);
-        for (request, upstream) in bystanders {
-            quarantine.forgive(request, &upstream);
-        }
-    }
-
-    /// Records that an upstream began to answer a request whose prompt has these shared parts.
-    pub fn record_answer(&self, parts: &[Key]) {
-        if !parts.is_empty() {
-            let cleared = self.update_poison("answer", |it| it.record_answer(self.now(), parts));
-            self.tell_answered(&cleared);
-        }
-    }
-
-    /// Records that another host has seen a prompt part answered.
-    pub fn record_remote_answer(&self, peer: &Host, part: Key, at: Instant) {
-        self.update_poison(peer.as_str(), |it| it.clear(at, part));
-    }
-
-    /// Follows a cause of crashes that another host has found.
-    pub fn follow_cause(&self, peer: &Host, report: &CauseReport) {
-        let answered = self.update_poison(peer.as_str(), |it| it.follow(self.now(), report));
-        self.tell_answered(&answered);
-    }
-
-    /// Records that another host has told all causes of crashes that it knows.
-    pub fn set_knows_causes(&self) {
-        if !self.knows_causes.send_replace(true) {
-            log::info!(since_start_ms = self.now().since(Instant::ZERO).as_millis() as u64;
-                "causes of crashes are known from another host");
-        }
-    }
-
-    /// Returns whether this host knows which prompt parts crash upstreams, as far as any host does: it was
-    /// told, or has run for long enough.
-    pub fn knows_causes(&self) -> bool {
-        *self.knows_causes.borrow() || self.now().since(Instant::ZERO) >= CAUSES_WAIT
-    }
-
-    /// Waits until a host that has just started knows from another one which prompt parts crash upstreams,
-    /// or for [`CAUSES_WAIT`]: it may be the only one.
-    pub async fn wait_for_causes(&self) {
-        let left = CAUSES_WAIT.saturating_sub(self.now().since(Instant::ZERO));
-        let mut known = self.knows_causes.subscribe();
-        if !left.is_zero() && timeout(left, known.wait_for(|it| *it)).await.is_err() {
-            log::info!("no other host has told the causes of crashes");
-        }
-    }
-
-    /// Returns the prompt parts that are known to crash upstreams.
-    pub fn crash_causes(&self) -> Vec<CauseReport> {
-        lock(&self.poison).causes(self.now()).collect()
-    }
-
-    /// Decides whether a request whose prompt has these shared parts may be sent.
-    ///
-    /// # Errors
-    ///
-    /// Returns what keeps it from being sent.
-    pub fn admit_parts(&self, parts: &[Key]) -> Result<Admission, Rejection> {
-        if parts.is_empty() {
-            return Ok(Admission::Ordinary);
-        }
-        let host_count = self.fleet().host_count();
-        let host = &self.host_settings.host;
-        lock(&self.poison).admit(self.now(), host, host_count, parts)
-    }
-
-    /// Waits until prompts with these parts are known to crash upstreams.
-    pub async fn wait_fatal(&self, parts: &[Key]) {
-        let mut changes = self.cause_changes.subscribe();
-        while parts.is_empty() || !lock(&self.poison).is_fatal(parts) {
-            if changes.changed().await.is_err() {
-                return std::future::pending().await;
-            }
-        }
-    }
-
-    /// Changes what is known of prompt parts that crash upstreams. A change of the causes is logged, and
-    /// wakes the requests that wait for an answer.
-    fn update_poison<F, R>(&self, source: &str, f: F) -> R
-    where
-        F: FnOnce(&mut Detector) -> R,
-    {
-        let mut detector = lock(&self.poison);
-        let before = detector.revision();
-        let result = f(&mut detector);
-        if detector.revision() != before {
-            let causes: Vec<_> = detector.causes(self.now()).collect();
-            let parts: Vec<_> = causes.iter().map(|it| poison::format_keys(&it.parts)).collect();
-            log::warn!(source = source, causes = parts.join(" ").as_str(),
-                crashes = detector.crash_count();
-                "prompt parts that crash upstreams have changed");
-            self.metrics.crash_causes.set(i64::try_from(causes.len()).unwrap_or(i64::MAX));
-            self.cause_changes.send_replace(());
-        }
-        result
-    }
-
-    fn tell_answered(&self, parts: &[Key]) {
-        let now = self.now();
-        lock(&self.answered_parts).extend(parts.iter().map(|it| (*it, now)));
-    }
-
     /// Forgets the crashes of a request, because an upstream ran it to its end.
     pub fn forget_crashes(&self, request: Fingerprint) {
         lock(&self.quarantine).clear(request);
     }
 
-    /// Removes and returns the breaks that have not been sent to the other hosts yet.
-    pub fn take_breaks(&self) -> Vec<Break> {
-        std::mem::take(&mut *lock(&self.breaks))
-    }
-
-    /// Puts breaks back that could not be sent to the other hosts.
-    pub fn return_breaks<I>(&self, breaks: I)
-    where
-        I: Iterator<Item = Break>,
-    {
-        lock(&self.breaks).extend(breaks);
-    }
-
-    /// Removes and returns the prompt parts that were answered after a crash, with the times of the
-    /// answers, which have not been sent to the other hosts yet.
-    pub fn take_answered_parts(&self) -> Vec<(Key, Instant)> {
-        std::mem::take(&mut *lock(&self.answered_parts))
-    }
-
     /// Drops expired connections, quarantine entries and responses' notices, and logs which weight
     /// versions are no longer used for new requests.
     pub fn purge(&self) {
@@ -570,28 +426,11 @@
         }
         self.pool().purge();
         lock(&self.quarantine).purge(self.now());
-        self.update_poison("age", |it| it.purge(self.now()));
+        self.purge_causes();
         self.fleet().purge(self.now());
     }
 }
 
-impl<C> Gateway<C> {
-    /// Returns how many bytes of responses' bodies are buffered until they are complete.
-    pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes.load(Ordering::Acquire)
-    }
-
-    /// Counts buffered bytes, and returns how many there are now.
-    pub fn add_buffered_bytes(&self, bytes: usize) -> usize {
-        self.buffered_bytes.fetch_add(bytes, Ordering::AcqRel) + bytes
-    }
-
-    /// Counts buffered bytes that are no longer there.
-    pub fn remove_buffered_bytes(&self, bytes: usize) {
-        self.buffered_bytes.fetch_sub(bytes, Ordering::AcqRel);
-    }
-}
-
 /// Counts a request as in progress until it is dropped.
 pub struct RequestGuard<C> {
     gateway: Arc<Gateway<C>>,
@@ -615,6 +454,6 @@
 }
 
 /// Locks a mutex, also one that a panic has poisoned.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -8,8 +8,9 @@
 use crate::{
     cache_index::Plan,
     codec::Codec,
+    fatal_prompt::Signs,
     fleet::Outcome,
-    forward::{Forwarder, InFlightAttempt, Signs, UpstreamResponse},
+    forward::{Forwarder, InFlightAttempt, UpstreamResponse},
     prelude::*,
     response_body::{Body, Truncated},
     sse::Decoder,
