forward: an error response does not release a prompt part

Cause: any whole response counted as an answer, so a 500 to a trial released a part that still crashes upstreams; an upstream that fails a request may never have looked at the prompt. Change: only successful responses clear parts. Test: error_response_does_not_release_a_part; without the change the part is released (0 causes for 1).

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -585,7 +585,10 @@
         };
         let choice = attempt.choice.clone();
         self.gateway.forget_crashes(self.job.fingerprint());
-        self.gateway.record_answer(&self.shared_parts);
+        // With an error, the upstream may never have looked at the prompt.
+        if head.status.is_success() {
+            self.gateway.record_answer(&self.shared_parts);
+        }
         self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let response = self.build_response(&head, Body::Buffered(Full::new(read)));
         if !head.status.is_server_error() {
