--- a/lib/src/fatal_prompt.rs
+++ b/lib/src/fatal_prompt.rs
@@ -10,6 +10,9 @@
     quarantine::Crash,
 };
 
+/// Tells the caller why the request is not sent, or withdrawn.
+const FATAL_MESSAGE: &str = "prompts with the same part have crashed several upstreams";
+
 /// What an attempt showed of its upstream until it ended without a whole response.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Signs {
@@ -47,8 +50,7 @@
         self.runs += 1;
         self.count_withdrawal(&attempt.choice);
         attempt.complete(Outcome::Cancelled);
-        let message = "prompts with the same part have crashed several upstreams";
-        AttemptError::Fail(Error::new(Kind::UpstreamFailed, message))
+        AttemptError::Fail(Error::new(Kind::UpstreamFailed, FATAL_MESSAGE))
     }
 
     /// Logs and counts an attempt that was given up because its upstream would crash.
@@ -65,8 +67,7 @@
             "request holds prompt parts that crash upstreams");
         self.gateway.metrics.fatal_prompts.with_label_values(&["refused"]).inc();
         let kind = if self.runs == 0 { Kind::Quarantined } else { Kind::UpstreamFailed };
-        let message = "prompts with the same part have crashed several upstreams";
-        Error::new(kind, message).with_retry_after(rejection.retry_after)
+        Error::new(kind, FATAL_MESSAGE).with_retry_after(rejection.retry_after)
     }
 
     /// Records that the upstream broke off, and logs what tells a request that may have crashed it from
