crash_causes, forward: a host that has just started holds only requests with a suspected part

Cause: the wait could not tell a host that restarts alone from a restart of all. Change: only requests with a part that was at a crash since the start wait, first and second attempts alike. Nothing waits without a crash.

--- a/lib/src/crash_causes.rs
+++ b/lib/src/crash_causes.rs
@@ -81,12 +81,16 @@
         *self.knows_causes.borrow() || self.now().since(Instant::ZERO) >= CAUSES_WAIT
     }
 
-    /// Waits until a host that has just started knows from another one which prompt parts crash upstreams,
-    /// or for [`CAUSES_WAIT`]: it may be the only one.
-    pub async fn wait_for_causes(&self) {
+    /// Holds a request with a part under suspicion while this host has just started, until another host has
+    /// told it which parts crash upstreams, or for [`CAUSES_WAIT`]: it may be the only one. Without a
+    /// suspicion nothing waits, because all hosts may have started together.
+    pub async fn wait_for_causes(&self, parts: &[Key]) {
         let left = CAUSES_WAIT.saturating_sub(self.now().since(Instant::ZERO));
+        if left.is_zero() || !lock(&self.poison).is_suspected(parts) {
+            return;
+        }
         let mut known = self.knows_causes.subscribe();
-        if !left.is_zero() && timeout(left, known.wait_for(|it| *it)).await.is_err() {
+        if timeout(left, known.wait_for(|it| *it)).await.is_err() {
             log::info!("no other host has told the causes of crashes");
         }
     }
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -285,9 +285,6 @@
     /// Returns the error for the caller if no upstream gave a response.
     pub async fn run(mut self) -> Result<Response<Body>, Error> {
         self.gateway.count_request(&self.job.service);
-        if !self.shared_parts.is_empty() {
-            self.gateway.wait_for_causes().await;
-        }
         loop {
             let upstream_response = match self.send_with_retries(None).await {
                 Ok(upstream_response) => upstream_response,
@@ -322,6 +319,7 @@
             if self.gateway.is_quarantined(self.job.fingerprint()) {
                 return Err(self.refusal_error(Kind::Quarantined, Duration::from_secs(60)));
             }
+            self.gateway.wait_for_causes(&self.shared_parts).await;
             let admission = self.gateway.admit_parts(&self.shared_parts);
             self.is_trial = match admission {
                 Ok(admission) => admission == Admission::Trial,
--- a/lib/src/poison.rs
+++ b/lib/src/poison.rs
@@ -340,6 +340,12 @@
         self.causes.iter().any(|it| it.is_held_by(parts))
     }
 
+    /// Returns whether one of these parts is under suspicion.
+    pub fn is_suspected(&self, parts: &[Key]) -> bool {
+        let requests = self.crashes.iter().flat_map(|it| &it.requests);
+        requests.flat_map(|it| &it.parts).any(|it| parts.contains(it))
+    }
+
     /// Returns the known causes, to tell other hosts.
     pub fn causes(&self, now: Instant) -> impl Iterator<Item = CauseReport> {
         self.causes.iter().map(move |it| CauseReport {
