codec, rate_limit, notice: a limit that an upstream names is read and logged

Responses to requests and to the gateway's own calls are now read for it; each change of what a host believes has one line "upstream's limit changed" (rate, former rate, process, request, age), and mothvale_limited_upstreams counts the upstreams. Values that are no rate say nothing and end nothing; a limit ends with a signed response, without the field, to a request that was sent after the last response that named it. Requests are not limited yet.

--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -84,6 +84,17 @@
     pub retry_after: Option<RetryAfter>,
     /// The upstream's time of day.
     pub date: Option<SystemTime>,
+    /// How many requests the upstream takes from all hosts together, if it names a limit.
+    pub rate_limit: Option<RateLimit>,
+}
+
+/// A limit that an upstream names, as it is written.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RateLimit {
+    /// Requests per second, which may be any number.
+    PerSecond(f64),
+    /// The text is no number.
+    Unreadable(FastStr),
 }
 
 /// When to send requests again.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -14,6 +14,7 @@
     obstacle::Obstacle,
     pause::{self, Pauses},
     prelude::*,
+    rate_limit::Limits,
     rendezvous, share,
     target_weights::Targets,
     upstream_state::{COLD_RATE_WINDOW, REFUSAL_BACKOFF, REFUSAL_BACKOFF_MAX, State},
@@ -98,6 +99,8 @@
     pub departures: Departures,
     /// Upstreams that have asked this host for a pause.
     pub pauses: Pauses,
+    /// Upstreams that have named a limit on their requests.
+    pub limits: Limits,
 }
 
 impl Fleet {
@@ -118,6 +121,7 @@
             target_weights: Targets::new(host_settings.bounds),
             departures: Departures::default(),
             pauses: Pauses::default(),
+            limits: Limits::default(),
         }
     }
 
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -409,7 +409,7 @@
             self.log_attempt(&choice, "resend_quota_used_up");
             return Err(AttemptError::Fail(self.exhausted_error(Kind::Overloaded)));
         }
-        let started = TokioInstant::now();
+        let (started, sent_at) = (TokioInstant::now(), self.gateway.now());
         let request = self.build_request(&choice, last_event_id).map_err(AttemptError::Fail)?;
         let limit = self.attempt_timeout();
         let sent = tokio::select! {
@@ -430,7 +430,7 @@
             });
         };
         match sent {
-            Ok(response) => self.check_head(attempt, connection, response, started),
+            Ok(response) => self.check_head(attempt, connection, response, started, sent_at),
             Err(err) if err.0.delivery == Delivery::NotSent => {
                 // The upstream had closed the pooled connection; nothing was written.
                 self.connect_failures += 1;
@@ -457,6 +457,7 @@
         connection: Connection,
         response: Response<Incoming>,
         started: TokioInstant,
+        sent_at: Instant,
     ) -> Result<UpstreamResponse<C>, AttemptError> {
         self.times_sent += 1;
         let (head, body) = response.into_parts();
@@ -471,6 +472,10 @@
             head.status,
             &metadata,
         );
+        let answers = metadata.signed && metadata.id.as_ref() == Some(&self.job.metadata.id);
+        let sent_at = answers.then_some(sent_at);
+        let incarnation = choice.incarnation;
+        self.gateway.apply_rate_limit(&choice.id, incarnation, request, sent_at, &metadata);
         // The rest of a response to another request does not concern this one, also not a refusal.
         let wrong_id = metadata.id.as_ref().is_some_and(|it| *it != self.job.metadata.id);
         if wrong_id {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod prompt;
 pub mod public_api;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod record;
 pub mod relay;
 pub mod rendezvous;
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -39,6 +39,8 @@
     pub departures: IntCounterVec,
     /// Pauses that upstreams have asked for.
     pub pauses: IntCounter,
+    /// Upstreams that name a limit on their requests, as far as this host knows.
+    pub limited_upstreams: IntGauge,
     /// Requests that were refused because all their upstreams had asked for a pause.
     pub pause_refusals: IntCounter,
     /// Attempts that were not sent because the chosen upstream changed meanwhile, by reason.
@@ -93,6 +95,9 @@
         let crash_causes =
             IntGauge::new("mothvale_crash_causes", "Sets of prompt parts that crash upstreams")?;
         registry.register(Box::new(crash_causes.clone()))?;
+        let limited_upstreams =
+            IntGauge::new("mothvale_limited_upstreams", "Upstreams that name a limit")?;
+        registry.register(Box::new(limited_upstreams.clone()))?;
         Ok(Metrics {
             crash_causes,
             fatal_prompts: counters(
@@ -127,6 +132,7 @@
                 &["source"],
             )?,
             pauses: counter("mothvale_upstream_pauses_total", "Pauses that upstreams asked for")?,
+            limited_upstreams,
             pause_refusals: counter(
                 "mothvale_pause_refusals_total",
                 "Requests refused because all their upstreams had asked for a pause",
--- a/lib/src/notice.rs
+++ b/lib/src/notice.rs
@@ -11,6 +11,7 @@
     gateway::Gateway,
     pause::{self, Length},
     prelude::*,
+    rate_limit::{Change, Rate, Statement},
     rendezvous,
     upstream_state::Incarnation,
 };
@@ -90,6 +91,62 @@
         true
     }
 
+    /// Applies the limit that a response names, or that it names none. `sent_at` is when the request was
+    /// sent to which this response belongs, or `None` if the response may belong to an earlier request
+    /// or is unsigned; such a response names a limit but does not end one.
+    pub fn apply_rate_limit(
+        &self,
+        id: &Upstream,
+        incarnation: Incarnation,
+        request: &str,
+        sent_at: Option<Instant>,
+        metadata: &ResponseMetadata,
+    ) {
+        let Some((upstream, incarnation)) = self.responder(id, incarnation, metadata) else {
+            return;
+        };
+        let rate = match &metadata.rate_limit {
+            Some(limit) => match Rate::try_from(limit) {
+                Ok(rate) => Some(rate),
+                Err(reason) => {
+                    log::debug!(upstream = upstream.as_str(), request = request,
+                        value = format!("{limit:?}").as_str(),
+                        reason = reason.to_string().as_str(); "upstream names no limit");
+                    return;
+                }
+            },
+            // A response to a request that was sent before the limit was named says nothing.
+            None => {
+                let limited_since = self.fleet().limits.limited_since(&upstream, incarnation);
+                if limited_since.is_none_or(|it| sent_at.is_none_or(|sent_at| sent_at <= it)) {
+                    return;
+                }
+                None
+            }
+        };
+        let statement = Statement { upstream, incarnation, rate, said_at: self.now() };
+        self.record_rate_limit(&statement, "response", request);
+    }
+
+    /// Records what an upstream has said about its limit, and logs what it changes. `source` is the kind
+    /// of its origin, and `origin` the request or the host.
+    fn record_rate_limit(&self, statement: &Statement, source: &'static str, origin: &str) {
+        let change = self.fleet().limits.record(statement);
+        let former = match change {
+            Change::Nothing => return,
+            Change::Changed(former) => Some(former.per_second()),
+            Change::Named | Change::Ended => None,
+        };
+        let limited = self.fleet().limits.count();
+        self.metrics.limited_upstreams.set(i64::try_from(limited).unwrap_or(i64::MAX));
+        log::info!(upstream = statement.upstream.as_str(),
+            address = statement.incarnation.address.to_string().as_str(),
+            started_ms = statement.incarnation.start_time_ms,
+            per_second = statement.rate.map(Rate::per_second), former = former, source = source,
+            origin = origin, age_ms = self.now().since(statement.said_at).as_millis() as u64;
+            "upstream's limit changed");
+    }
+
     /// Records a departure that another host has learned.
     pub fn record_remote_departure(&self, peer: &Host, departure: &Departure) {
         self.record_departure(departure, "host", peer.as_str());
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -703,6 +703,7 @@
     let (status, headers) = (response.status(), response.headers());
     let metadata = gateway.codec.parse_response(status, headers);
     gateway.apply_notices(&row.id, row.incarnation(), path, status, &metadata);
+    gateway.apply_rate_limit(&row.id, row.incarnation(), path, None, &metadata);
 }
 
 /// Builds a request of the gateway's own to an upstream.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_path;
 mod test_pause;
 mod test_poison;
+mod test_rate_limit;
 mod test_settings;
 mod test_store_era;
 mod test_store_history;
