rate_limit, fleet: an upstream gets no more than the limit it names, from all hosts together

Cause: hosts did not know the field. The class of fault: what an upstream asks of all hosts together was not a thing that hosts can share; the only such share was that of cold upstreams, a whole number for each host.

Change: each limit is split over few hosts by rank, as many as requests may come at once; the token is taken when an upstream is chosen, so retries and trials count, and hosts' own calls (reports, orders) have a small part of their own. Hosts tell each other limits and their ends, with an age. A request that was chosen before the limit was known is chosen again.

Why it works: 4 L + (2 L + 5)/3 from requests and L + 2 from calls stay below 6 L + 5 in any 4 s, whatever the number of hosts.

--- a/lib/src/choice.rs
+++ b/lib/src/choice.rs
@@ -50,6 +50,8 @@
     /// Address of the upstream that ranks first for the session, if that is another one with the
     /// same weights: its KV cache may hold the session's prompt.
     pub cache_source: Option<SocketAddr>,
+    /// Whether the upstream has named a limit, within which the request is counted.
+    pub within_limit: bool,
     /// Why this upstream was chosen, for logs.
     pub reason: &'static str,
 }
@@ -64,6 +66,9 @@
     /// All live upstreams have asked for a pause. The time is that until the first one takes requests
     /// again, with a part that spreads the requests.
     Paused(Duration),
+    /// All live upstreams have named a limit, which is used up, or have asked for a pause. The time is as
+    /// for a pause.
+    Limited(Duration),
     /// Admission control refused the request because the engines are overloaded.
     Shed(Duration, Pressure),
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -14,7 +14,7 @@
     obstacle::Obstacle,
     pause::{self, Pauses},
     prelude::*,
-    rate_limit::Limits,
+    rate_limit::{self, Hosts, Limits, Statement},
     rendezvous, share,
     target_weights::Targets,
     upstream_state::{COLD_RATE_WINDOW, REFUSAL_BACKOFF, REFUSAL_BACKOFF_MAX, State},
@@ -125,13 +125,25 @@
         }
     }
 
-    /// Sets the list of hosts that share the capacity of the upstreams.
-    pub fn set_hosts(&mut self, mut hosts: Vec<Host>) {
+    /// Sets the list of hosts that share the capacity of the upstreams, and their limits.
+    pub fn set_hosts(&mut self, now: Instant, mut hosts: Vec<Host>) {
         if !hosts.contains(&self.me) {
             hosts.push(self.me.clone());
         }
         hosts.sort();
         self.hosts = hosts;
+        self.limits.set_hosts(now, Hosts { me: &self.me, all: &self.hosts });
+    }
+
+    /// Records what an upstream has said about a limit on its requests.
+    pub fn record_limit(&mut self, now: Instant, statement: &Statement) -> rate_limit::Change {
+        self.limits.record(now, statement, Hosts { me: &self.me, all: &self.hosts })
+    }
+
+    /// Counts calls of the host's own to an upstream. Returns false, and counts nothing, if they may not
+    /// be made: the upstream is shutting down, has asked for a pause, or its limit leaves no room.
+    pub fn take_calls(&mut self, now: Instant, row: &UpstreamRow, count: u32) -> bool {
+        self.may_call(now, row) && self.limits.take_calls(now, row, count)
     }
 
     /// Returns how many hosts precede this one in the rendezvous ranking for a task.
@@ -396,6 +408,7 @@
         state.sent.push(now);
         let weight_version = query.model.and_then(|model| state.weight_version(model));
         Ok(Choice {
+            within_limit: self.limits.take(now, &state.row),
             max_wait: query.max_wait,
             tokens: query.tokens,
             load: state.total_tokens(),
@@ -427,6 +440,7 @@
             () if self.departures.contains(row) => Some(Obstacle::Leaving),
             () if self.pauses.until(now, row).is_some() => Some(Obstacle::Paused),
             () if self.evacuated.contains(&row.zone) => Some(Obstacle::Evacuated),
+            () if !choice.within_limit && self.limits.is_limited(row) => Some(Obstacle::Limited),
             () if choice.weight_version.is_some_and(|it| it < min_version) => {
                 Some(Obstacle::OutdatedWeights)
             }
@@ -516,12 +530,15 @@
     }
 
     /// Returns the mean load of the engines that can take the request now or soon, with the mean
-    /// wait for first tokens: engines in back-off count, ejected and paused ones do not.
+    /// wait for first tokens: engines in back-off count; ejected, paused and limited ones do not.
     fn pressure(&self, now: Instant, engine: &EngineEntry, query: &Query<'_>) -> Pressure {
         let states = self.by_service.get(query.service).into_iter().flatten();
         let states = states.filter_map(|id| self.states.get(id)).filter(|it| {
             let excluded = self.is_leaving(&it.row) || self.evacuated.contains(&it.row.zone);
-            !excluded && it.ejected_until <= now && self.pauses.until(now, &it.row).is_none()
+            !excluded
+                && it.ejected_until <= now
+                && self.pauses.until(now, &it.row).is_none()
+                && !self.limits.is_limited(&it.row)
         });
         let loads = states.map(|it| (it.total_tokens(), it.total_requests()));
         Pressure::new(now, engine, loads, self.waits.get(query.service), query.priority)
@@ -547,6 +564,7 @@
             if state.row.draining
                 || self.departures.contains(&state.row)
                 || self.pauses.until(now, &state.row).is_some()
+                || self.limits.wait(now, &state.row).is_some()
                 || query.tried.contains(id)
                 || self.evacuated.contains(&state.row.zone)
                 || state.ejected_until > now
@@ -581,20 +599,26 @@
         let states = states.filter_map(|id| self.states.get(id));
         let live =
             states.filter(|it| !self.is_leaving(&it.row) && !self.evacuated.contains(&it.row.zone));
-        let mut all_paused = true;
+        let (mut all_paused, mut all_held_off) = (true, true);
         let wait = live.map(|it| {
             let paused_until = self.pauses.until(now, &it.row);
+            let limited_until = self.limits.wait(now, &it.row).map(|wait| now + wait);
             all_paused &= paused_until.is_some();
-            let until =
-                it.ejected_until.max(it.backoff_until).max(paused_until.unwrap_or_default());
+            all_held_off &= paused_until.is_some() || limited_until.is_some();
+            let until = it
+                .ejected_until
+                .max(it.backoff_until)
+                .max(paused_until.unwrap_or_default())
+                .max(limited_until.unwrap_or_default());
             // Other upstreams are at one of their limits, for example the cold rate limit.
             if until > now { until.since(now) } else { COLD_RATE_WINDOW / 2 }
         });
         match wait.min() {
-            Some(wait) if all_paused => {
+            Some(wait) if all_held_off => {
                 // Unrelated to the sample by which admission has let the request through.
                 let sample = query.request_hash.rotate_left(32);
-                Denial::Paused(wait + pause::spread(wait, sample))
+                let wait = wait + pause::spread(wait, sample);
+                if all_paused { Denial::Paused(wait) } else { Denial::Limited(wait) }
             }
             Some(wait) => Denial::Full(wait.max(REFUSAL_BACKOFF / 2)),
             None => Denial::NoUpstream(REFUSAL_BACKOFF_MAX),
@@ -724,9 +748,11 @@
     pub fn purge(&mut self, now: Instant) {
         self.pauses.purge(now);
         let states = &self.states;
-        self.departures.purge(now, |id, incarnation| {
+        let is_listed = |id: &Upstream, incarnation| {
             states.get(id).is_some_and(|it| it.row.incarnation().may_be(incarnation))
-        });
+        };
+        self.departures.purge(now, is_listed);
+        self.limits.purge(now, is_listed);
     }
 
     /// Returns whether an upstream is in the list of a service.
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -739,14 +739,11 @@
         match denial {
             Denial::NoUpstream(wait) => self.refusal_error(Kind::NoUpstream, wait),
             Denial::Full(wait) => self.refusal_error(Kind::Overloaded, wait),
-            Denial::Paused(wait) if self.runs == 0 => {
-                let (service, wait_ms) = (&self.job.service, wait.as_millis());
-                let message = format!(
-                    "all upstreams of service {service} have asked for a pause, retry in {wait_ms} ms"
-                );
-                Error::new(Kind::Overloaded, message).with_retry_after(wait)
+            Denial::Paused(wait) | Denial::Limited(wait) if self.runs > 0 => {
+                self.refusal_error(Kind::Overloaded, wait)
             }
-            Denial::Paused(wait) => self.refusal_error(Kind::Overloaded, wait),
+            Denial::Paused(wait) => self.wait_error("have asked for a pause", wait),
+            Denial::Limited(wait) => self.wait_error("limit what they take", wait),
             Denial::Shed(retry, Pressure { load, wait, .. }) => {
                 let message = format!(
                     "engines have too much to do: load {load:.2}, first tokens after {wait:.2} of \
@@ -757,6 +754,13 @@
         }
     }
 
+    /// Returns the error of a request that was not sent because of what all upstreams of its service do.
+    fn wait_error(&self, cause: &str, wait: Duration) -> Error {
+        let (service, wait_ms) = (&self.job.service, wait.as_millis());
+        let message = format!("all upstreams of service {service} {cause}, retry in {wait_ms} ms");
+        Error::new(Kind::Overloaded, message).with_retry_after(wait)
+    }
+
     /// Returns the error of a request that gets no further attempt, because its attempts or the
     /// retry budget of its service are used up.
     fn exhausted_error(&self, kind: Kind) -> Error {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -351,8 +351,10 @@
         query: &Query<'_>,
     ) -> Result<Choice, Denial> {
         let chosen = self.fleet().choose(self.now(), configuration, query);
-        if let Err(Denial::Paused(_)) = chosen {
-            self.metrics.pause_refusals.inc();
+        match chosen {
+            Err(Denial::Paused(_)) => self.metrics.pause_refusals.inc(),
+            Err(Denial::Limited(_)) => self.metrics.limit_refusals.inc(),
+            _ => {}
         }
         chosen
     }
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -373,6 +373,7 @@
                     "departure of an upstream in gossip cannot be read"),
             }
         }
+        gateway.apply_limit_news(host, &gossip.limits);
         for it in &gossip.targets {
             let age = it.age_ms.map(Duration::from_millis);
             gateway.follow_target_weights(host, Model::new(it.model.clone()), it.version, age);
@@ -396,6 +397,7 @@
             demands: Vec::new(),
             targets: Vec::new(),
             causes: Vec::new(),
+            limits: Vec::new(),
             ..gossip
         };
         let mut recent = self.recent_gossip();
@@ -422,6 +424,7 @@
         let operators = self.revision(Table::Operators);
         // The lock of the fleet is released before it is taken again below.
         let targets = self.unstored_targets();
+        let limits = gateway.limit_news();
         let mut gossip = Gossip {
             loads: encode_loads(gateway.fleet().loads()),
             operators: operators.version,
@@ -432,6 +435,7 @@
             zone: false,
             demands: encode_demands(demands),
             departures,
+            limits,
             ..Gossip::default()
         };
         crash_gossip::write(gateway, &mut gossip);
@@ -757,6 +761,7 @@
                 operators_era: operators.era,
                 targets,
                 departures,
+                limits: gateway.limit_news(),
                 ..Gossip::default()
             };
             crash_gossip::write_causes(gateway, &mut others);
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -43,6 +43,8 @@
     pub limited_upstreams: IntGauge,
     /// Requests that were refused because all their upstreams had asked for a pause.
     pub pause_refusals: IntCounter,
+    /// Requests that were refused because the limits of all their upstreams were used up.
+    pub limit_refusals: IntCounter,
     /// Attempts that were not sent because the chosen upstream changed meanwhile, by reason.
     pub unsent_attempts: IntCounterVec,
     /// Known causes of crashes: sets of prompt parts that crash upstreams.
@@ -137,6 +139,10 @@
                 "mothvale_pause_refusals_total",
                 "Requests refused because all their upstreams had asked for a pause",
             )?,
+            limit_refusals: counter(
+                "mothvale_limit_refusals_total",
+                "Requests refused because the limits of all their upstreams were used up",
+            )?,
             unsent_attempts: counters(
                 "mothvale_unsent_attempts_total",
                 "Attempts not sent because the chosen upstream changed",
--- a/lib/src/notice.rs
+++ b/lib/src/notice.rs
@@ -9,6 +9,7 @@
     codec::{Codec, ResponseMetadata},
     departure::Departure,
     gateway::Gateway,
+    generated::peer,
     pause::{self, Length},
     prelude::*,
     rate_limit::{Change, Rate, Statement},
@@ -128,10 +129,27 @@
         self.record_rate_limit(&statement, "response", request);
     }
 
+    /// Returns what upstreams have said about their limits, for a message to other hosts.
+    pub(crate) fn limit_news(&self) -> Vec<peer::Limit> {
+        let now = self.now();
+        self.fleet().limits.news(now).iter().map(|it| it.to_message(now)).collect()
+    }
+
+    /// Records what upstreams have said about their limits to another host.
+    pub(crate) fn apply_limit_news(&self, peer: &Host, limits: &[peer::Limit]) {
+        for message in limits {
+            match Statement::from_message(self.now(), message) {
+                Ok(statement) => self.record_rate_limit(&statement, "host", peer.as_str()),
+                Err(err) => log::warn!(peer = peer.as_str(), error = err.to_string().as_str();
+                    "limit of an upstream in gossip cannot be read"),
+            }
+        }
+    }
+
     /// Records what an upstream has said about its limit, and logs what it changes. `source` is the kind
     /// of its origin, and `origin` the request or the host.
     fn record_rate_limit(&self, statement: &Statement, source: &'static str, origin: &str) {
-        let change = self.fleet().limits.record(statement);
+        let change = self.fleet().record_limit(self.now(), statement);
         let former = match change {
             Change::Nothing => return,
             Change::Changed(former) => Some(former.per_second()),
--- a/lib/src/obstacle.rs
+++ b/lib/src/obstacle.rs
@@ -17,6 +17,8 @@
     Paused,
     /// The upstream's zone was evacuated.
     Evacuated,
+    /// The upstream has named a limit on its requests.
+    Limited,
     /// The upstream's weights are too old for a request to start on them.
     OutdatedWeights,
 }
@@ -31,12 +33,16 @@
             Obstacle::Leaving => "not_sent_leaving",
             Obstacle::Paused => "not_sent_paused",
             Obstacle::Evacuated => "not_sent_evacuated",
+            Obstacle::Limited => "not_sent_limited",
             Obstacle::OutdatedWeights => "not_sent_outdated_weights",
         }
     }
 
     /// Returns whether later requests may use a connection to the upstream.
     pub fn keeps_connection(self) -> bool {
-        matches!(self, Obstacle::Paused | Obstacle::Evacuated | Obstacle::OutdatedWeights)
+        matches!(
+            self,
+            Obstacle::Paused | Obstacle::Evacuated | Obstacle::Limited | Obstacle::OutdatedWeights
+        )
     }
 }
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -601,10 +601,10 @@
 where
     C: Codec,
 {
-    let (failure, row, model, version) = match task {
-        Task::FirstCheck(row, model, version) => (Outcome::Failed, row, model, version),
+    let (failure, calls, row, model, version) = match task {
+        Task::FirstCheck(row, model, version) => (Outcome::Failed, 2, row, model, version),
         // The previous order may still be carried out.
-        Task::Recheck(row, model, version) => (Outcome::NoOrder, row, model, version),
+        Task::Recheck(row, model, version) => (Outcome::NoOrder, 1, row, model, version),
     };
     let id = row.id.clone();
     let Ok(Ok(mut connection)) = timeout(CALL_TIMEOUT, Connection::connect(row.address)).await
@@ -613,7 +613,8 @@
             "cannot connect to upstream to read its weight versions");
         return failure;
     };
-    if !gateway.fleet().may_call(gateway.now(), &row) {
+    // A first check without room for the order after it would use up the room for the next one.
+    if !gateway.fleet().take_calls(gateway.now(), &row, calls) {
         return failure;
     }
     let Some(report) = poll(gateway, &mut connection, &row).await else { return failure };
@@ -632,8 +633,8 @@
         WeightState::Busy => return Outcome::NoOrder,
         WeightState::Outdated => {}
     }
-    // The report may have been the response that says so.
-    if !gateway.fleet().may_call(gateway.now(), &row) {
+    // The report may have been the response that says so. The order of a first check is counted.
+    if !gateway.fleet().take_calls(gateway.now(), &row, 2 - calls) {
         return Outcome::Failed;
     }
     // The lease may have been lost since this task began: another call may have got an answer of a
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -346,7 +346,7 @@
                 drop(replica);
                 log::info!(hosts = hosts.len(); "hosts changed");
                 self.gateway.cache_index().set_host_count(hosts.len());
-                self.gateway.fleet().set_hosts(hosts);
+                self.gateway.fleet().set_hosts(self.gateway.now(), hosts);
             }
             Table::Hosts | Table::Leases => {}
         }
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -79,7 +79,7 @@
 #[test]
 fn load_of_other_hosts_counts() {
     let mut fleet = fleet(3);
-    fleet.set_hosts(vec![Host::new("host0"), Host::new("host1")]);
+    fleet.set_hosts(at(0), vec![Host::new("host0"), Host::new("host1")]);
     let first_choice = choose(&mut fleet, at(0), 7, 100).unwrap();
     record_outcome(&mut fleet, at(0), &first_choice, Outcome::Cancelled);
     let short_id = fleet.short_id(&first_choice.id).unwrap();
@@ -110,7 +110,7 @@
 #[test]
 fn connections_are_shared_by_the_hosts() {
     let mut fleet = fleet(1);
-    fleet.set_hosts((0..10).map(|it| Host::new(format!("host{it}"))).collect());
+    fleet.set_hosts(at(0), (0..10).map(|it| Host::new(format!("host{it}"))).collect());
     let placed = (0..100).filter(|it| choose(&mut fleet, at(*it), *it, 1).is_ok()).count();
     // 300 connections for ten hosts, a fifth of them reserved for idle connections.
     assert_eq!(placed, 24);
@@ -122,7 +122,7 @@
     let mut total = 0;
     for host in &hosts {
         let mut fleet = Fleet::new(&host_settings(host.as_str(), "hobart"));
-        fleet.set_hosts(hosts.clone());
+        fleet.set_hosts(at(0), hosts.clone());
         fleet.upsert(
             at(0),
             mothvale_lib::fleet::UpstreamRow {
@@ -140,7 +140,7 @@
 #[test]
 fn disconnected_upstream_counts_as_cold_until_a_later_row() {
     let mut fleet = fleet(1);
-    fleet.set_hosts((0..9).map(|it| Host::new(format!("host{it}"))).collect());
+    fleet.set_hosts(at(0), (0..9).map(|it| Host::new(format!("host{it}"))).collect());
     assert!(run_requests(&mut fleet, 0, 1, 40).values().sum::<u32>() > 30);
     let choice = choose(&mut fleet, at(2000), 1, 100).unwrap();
     record_outcome(&mut fleet, at(2000), &choice, Outcome::Broken);
