codec, forward, stream: the build of an upstream and the origin of a taken-up stream are logged

Rows of upstreams are read for their software version, requests for the fields that name the last event and the request that brought the first one. "attempt ended" and "stream ended" have the build, "caller takes up a stream" the origin. Nothing is chosen by it yet.

--- a/lib/src/choice.rs
+++ b/lib/src/choice.rs
@@ -39,6 +39,8 @@
     pub incarnation: Incarnation,
     /// Its availability zone.
     pub zone: Zone,
+    /// Version of its software.
+    pub build: Build,
     /// The last known weight version of the request's model on this upstream.
     pub weight_version: Option<u32>,
     /// How long the request may wait there before it starts.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -415,6 +415,7 @@
             cache_source,
             incarnation: state.row.incarnation(),
             zone: state.row.zone.clone(),
+            build: state.row.build.clone(),
             weight_version,
             id,
             reason,
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -285,6 +285,7 @@
     /// Returns the error for the caller if no upstream gave a response.
     pub async fn run(mut self) -> Result<Response<Body>, Error> {
         self.gateway.count_request(&self.job.service);
+        self.log_taken_up_stream();
         loop {
             let upstream_response = match self.send_with_retries(None).await {
                 Ok(upstream_response) => upstream_response,
@@ -785,10 +786,21 @@
         Error::new(kind, "the request's time is over").with_retry_after(Duration::from_millis(100))
     }
 
+    /// Logs which stream of an earlier request this one takes up, if it does.
+    fn log_taken_up_stream(&self) {
+        let Metadata { id, stream_origin, last_event_id, .. } = &self.job.metadata;
+        if stream_origin.is_some() || last_event_id.is_some() {
+            log::info!(request = id.as_str(), stream_origin = stream_origin.as_deref(),
+                last_event = last_event_id.as_deref(), service = self.job.service.as_str();
+                "caller takes up a stream");
+        }
+    }
+
     /// Logs how an attempt ended.
     pub(crate) fn log_attempt(&self, choice: &Choice, outcome: &str) {
         log::info!(request = self.job.metadata.id.as_str(), route = self.job.route.name.as_str(),
-            upstream = choice.id.as_str(), chosen = choice.reason, outcome = outcome,
+            upstream = choice.id.as_str(), build = choice.build.as_str(), chosen = choice.reason,
+            outcome = outcome,
             arrivals = self.times_sent, runs = self.runs,
             left_ms = self.job.time_left().as_millis() as u64; "attempt ended");
     }
--- a/lib/src/name.rs
+++ b/lib/src/name.rs
@@ -54,6 +54,8 @@
     Model;
     /// Name of a model engine, or of one instance of a plain service.
     Upstream;
+    /// Version of the software that an upstream runs; empty if the upstream does not tell it.
+    Build;
     /// Name of a plain service, which is an HTTP service beside the engines.
     Service;
 }
--- a/lib/src/prelude.rs
+++ b/lib/src/prelude.rs
@@ -9,5 +9,5 @@
 pub use crate::{
     clock::Instant,
     error::{Error, Kind, RunStatus},
-    name::{Class, Host, Model, Service, Upstream, Workspace, Zone},
+    name::{Build, Class, Host, Model, Service, Upstream, Workspace, Zone},
 };
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -146,7 +146,7 @@
         attempt.complete(Outcome::Served(first_event_time));
         let parts = self.cache_plan.as_ref().map(Plan::summary).unwrap_or_default();
         log::info!(request = self.job.metadata.id.as_str(), route = self.job.route.name.as_str(),
-            upstream = choice.id.as_str(), chosen = choice.reason,
+            upstream = choice.id.as_str(), build = choice.build.as_str(), chosen = choice.reason,
             weights = choice.weight_version.unwrap_or_default(), tokens = choice.tokens,
             session = format!("{:x}", self.session_key.unwrap_or_default()).as_str(),
             parts = parts.as_str(), origin = choice.cache_source.is_some(), runs = self.runs,
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -39,6 +39,8 @@
     pub service: Service,
     /// Its availability zone.
     pub zone: Zone,
+    /// Version of its software, which decides what streams it can go on with.
+    pub build: Build,
     /// Whether it is shutting down and takes no new requests.
     pub draining: bool,
     /// Requests that it runs concurrently. Not used yet; admission uses the slots of the service's
--- a/lib/testutils/src/gateway.rs
+++ b/lib/testutils/src/gateway.rs
@@ -107,6 +107,7 @@
         address: "127.0.0.1:9".parse().expect("valid address"),
         service: Service::new(ENGINES),
         zone: Zone::new(zone.to_owned()),
+        build: Build::new("v1"),
         draining: false,
         slots: 64,
         cold_remaining: Duration::ZERO,
