stream_origin, stream_resumption, fleet: a stream goes on only at the build that began it

Cause: a broken stream was resumed at any upstream of the service, and a host that got a caller's second request knew nothing of the first. The class of fault: state of a request that outlives the host that holds it, here the build that wrote what the caller already has.

Change: the first event binds a request to the build of its upstream. While a service has several builds, hosts tell each other at the first event (twice; in a large mesh by the leaders of the zones), and tell the running ones when a second build appears or the leader changes. A host that does not know a stream asks four others. What nobody knows goes on nowhere: 503 stream_lost, not run, so that the caller begins anew.

Why it works: the choice of an upstream takes the build as a condition, so load, retries and sessions cannot lead elsewhere; which build it is comes from the host that saw the first event, never from a guess while builds differ.

The table of error kinds has one row more.

--- a/lib/src/choice.rs
+++ b/lib/src/choice.rs
@@ -25,6 +25,8 @@
     pub request_hash: u64,
     /// How long the request may wait at an upstream before it starts.
     pub max_wait: Duration,
+    /// The only build that can go on with the stream, if it has begun.
+    pub build: Option<&'a Build>,
     /// Upstreams that must not be chosen, because an earlier attempt there failed or was refused.
     pub tried: &'a [Upstream],
 }
@@ -58,11 +60,13 @@
     pub reason: &'static str,
 }
 
-/// Why no upstream was chosen. Each variant holds the time after which to retry.
+/// Why no upstream was chosen, with the time after which to retry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Denial {
     /// The service is unknown or has no live upstream.
     NoUpstream(Duration),
+    /// No live upstream has the build that began the stream, others have.
+    OtherBuilds,
     /// None of the live upstreams can take another request.
     Full(Duration),
     /// All live upstreams have asked for a pause. The time is that until the first one takes requests
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -98,6 +98,8 @@
     Overloaded: 503 SERVER "overloaded" NotRun true;
     /// No upstream that serves the model is known to be up.
     NoUpstream: 503 SERVER "no_upstream" NotRun true;
+    /// The stream cannot go on: no upstream of the build that began it is left, or the build is not known.
+    StreamLost: 503 SERVER "stream_lost" NotRun true;
     /// The host is shutting down.
     ShuttingDown: 503 SERVER "shutting_down" NotRun true;
     /// Every attempt failed and no further one is allowed. A prompt has no side effects, so
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -16,6 +16,7 @@
     prelude::*,
     rate_limit::{self, Hosts, Limits, Statement},
     rendezvous, share,
+    stream_origin::Builds,
     target_weights::Targets,
     upstream_state::{COLD_RATE_WINDOW, REFUSAL_BACKOFF, REFUSAL_BACKOFF_MAX, State},
 };
@@ -101,6 +102,8 @@
     pub pauses: Pauses,
     /// Upstreams that have named a limit on their requests.
     pub limits: Limits,
+    /// The builds that services have had lately.
+    pub builds: Builds,
 }
 
 impl Fleet {
@@ -122,6 +125,7 @@
             departures: Departures::default(),
             pauses: Pauses::default(),
             limits: Limits::default(),
+            builds: Builds::default(),
         }
     }
 
@@ -250,6 +254,7 @@
     /// Adds or updates an upstream from its row in the row store.
     pub fn upsert(&mut self, now: Instant, row: UpstreamRow) {
         let id = row.id.clone();
+        self.builds.see(now, &row.service, &row.build);
         let previous = self.states.remove(&id);
         let restarted =
             previous.as_ref().is_some_and(|it| it.row.incarnation() != row.incarnation());
@@ -567,6 +572,7 @@
                 || self.pauses.until(now, &state.row).is_some()
                 || self.limits.wait(now, &state.row).is_some()
                 || query.tried.contains(id)
+                || query.build.is_some_and(|it| *it != state.row.build)
                 || self.evacuated.contains(&state.row.zone)
                 || state.ejected_until > now
                 || state.backoff_until > now
@@ -598,8 +604,14 @@
     fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
         let states = self.by_service.get(query.service).into_iter().flatten();
         let states = states.filter_map(|id| self.states.get(id));
-        let live =
-            states.filter(|it| !self.is_leaving(&it.row) && !self.evacuated.contains(&it.row.zone));
+        let mut has_other_builds = false;
+        let live = states
+            .filter(|it| !self.is_leaving(&it.row) && !self.evacuated.contains(&it.row.zone))
+            .filter(|it| {
+                let fits = query.build.is_none_or(|build| *build == it.row.build);
+                has_other_builds |= !fits;
+                fits
+            });
         let (mut all_paused, mut all_held_off) = (true, true);
         let wait = live.map(|it| {
             let paused_until = self.pauses.until(now, &it.row);
@@ -622,6 +634,7 @@
                 if all_paused { Denial::Paused(wait) } else { Denial::Limited(wait) }
             }
             Some(wait) => Denial::Full(wait.max(REFUSAL_BACKOFF / 2)),
+            None if has_other_builds => Denial::OtherBuilds,
             None => Denial::NoUpstream(REFUSAL_BACKOFF_MAX),
         }
     }
@@ -745,8 +758,13 @@
         (ejected + 1) * EJECTED_ONE_IN <= ids.len()
     }
 
-    /// Drops what upstreams have said that no longer matters.
+    /// Drops what upstreams have said, and the builds that they have had, where it no longer matters.
     pub fn purge(&mut self, now: Instant) {
+        // Rows are not written while the row store is down.
+        for state in self.states.values() {
+            self.builds.see(now, &state.row.service, &state.row.build);
+        }
+        self.builds.purge(now);
         self.pauses.purge(now);
         let states = &self.states;
         let is_listed = |id: &Upstream, incarnation| {
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -26,6 +26,8 @@
     quarantine::Fingerprint,
     response_body::Body,
     salt,
+    stream_origin::Attempt,
+    stream_resumption::Destination,
 };
 
 /// Idle time from which a pooled connection is not used for a request that may run only once:
@@ -40,6 +42,8 @@
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 /// Fraction of the time left within the latency objective that fetches of cached parts may take.
 const FETCH_BUDGET_FRACTION: f64 = 0.4;
+/// Time after which the caller of a stream that cannot go on may begin it anew.
+const BEGIN_ANEW_WAIT: Duration = Duration::from_millis(20);
 /// Shortest timeout of an attempt, unless less of the request's time is left.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -223,6 +227,8 @@
     pub(crate) placed: bool,
     /// Whether the wait for the first token has been reported.
     pub(crate) wait_reported: bool,
+    /// The build at which the stream began, once it has. Only upstreams of this build can go on with it.
+    pub(crate) build: Option<Build>,
     /// Whether the caller got an event without a numeric id. The stream is not resumed then: the next
     /// run might send that event again.
     pub(crate) unnumbered_sent: bool,
@@ -263,6 +269,7 @@
             cache_plan: None,
             placed: false,
             wait_reported: false,
+            build: None,
             unnumbered_sent: false,
         }
     }
@@ -278,6 +285,48 @@
         fleet.record_wait(now, &job.service, job.priority(), waited, job.route.latency_objective);
     }
 
+    /// Finds out where the stream began that the request takes up, if it does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream can go on nowhere.
+    async fn take_up_stream(&mut self) -> Result<(), Error> {
+        let Metadata { id, stream_origin, last_event_id, .. } = &self.job.metadata;
+        if stream_origin.is_none() && last_event_id.is_none() {
+            return Ok(());
+        }
+        let started = TokioInstant::now();
+        let service = &self.job.service;
+        let attempt = stream_origin.as_deref().map(Attempt::new);
+        let destination = self.gateway.find_destination(service, attempt).await;
+        let (outcome, build) = match &destination {
+            Destination::Known(build) => ("origin_known", Some(build)),
+            Destination::Only(build) => ("one_build", Some(build)),
+            Destination::Any => ("no_build", None),
+            Destination::Unknown => ("origin_unknown", None),
+        };
+        self.gateway.metrics.taken_up_streams.with_label_values(&[outcome]).inc();
+        log::info!(request = id.as_str(), stream_origin = stream_origin.as_deref(),
+            last_event = last_event_id.as_deref(), service = service.as_str(), outcome = outcome,
+            build = build.map(Build::as_str), asked_ms = started.elapsed().as_millis() as u64;
+            "caller takes up a stream");
+        match destination {
+            Destination::Known(build) | Destination::Only(build) => self.build = Some(build),
+            Destination::Any => {}
+            Destination::Unknown => {
+                let message = "the stream cannot go on, its origin is not known; begin anew";
+                return Err(Error::new(Kind::StreamLost, message).with_retry_after(BEGIN_ANEW_WAIT));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the request that brought the first event of the stream, or will.
+    pub(crate) fn stream_attempt(&self) -> Attempt {
+        let Metadata { id, stream_origin, .. } = &self.job.metadata;
+        Attempt::new(stream_origin.as_deref().unwrap_or(id))
+    }
+
     /// Sends the request, with retries, and returns the response for the caller.
     ///
     /// # Errors
@@ -285,7 +334,7 @@
     /// Returns the error for the caller if no upstream gave a response.
     pub async fn run(mut self) -> Result<Response<Body>, Error> {
         self.gateway.count_request(&self.job.service);
-        self.log_taken_up_stream();
+        self.take_up_stream().await?;
         loop {
             let upstream_response = match self.send_with_retries(None).await {
                 Ok(upstream_response) => upstream_response,
@@ -353,10 +402,12 @@
             session: self.session_key,
             cached: cached.as_ref(),
             tokens: job.metadata.prompt_tokens.saturating_add(job.metadata.max_answer_tokens),
-            admitted: self.placed,
+            // What the caller has of a taken-up stream would be lost.
+            admitted: self.placed || self.build.is_some(),
             priority: job.priority(),
             request_hash: crate::rendezvous::hash_parts(&["admission", &job.metadata.id]),
             max_wait: job.max_wait(),
+            build: self.build.as_ref(),
             tried: &self.tried,
         };
         self.gateway.choose(&job.configuration, &query)
@@ -738,6 +789,11 @@
     /// Returns the error of a request for which no upstream was chosen.
     fn denial_error(&self, denial: Denial) -> Error {
         match denial {
+            Denial::OtherBuilds if self.runs == 0 => {
+                let message = "no upstream of the build that began the stream is left; begin anew";
+                Error::new(Kind::StreamLost, message).with_retry_after(BEGIN_ANEW_WAIT)
+            }
+            Denial::OtherBuilds => self.refusal_error(Kind::NoUpstream, BEGIN_ANEW_WAIT),
             Denial::NoUpstream(wait) => self.refusal_error(Kind::NoUpstream, wait),
             Denial::Full(wait) => self.refusal_error(Kind::Overloaded, wait),
             Denial::Paused(wait) | Denial::Limited(wait) if self.runs > 0 => {
@@ -786,16 +842,6 @@
         Error::new(kind, "the request's time is over").with_retry_after(Duration::from_millis(100))
     }
 
-    /// Logs which stream of an earlier request this one takes up, if it does.
-    fn log_taken_up_stream(&self) {
-        let Metadata { id, stream_origin, last_event_id, .. } = &self.job.metadata;
-        if stream_origin.is_some() || last_event_id.is_some() {
-            log::info!(request = id.as_str(), stream_origin = stream_origin.as_deref(),
-                last_event = last_event_id.as_deref(), service = self.job.service.as_str();
-                "caller takes up a stream");
-        }
-    }
-
     /// Logs how an attempt ended.
     pub(crate) fn log_attempt(&self, choice: &Choice, outcome: &str) {
         log::info!(request = self.job.metadata.id.as_str(), route = self.job.route.name.as_str(),
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -31,6 +31,8 @@
     quarantine::{Fingerprint, Quarantine},
     replica::Row,
     store_history::History,
+    stream_origin::Origins,
+    stream_resumption::OriginQuestions,
     window::RetryBudget,
 };
 
@@ -71,6 +73,8 @@
     rollout: Mutex<Rollout>,
     store_history: Mutex<History>,
     store_era: Mutex<Sighting>,
+    pub(crate) stream_origins: Mutex<Origins>,
+    pub(crate) origin_questions: OriginQuestions,
     active_requests: AtomicU32,
     /// Callers' connections on which a request was read, until they end.
     unfinished_connections: AtomicU32,
@@ -123,6 +127,8 @@
             rollout: Mutex::default(),
             store_history: Mutex::default(),
             store_era: Mutex::default(),
+            stream_origins: Mutex::default(),
+            origin_questions: OriginQuestions::default(),
             active_requests: AtomicU32::new(0),
             unfinished_connections: AtomicU32::new(0),
             body_usage: Arc::default(),
@@ -429,6 +435,7 @@
         self.pool().purge();
         lock(&self.quarantine).purge(self.now());
         self.purge_causes();
+        lock(&self.stream_origins).purge(self.now());
         self.fleet().purge(self.now());
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -89,6 +89,8 @@
 pub mod store_latency;
 pub mod store_link;
 pub mod stream;
+pub mod stream_origin;
+pub mod stream_resumption;
 pub mod sweep;
 pub mod table;
 pub mod table_sync;
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -18,7 +18,10 @@
 };
 use rustls::pki_types::CertificateDer;
 use thiserror::Error as ThisError;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::JoinSet,
+    time::{sleep, timeout},
+};
 
 use crate::{
     cache_index::{CachedPart, StoreUpdate},
@@ -35,6 +38,8 @@
     replica::{Revision, Row},
     row_store::{RowStore, Table},
     store_link::Demands,
+    stream_origin::Source,
+    stream_resumption::OriginQuestion,
     table_sync::{SYNCED_TABLES, TableSync},
     zone_leader::{self, Election, Member},
 };
@@ -73,6 +78,8 @@
 const MAX_AGE_FRACTION: f64 = 0.5;
 /// Hosts asked in each round of catching up.
 const MAX_PEERS_ASKED: usize = 2;
+/// Hosts that are asked at once where a stream began.
+const MAX_ORIGIN_SOURCES: usize = 4;
 /// Pause between rounds of catching up.
 const CATCH_UP_PERIOD: Duration = Duration::from_millis(300);
 
@@ -164,6 +171,7 @@
             self.clone().send_gossip(),
             self.clone().catch_up(),
             self.clone().pull_from_leader(),
+            self.clone().ask_origins(),
         );
     }
 
@@ -331,6 +339,9 @@
                             question::Body::Wanted(wanted) => encode(&mesh.changed_rows(&wanted)?),
                             question::Body::Pull(pull) =>
                                 encode(&mesh.answer_pull(&requester, pull)?),
+                            question::Body::Origin(origin) => encode(
+                                &mesh.table_sync.gateway.answer_origin(&origin),
+                            ),
                             question::Body::Gossip(gossip) => {
                                 mesh.apply_gossip(&requester, gossip);
                                 Bytes::new()
@@ -374,6 +385,10 @@
             }
         }
         gateway.apply_limit_news(host, &gossip.limits);
+        // Leaders tell each other what the hosts of their zones have told them.
+        let relays = self.is_large_mesh() && !self.is_delegated() && !gossip.zone;
+        let source = if relays { Source::Relayed } else { Source::Told };
+        gateway.apply_stream_news(&gossip.origins, source);
         for it in &gossip.targets {
             let age = it.age_ms.map(Duration::from_millis);
             gateway.follow_target_weights(host, Model::new(it.model.clone()), it.version, age);
@@ -398,6 +413,7 @@
             targets: Vec::new(),
             causes: Vec::new(),
             limits: Vec::new(),
+            origins: Vec::new(),
             ..gossip
         };
         let mut recent = self.recent_gossip();
@@ -425,6 +441,7 @@
         // The lock of the fleet is released before it is taken again below.
         let targets = self.unstored_targets();
         let limits = gateway.limit_news();
+        let origins = gateway.take_stream_news();
         let mut gossip = Gossip {
             loads: encode_loads(gateway.fleet().loads()),
             operators: operators.version,
@@ -436,6 +453,7 @@
             demands: encode_demands(demands),
             departures,
             limits,
+            origins,
             ..Gossip::default()
         };
         crash_gossip::write(gateway, &mut gossip);
@@ -631,6 +649,7 @@
         let gateway = &self.table_sync.gateway;
         let replicas = &self.table_sync.replicas;
         let me = &gateway.host_settings.host;
+        let mut leader = None;
         loop {
             sleep(PULL_PERIOD).await;
             let rows = self.host_rows();
@@ -646,6 +665,10 @@
                             "another host reads upstreams and cache stores for this one");
                     }
                     replicas.delegate_reads(now + DELEGATION_TTL);
+                    if leader.as_ref() != Some(&host) {
+                        gateway.tell_streams_again();
+                        leader = Some(host.clone());
+                    }
                     self.election().record_answer(now, &host);
                     break;
                 }
@@ -663,6 +686,49 @@
         }
     }
 
+    /// Asks other hosts where streams began that callers take up here.
+    async fn ask_origins(self: Arc<Self>) {
+        let Some(mut questions) = self.table_sync.gateway.origin_questions.take_receiver() else {
+            return;
+        };
+        while let Some(OriginQuestion { service, attempt, answer }) = questions.recv().await {
+            let question = peer::OriginQuestion {
+                service: FastStr::new(service.as_str()),
+                attempt: attempt.0,
+            };
+            let mut calls = JoinSet::new();
+            for connection in self.origin_sources() {
+                let body = question::Body::Origin(question.clone());
+                calls.spawn(async move { call(&connection, body).await });
+            }
+            tokio::spawn(async move {
+                let mut mixed = false;
+                while let Some(bytes) = calls.join_next().await {
+                    let Ok(Some(bytes)) = bytes else { continue };
+                    let Ok(origin) = peer::OriginAnswer::decode(bytes) else { continue };
+                    mixed |= origin.mixed;
+                    if origin.build.is_some() {
+                        // The request may have been given up meanwhile.
+                        let _ = answer.send(origin);
+                        return;
+                    }
+                }
+                let _ = answer.send(peer::OriginAnswer { build: None, mixed });
+            });
+        }
+    }
+
+    /// Returns connections to the hosts that are asked where a stream began: those of this zone, its leader
+    /// first, then others.
+    fn origin_sources(&self) -> Vec<Connection> {
+        let ranked = self.ranked_zone(&self.host_rows());
+        let connections = self.connections();
+        let of_zone = ranked.iter().filter(|it| connections.contains_key(*it));
+        let others = connections.keys().filter(|it| !ranked.contains(*it));
+        let hosts = of_zone.chain(others).take(MAX_ORIGIN_SOURCES);
+        hosts.filter_map(|it| connections.get(it).cloned()).collect()
+    }
+
     /// Pulls from `host` and applies what it answers. Returns whether it answered with data that is
     /// fresh enough.
     async fn pull_from(self: &Arc<Self>, host: &Host, row: &HostRow) -> bool {
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -9,11 +9,13 @@
     cache_index::Plan,
     codec::Codec,
     fatal_prompt::Signs,
-    fleet::Outcome,
+    fleet::{Choice, Outcome},
     forward::{Forwarder, InFlightAttempt, UpstreamResponse},
+    gateway::Gateway,
     prelude::*,
     response_body::{Body, Truncated},
     sse::Decoder,
+    stream_origin::Attempt,
 };
 
 /// Chunks of one or more events that are buffered for a slow caller.
@@ -39,6 +41,8 @@
         chunks: mpsc::Sender<Result<Bytes, Truncated>>,
     ) {
         let _active = self.gateway.track_request();
+        let _running =
+            RunningStream { gateway: self.gateway.clone(), attempt: self.stream_attempt() };
         let mut last_event_id = None;
         loop {
             let end = self.forward_run(upstream_response, &chunks, &mut last_event_id).await;
@@ -114,6 +118,7 @@
                 let elapsed = started.elapsed();
                 first_event_time = Some(elapsed);
                 self.report_wait();
+                self.record_origin(&attempt.choice);
                 self.gateway.record_answer(&self.shared_parts);
                 if let Some(plan) = &self.cache_plan {
                     let mean_latency = self.gateway.fleet().mean_latency(&attempt.choice.id);
@@ -155,6 +160,17 @@
         RunEnd::Completed
     }
 
+    /// Records the build of the upstream that brought the stream's first event, which binds the next runs.
+    fn record_origin(&mut self, choice: &Choice) {
+        if self.build.is_none() {
+            self.build = Some(choice.build.clone());
+        }
+        if self.job.route.retry_policy.allows_rerun() {
+            let attempt = self.stream_attempt();
+            self.gateway.record_stream(attempt, &self.job.service, &choice.build);
+        }
+    }
+
     /// Takes the complete events from the decoder and joins them, without those that the caller
     /// already has.
     fn drain_events(&mut self, decoder: &mut Decoder, last_event_id: &mut Option<u64>) -> Bytes {
@@ -186,6 +202,24 @@
     }
 }
 
+/// Counts a stream as going through this host until it is dropped.
+struct RunningStream<C>
+where
+    C: Codec,
+{
+    gateway: Arc<Gateway<C>>,
+    attempt: Attempt,
+}
+
+impl<C> Drop for RunningStream<C>
+where
+    C: Codec,
+{
+    fn drop(&mut self) {
+        self.gateway.finish_stream(self.attempt);
+    }
+}
+
 /// How one run of a stream ended.
 enum RunEnd {
     /// The stream is complete.
--- /dev/null
+++ b/lib/src/stream_resumption.rs
@@ -0,0 +1,182 @@
+//! Finds the upstreams at which a stream can go on that a caller takes up, if need be with the help of
+//! other hosts. `stream_origin` keeps what is known.
+
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
+
+use crate::{
+    codec::Codec,
+    gateway::{Gateway, lock},
+    generated::peer,
+    prelude::*,
+    stream_origin::{Attempt, Builds, Place, Source},
+};
+
+/// How long a request that takes up a stream waits for other hosts to say where it began.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Questions to other hosts that may wait to be asked.
+const MAX_WAITING_QUESTIONS: usize = 1024;
+
+/// Where a stream that is taken up can go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Destination {
+    /// At upstreams of this build, which began it.
+    Known(Build),
+    /// At upstreams of this build: the service has had no other one.
+    Only(Build),
+    /// At any upstream: no build of the service is known.
+    Any,
+    /// Nowhere: nobody knows at which of several builds it began.
+    Unknown,
+}
+
+/// A question to other hosts: at which build a stream began.
+pub(crate) struct OriginQuestion {
+    pub(crate) service: Service,
+    pub(crate) attempt: Attempt,
+    pub(crate) answer: oneshot::Sender<peer::OriginAnswer>,
+}
+
+/// The questions that the mesh is to ask.
+#[derive(Debug)]
+pub(crate) struct OriginQuestions {
+    sender: mpsc::Sender<OriginQuestion>,
+    receiver: std::sync::Mutex<Option<mpsc::Receiver<OriginQuestion>>>,
+}
+
+impl Default for OriginQuestions {
+    fn default() -> Self {
+        let (sender, receiver) = mpsc::channel(MAX_WAITING_QUESTIONS);
+        OriginQuestions { sender, receiver: std::sync::Mutex::new(Some(receiver)) }
+    }
+}
+
+impl OriginQuestions {
+    /// Returns the receiver of the questions, once.
+    pub(crate) fn take_receiver(&self) -> Option<mpsc::Receiver<OriginQuestion>> {
+        lock(&self.receiver).take()
+    }
+}
+
+impl<C> Gateway<C>
+where
+    C: Codec,
+{
+    /// Records that the first event of a stream has arrived from an upstream of a build.
+    pub fn record_stream(&self, attempt: Attempt, service: &Service, build: &Build) {
+        let place = Place { service: service.clone(), build: build.clone() };
+        lock(&self.stream_origins).record(self.now(), attempt, &place, Source::Own);
+    }
+
+    /// Records that the events of a stream do not go through this host any more.
+    pub fn finish_stream(&self, attempt: Attempt) {
+        lock(&self.stream_origins).finish(attempt);
+    }
+
+    /// Returns at which upstreams of a service a stream can go on that another request began, or that
+    /// names none.
+    pub async fn find_destination(
+        &self,
+        service: &Service,
+        attempt: Option<Attempt>,
+    ) -> Destination {
+        let Some(attempt) = attempt else { return self.only_destination(service) };
+        if let Some(destination) = self.known_destination(service, attempt) {
+            return destination;
+        }
+        let destination = self.only_destination(service);
+        if destination != Destination::Unknown && Builds::covers_all_streams(self.now()) {
+            return destination;
+        }
+        let answer = self.ask_other_hosts(service, attempt).await;
+        if let Some(build) = answer.build {
+            let place = Place { service: service.clone(), build: Build::new(build) };
+            lock(&self.stream_origins).record(self.now(), attempt, &place, Source::Told);
+        }
+        // It may also have been told meanwhile.
+        match self.known_destination(service, attempt) {
+            Some(destination) => destination,
+            None if answer.mixed => Destination::Unknown,
+            None => self.only_destination(service),
+        }
+    }
+
+    /// Returns where a stream can go on whose beginning is not known.
+    fn only_destination(&self, service: &Service) -> Destination {
+        let (now, fleet) = (self.now(), self.fleet());
+        match fleet.builds.only(now, service) {
+            Some(build) => Destination::Only(build.clone()),
+            None if fleet.builds.is_mixed(now, service) => Destination::Unknown,
+            None => Destination::Any,
+        }
+    }
+
+    fn known_destination(&self, service: &Service, attempt: Attempt) -> Option<Destination> {
+        let origins = lock(&self.stream_origins);
+        let place = origins.place(attempt)?;
+        Some(match place.service == *service {
+            true => Destination::Known(place.build.clone()),
+            // The route has led to another service since.
+            false => Destination::Unknown,
+        })
+    }
+
+    /// Asks other hosts where a stream began. The answer is empty if there is none in time.
+    async fn ask_other_hosts(&self, service: &Service, attempt: Attempt) -> peer::OriginAnswer {
+        if !self.has_joined_mesh() {
+            return peer::OriginAnswer::default();
+        }
+        let (answer, received) = oneshot::channel();
+        let question = OriginQuestion { service: service.clone(), attempt, answer };
+        if self.origin_questions.sender.try_send(question).is_err() {
+            log::warn!(service = service.as_str();
+                "too many questions where streams began wait for other hosts");
+            return peer::OriginAnswer::default();
+        }
+        let answer = timeout(ANSWER_TIMEOUT, received).await;
+        answer.ok().and_then(Result::ok).unwrap_or_default()
+    }
+
+    /// Answers another host's question where a stream began.
+    pub(crate) fn answer_origin(&self, question: &peer::OriginQuestion) -> peer::OriginAnswer {
+        let service = Service::new(question.service.clone());
+        let destination = self.known_destination(&service, Attempt(question.attempt));
+        peer::OriginAnswer {
+            build: match destination {
+                Some(Destination::Known(build)) => Some(FastStr::new(build.as_str())),
+                _ => None,
+            },
+            mixed: self.fleet().builds.is_mixed(self.now(), &service),
+        }
+    }
+
+    /// Returns the streams that other hosts are to be told of, while upstreams of several builds serve.
+    pub(crate) fn take_stream_news(&self) -> Vec<peer::StreamOrigins> {
+        let now = self.now();
+        let fleet = self.fleet();
+        if !fleet.builds.is_any_mixed(now) {
+            return Vec::new();
+        }
+        lock(&self.stream_origins).take_news(|it| fleet.builds.is_mixed(now, it))
+    }
+
+    /// Tells another host, which may not know them, of the streams that go through this one.
+    pub(crate) fn tell_streams_again(&self) {
+        lock(&self.stream_origins).tell_running_again();
+    }
+
+    /// Records streams that another host has told of.
+    pub(crate) fn apply_stream_news(&self, news: &[peer::StreamOrigins], source: Source) {
+        let now = self.now();
+        let mut origins = lock(&self.stream_origins);
+        for it in news {
+            let (service, build) = (Service::new(it.service.clone()), Build::new(it.build.clone()));
+            let place = Place { service, build };
+            for attempt in &it.attempts {
+                origins.record(now, Attempt(*attempt), &place, source);
+            }
+        }
+    }
+}
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -26,6 +26,7 @@
         priority: 0,
         request_hash: session,
         max_wait: MAX_WAIT,
+        build: None,
         tried: &[],
     };
     fleet.choose(now, &configuration(), &query)
@@ -275,6 +276,7 @@
             priority: 0,
             request_hash: now,
             max_wait: Duration::from_millis(max_wait),
+            build: None,
             tried: &[],
         };
         fleet.choose(at(now), &configuration(), &query).is_ok()
@@ -418,6 +420,7 @@
             priority: 0,
             request_hash: session,
             max_wait: MAX_WAIT,
+            build: None,
             tried: &[],
         };
         assert!(fleet.choose(at(10), &configuration(), &query).is_ok(), "{session}");
@@ -452,6 +455,7 @@
             priority: 0,
             request_hash: session,
             max_wait: MAX_WAIT,
+            build: None,
             tried: &[],
         };
         zones.push(fleet.choose(at(100), &configuration(), &query).unwrap().zone);
--- a/lib/tests/test_pause.rs
+++ b/lib/tests/test_pause.rs
@@ -27,6 +27,7 @@
         priority: 0,
         request_hash: session,
         max_wait: Duration::from_secs(1),
+        build: None,
         tried: &[],
     };
     fleet.choose(now, &configuration(), &query)
--- /dev/null
+++ b/lib/tests/test_stream_origin.rs
@@ -0,0 +1,177 @@
+//! Tests of what a host knows of the builds at which streams began.
+
+use std::{collections::HashMap, time::Duration};
+
+use mothvale_lib::{
+    fleet::{Choice, Denial, Fleet, Query, UpstreamRow},
+    prelude::*,
+    stream_origin::{Attempt, Builds, Origins, Place, Source},
+};
+use mothvale_testutils::gateway::{ENGINES, at, configuration, engine, fleet};
+use proptest::prelude::*;
+
+fn place(build: &str) -> Place {
+    Place { service: Service::new(ENGINES), build: Build::new(build.to_owned()) }
+}
+
+/// Returns the streams that are told now, with their builds.
+fn told(origins: &mut Origins, mixed: bool) -> Vec<(u64, String)> {
+    let news = origins.take_news(|_| mixed).into_iter();
+    let mut told: Vec<_> = news
+        .flat_map(|it| {
+            let build = it.build.to_string();
+            it.attempts.into_iter().map(move |attempt| (attempt, build.clone()))
+        })
+        .collect();
+    told.sort();
+    told
+}
+
+#[test]
+fn streams_are_told_twice_and_only_while_builds_differ() {
+    let mut origins = Origins::default();
+    origins.record(at(0), Attempt(1), &place("v1"), Source::Own);
+    origins.record(at(0), Attempt(2), &place("v2"), Source::Relayed);
+    origins.record(at(0), Attempt(3), &place("v2"), Source::Told);
+    assert!(told(&mut origins, false).is_empty());
+    for _ in 0..2 {
+        let expected = [(1, "v1".to_owned()), (2, "v2".to_owned())];
+        assert_eq!(told(&mut origins, true), expected);
+    }
+    assert!(told(&mut origins, true).is_empty());
+}
+
+/// A new leader of the zone knows nothing of the streams that run.
+#[test]
+fn running_streams_are_told_again() {
+    let mut origins = Origins::default();
+    for attempt in 1..=3 {
+        origins.record(at(0), Attempt(attempt), &place("v1"), Source::Own);
+    }
+    origins.record(at(0), Attempt(4), &place("v1"), Source::Told);
+    while !told(&mut origins, true).is_empty() {}
+    origins.finish(Attempt(2));
+    origins.tell_running_again();
+    let expected = [(1, "v1".to_owned()), (3, "v1".to_owned())];
+    assert_eq!(told(&mut origins, true), expected);
+    assert!(origins.place(Attempt(2)).is_some(), "its caller may still take it up");
+}
+
+#[test]
+fn first_event_decides_where_a_stream_began() {
+    let mut origins = Origins::default();
+    origins.record(at(0), Attempt(1), &place("v1"), Source::Told);
+    origins.record(at(10), Attempt(1), &place("v2"), Source::Own);
+    assert_eq!(origins.place(Attempt(1)), Some(&place("v1")));
+}
+
+#[test]
+fn streams_are_forgotten_by_age_and_number() {
+    let mut origins = Origins::default();
+    origins.record(at(0), Attempt(1), &place("v1"), Source::Own);
+    origins.purge(at(29_900));
+    assert!(origins.place(Attempt(1)).is_some());
+    origins.purge(at(30_000));
+    assert!(origins.place(Attempt(1)).is_none());
+    assert!(told(&mut origins, true).is_empty());
+    for attempt in 0..70_000 {
+        origins.record(at(40_000), Attempt(attempt), &place("v1"), Source::Told);
+    }
+    assert!(origins.count() <= 65_536);
+    assert!(origins.place(Attempt(0)).is_none() && origins.place(Attempt(69_999)).is_some());
+}
+
+/// A build counts for as long as a stream that began there may go on.
+#[test]
+fn builds_count_for_a_while_after_they_left() {
+    let (mut builds, service) = (Builds::default(), Service::new(ENGINES));
+    assert_eq!(builds.only(at(0), &service), None);
+    builds.see(at(0), &service, &Build::new("v1"));
+    assert!(!builds.is_any_mixed(at(10)));
+    assert_eq!(builds.only(at(10), &service), Some(&Build::new("v1")));
+    builds.see(at(20), &service, &Build::new("v2"));
+    assert!(builds.is_mixed(at(29_000), &service) && builds.is_any_mixed(at(29_000)));
+    builds.see(at(29_000), &service, &Build::new("v2"));
+    builds.purge(at(31_000));
+    assert!(!builds.is_mixed(at(31_000), &service));
+    assert_eq!(builds.only(at(31_000), &service), Some(&Build::new("v2")));
+    assert!(!Builds::covers_all_streams(at(29_999)) && Builds::covers_all_streams(at(30_000)));
+}
+
+fn with_build(index: u64, build: &str) -> UpstreamRow {
+    let build = Build::new(build.to_owned());
+    UpstreamRow { build, ..engine(&format!("engine{index}"), "hobart") }
+}
+
+fn choose(fleet: &mut Fleet, now: Instant, build: Option<&Build>) -> Result<Choice, Denial> {
+    let query = Query {
+        service: &Service::new(ENGINES),
+        model: Some(&Model::new("demo")),
+        session: Some(1),
+        cached: None,
+        tokens: 100,
+        admitted: build.is_some(),
+        priority: 0,
+        request_hash: 1,
+        max_wait: Duration::from_secs(1),
+        build,
+        tried: &[],
+    };
+    fleet.choose(now, &configuration(), &query)
+}
+
+/// Load pattern: most engines have the new build, and the streams of the old one all go to the few that are
+/// left of it.
+#[test]
+fn streams_stay_at_their_build_whatever_its_load() {
+    let mut fleet = fleet(0);
+    for index in 0..8 {
+        fleet.upsert(at(0), with_build(index, if index < 2 { "v1" } else { "v2" }));
+    }
+    let old = Build::new("v1");
+    for _ in 0..200 {
+        assert_eq!(choose(&mut fleet, at(10), Some(&old)).unwrap().build, old);
+    }
+    fleet.upsert(at(20), UpstreamRow { draining: true, ..with_build(0, "v1") });
+    assert_eq!(choose(&mut fleet, at(30), Some(&old)).unwrap().id.as_str(), "engine1");
+    fleet.remove(&Upstream::new("engine1"));
+    assert_eq!(choose(&mut fleet, at(40), Some(&old)), Err(Denial::OtherBuilds));
+    assert!(choose(&mut fleet, at(40), None).is_ok());
+    // Engines that are listed count also while no rows come.
+    fleet.remove(&Upstream::new("engine0"));
+    fleet.purge(at(60_000));
+    assert_eq!(fleet.builds.only(at(60_000), &Service::new(ENGINES)), Some(&Build::new("v2")));
+}
+
+proptest! {
+    /// Hosts that record, tell, lose single messages and forget never differ about a stream.
+    #[test]
+    fn hosts_agree_on_each_stream(
+        steps in prop::collection::vec((0_usize..3, 0_u64..12, 0_usize..2, any::<bool>()), 1..60),
+    ) {
+        let mut hosts = [Origins::default(), Origins::default(), Origins::default()];
+        let mut began: HashMap<u64, usize> = HashMap::new();
+        let names = ["v1", "v2"];
+        for (index, (host, stream, build, lost)) in steps.into_iter().enumerate() {
+            let now = at(index as u64 * 50);
+            // A stream has one first event.
+            if let std::collections::hash_map::Entry::Vacant(entry) = began.entry(stream) {
+                entry.insert(build);
+                hosts[host].record(now, Attempt(stream), &place(names[build]), Source::Own);
+            }
+            for news in hosts[host].take_news(|_| true) {
+                for other in (0..3).filter(|it| *it != host && !(lost && it % 2 == 0)) {
+                    for attempt in &news.attempts {
+                        let place = place(&news.build);
+                        hosts[other].record(now, Attempt(*attempt), &place, Source::Told);
+                    }
+                }
+            }
+        }
+        for (stream, build) in began {
+            for known in hosts.iter().filter_map(|it| it.place(Attempt(stream))) {
+                prop_assert_eq!(known, &place(names[build]));
+            }
+        }
+    }
+}
