soak: a cut belongs to the stop of its own process, and no stop excuses one

Change: the record knows all processes; a request belongs to the one that ran when it was sent. Stops have a scope of their own and never excuse; all else does, as before. The same two mistakes elsewhere: a kill excused missing lines of the process after it (explained), and a second line of one process stood in for that of another (logged-ends); both go by process now. The other checks go by hosts as their rules do.

--- a/bench/src/soak/check.rs
+++ b/bench/src/soak/check.rs
@@ -323,22 +323,25 @@
         if !matches!(attempt.outcome, Outcome::Cut(_)) {
             return None;
         }
-        let mut exits = evidence.record.exits.iter().filter(|it| it.host == attempt.host);
-        let exit =
-            exits.find(|it| attempt.at < it.signalled + grace && attempt.ended > it.signalled)?;
-        // Any disturbance but this SIGTERM excuses the cut. Disturbances of the process end only
-        // with its restart, so that one that was suspended as well has two.
-        let disturbances = evidence.record.disturbances.iter().filter(|it| {
+        let process = evidence.record.process_at(attempt.host, attempt.at)?;
+        let exit = evidence.record.exits.iter().find(|it| {
+            it.process == process
+                && attempt.at < it.signalled + grace
+                && attempt.ended > it.signalled
+        })?;
+        // Any disturbance but a planned stop excuses the cut.
+        let mut disturbances = evidence.record.disturbances.iter().filter(|it| {
             it.start <= attempt.ended && it.end.is_none_or(|end| end + contact > attempt.at)
         });
-        let concerning = disturbances.filter(|it| match it.scope {
+        let is_excused = disturbances.any(|it| match it.scope {
             Scope::Host(host) | Scope::StoreLink(host) | Scope::CallerLink(host) => {
                 host == attempt.host
             }
+            Scope::Stop(_) => false,
             Scope::Store | Scope::Link | Scope::Machine => true,
             Scope::Upstream(upstream) => runs.iter().any(|run| run.engine == upstream),
         });
-        (concerning.count() == 1).then(|| {
+        (!is_excused).then(|| {
             let after = attempt.ended.duration_since(exit.signalled).as_millis();
             let what = format!("request {} was cut {after} ms after SIGTERM", attempt.id);
             (attempt.ended, what)
@@ -364,9 +367,15 @@
             Outcome::Cut(None) => false,
             Outcome::TimedOut | Outcome::Left | Outcome::Wrong(_) => false,
         };
-        let killed = evidence.record.kills.iter();
-        let mut killed = killed.filter(|kill| kill.0 == it.host && kill.1 + LOG_LAG > it.at);
-        failed && !killed.any(|kill| kill.1 < it.ended + LOG_LAG)
+        let process = evidence.record.process_at(it.host, it.at);
+        let mut kills = evidence.record.kills.iter();
+        let was_killed = kills.any(|(host, at)| {
+            *host == it.host
+                && evidence.record.process_at(*host, *at) == process
+                && *at + LOG_LAG > it.at
+                && *at < it.ended + LOG_LAG
+        });
+        failed && !was_killed
     });
     let unexplained = failed.filter(|it| !logged.contains(it.id.as_str()));
     unexplained
@@ -376,18 +385,8 @@
 
 fn logged_ends(evidence: &Evidence) -> Vec<(Instant, String)> {
     const LINE: &str = "\"message\":\"stopped\"";
-    let mut broken = Vec::new();
-    for (host, log) in evidence.logs.iter().enumerate() {
-        let ended = |it: &&Exit| it.host == host && it.took.is_some() && it.had_started;
-        let exits: Vec<_> = evidence.record.exits.iter().filter(ended).collect();
-        let lines = log.matches(LINE).count();
-        if let Some(last) = exits.last()
-            && lines < exits.len()
-        {
-            let name = &evidence.host_names[host];
-            let what = format!("{name}: {} ends, {lines} lines `stopped`", exits.len());
-            broken.push((last.signalled, what));
-        }
-    }
-    broken
+    let exits = evidence.record.exits.iter().filter(|it| it.took.is_some() && it.had_started);
+    let silent = exits.filter(|it| !evidence.log_of(it.process).contains(LINE));
+    let what = |it: &Exit| format!("{}: no line `stopped`", evidence.host_names[it.host]);
+    silent.map(|it| (it.signalled, what(it))).collect()
 }
--- a/bench/src/soak/conductor.rs
+++ b/bench/src/soak/conductor.rs
@@ -22,7 +22,7 @@
     link::{Link, Weather},
     mutant::Mutant,
     plan::{Action, Fault, Interruption},
-    record::{Disturbance, Exit, Period, Record, Scope},
+    record::{Disturbance, Exit, Period, Process, Record, Scope},
 };
 
 /// How often processes are looked after.
@@ -118,7 +118,9 @@
             host.start()?;
             self.intents[index].started = Some(now);
             let start = Disturbance { scope: Scope::Host(index), start: now, end: Some(now) };
-            lock(&self.stage.record).disturbances.push(start);
+            let mut record = lock(&self.stage.record);
+            record.disturbances.push(start);
+            record.processes.push(Process { host: index, started: now, log_start: 0 });
         }
         Ok(())
     }
@@ -290,7 +292,10 @@
         if !process.is_running() {
             return;
         }
-        let scope = Scope::Host(host);
+        let scope = match interruption {
+            Interruption::Terminate => Scope::Stop(host),
+            _ => Scope::Host(host),
+        };
         lock(&self.stage.record).disturbances.push(Disturbance { scope, start: now, end: None });
         match interruption {
             Interruption::Suspend => {
@@ -325,6 +330,7 @@
                 }
             }
             let mut record = lock(&self.stage.record);
+            let process = record.process_at(index, now).unwrap_or_default();
             if let Some(status) = host.take_exit() {
                 let terminated = intent.terminated.take();
                 match terminated {
@@ -336,7 +342,8 @@
                         let by_signal = status.signal() == Some(Signal::TERM.as_raw());
                         let success = status.success() || by_signal && !had_started;
                         let took = Some(took);
-                        let exit = Exit { host: index, signalled, took, success, had_started };
+                        let exit =
+                            Exit { host: index, process, signalled, took, success, had_started };
                         record.exits.push(exit);
                     }
                     None => record.own_ends.push((index, now)),
@@ -349,7 +356,7 @@
                 && now > signalled + suspended + self.stage.grace
             {
                 let (took, success, had_started) = (None, false, true);
-                let exit = Exit { host: index, signalled, took, success, had_started };
+                let exit = Exit { host: index, process, signalled, took, success, had_started };
                 record.exits.push(exit);
                 intent.killed = true;
                 record.kills.push((index, now));
@@ -361,11 +368,14 @@
                 host.signal(Signal::KILL);
             }
             if !host.is_running() && !last && intent.down_until.is_none_or(|it| it <= now) {
+                let log_start = host.log_length();
                 host.start()?;
+                record.processes.push(Process { host: index, started: now, log_start });
                 *intent = Intent { started: Some(now), ..Intent::default() };
             }
             if host.is_running() && intent.suspended.is_none() && intent.terminated.is_none() {
-                let same = |it: &&mut Disturbance| it.scope == Scope::Host(index);
+                let of_process = [Scope::Host(index), Scope::Stop(index)];
+                let same = |it: &&mut Disturbance| of_process.contains(&it.scope);
                 let mut open = record.disturbances.iter_mut().filter(same);
                 open.by_ref().filter(|it| it.end.is_none()).for_each(|it| it.end = Some(now));
             }
@@ -462,7 +472,8 @@
         let now = Instant::now();
         for it in &mut lock(&self.stage.record).disturbances {
             let lasts = self.active.iter().any(|fault| scope(&fault.action) == Some(it.scope));
-            if it.end.is_none() && !lasts && !matches!(it.scope, Scope::Host(_)) {
+            let of_process = matches!(it.scope, Scope::Host(_) | Scope::Stop(_));
+            if it.end.is_none() && !lasts && !of_process {
                 it.end = Some(now);
             }
         }
--- a/bench/src/soak/host.rs
+++ b/bench/src/soak/host.rs
@@ -84,6 +84,11 @@
         Ok(())
     }
 
+    /// Returns the length of the log, in bytes; 0 before the first process.
+    pub fn log_length(&self) -> u64 {
+        fs::metadata(&self.log).map_or(0, |it| it.len())
+    }
+
     /// Sends a signal; returns whether there is a process that could get it.
     pub fn signal(&self, signal: Signal) -> bool {
         let pid = self.child.as_ref().and_then(|it| Pid::from_raw(it.id()?.try_into().ok()?));
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -8,7 +8,7 @@
 mod link;
 pub mod mutant;
 pub mod plan;
-mod record;
+pub mod record;
 pub mod regressions;
 
 use std::{
--- a/bench/src/soak/record.rs
+++ b/bench/src/soak/record.rs
@@ -44,8 +44,10 @@
 /// What a disturbance concerns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
-    /// The process of one host.
+    /// The process of one host: its start, a suspension, or SIGKILL.
     Host(usize),
+    /// The process of one host, from SIGTERM until a new process runs.
+    Stop(usize),
     /// The link of one host to the store.
     StoreLink(usize),
     /// The link of callers to one host.
@@ -89,11 +91,24 @@
     }
 }
 
+/// A process of a host.
+#[derive(Clone, Copy, Debug)]
+pub struct Process {
+    /// Its host.
+    pub host: usize,
+    /// When it was started.
+    pub started: Instant,
+    /// Length of the host's log then, in bytes. All that follows until the next process is its own.
+    pub log_start: u64,
+}
+
 /// The end of a process after SIGTERM.
 #[derive(Clone, Copy, Debug)]
 pub struct Exit {
     /// Host of the process.
     pub host: usize,
+    /// Position of the process among all of them.
+    pub process: usize,
     /// When it got the signal.
     pub signalled: Instant,
     /// Time until its end, without suspensions; `None` if it did not end in time.
@@ -119,6 +134,8 @@
     pub evacuations: Vec<Period<String>>,
     /// Revoked keys, by position.
     pub revocations: Vec<Period<usize>>,
+    /// All processes, in the order of their starts.
+    pub processes: Vec<Process>,
     /// Ends after SIGTERM.
     pub exits: Vec<Exit>,
     /// SIGKILLs by host.
@@ -154,11 +171,30 @@
     pub max_files: u64,
 }
 
+impl Record {
+    /// Returns the position of the process of a host that ran at a time, or that had run last before it.
+    pub fn process_at(&self, host: usize, at: Instant) -> Option<usize> {
+        self.processes.iter().rposition(|it| it.host == host && it.started <= at)
+    }
+}
+
 impl Evidence {
+    /// Returns what a process has logged.
+    pub fn log_of(&self, process: usize) -> &str {
+        let processes = &self.record.processes;
+        let Process { host, log_start, .. } = processes[process];
+        let next = processes[process + 1..].iter().find(|it| it.host == host);
+        let log = &self.logs[host];
+        let end = next.map_or(log.len(), |it| it.log_start as usize);
+        log.get(log_start as usize..end).unwrap_or_default()
+    }
+
     /// Returns whether a host was without disturbance for the contact bound before `at`.
     pub fn in_contact(&self, host: usize, at: Instant) -> bool {
         self.is_calm(at, |scope| match scope {
-            Scope::Host(it) | Scope::StoreLink(it) | Scope::CallerLink(it) => it == host,
+            Scope::Host(it) | Scope::Stop(it) | Scope::StoreLink(it) | Scope::CallerLink(it) => {
+                it == host
+            }
             Scope::Store | Scope::Link | Scope::Machine => true,
             Scope::Upstream(_) => false,
         })
@@ -180,7 +216,8 @@
     /// there is one now.
     pub fn last_link_disturbance(&self, at: Instant) -> Option<Instant> {
         let shared = self.record.disturbances.iter().filter(|it| it.start <= at);
-        let shared = shared.filter(|it| !matches!(it.scope, Scope::Host(_) | Scope::Upstream(_)));
+        let shared = shared
+            .filter(|it| !matches!(it.scope, Scope::Host(_) | Scope::Stop(_) | Scope::Upstream(_)));
         shared.map(|it| it.end.map_or(at, |end| end.min(at))).max()
     }
 }
--- a/bench/src/soak/regressions.rs
+++ b/bench/src/soak/regressions.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use mothvale_platform_standin::store::Health;
+use mothvale_platform_standin::{engine::Mode, store::Health};
 
 use super::plan::{Action, Fault, Interruption};
 
@@ -51,7 +51,18 @@
             fault(6000, 14_000, Action::Revoke),
         ],
     };
-    vec![target_set, key_revoked]
+    let cut_after_stop = Case {
+        name: "upstream-cuts-after-a-stop",
+        seed: 660_102,
+        cause: "not of the hosts: clean-stops took streams of a restarted process, which an upstream \
+                cut, for streams that the stop of the process before had cut",
+        time: Duration::from_secs(14),
+        faults: vec![
+            fault(6413, 7580, Action::Interrupt(2, Interruption::Terminate)),
+            fault(11_568, 12_797, Action::Misbehave(1, Mode::CutAnswer)),
+        ],
+    };
+    vec![target_set, key_revoked, cut_after_stop]
 }
 
 fn fault(start_ms: u64, end_ms: u64, action: Action) -> Fault {
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -2,3 +2,4 @@
 
 mod test_gateway_process;
 mod test_soak;
+mod test_soak_check;
--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -63,6 +63,11 @@
     play_case("key-revoked-after-silent-store");
 }
 
+#[test]
+fn case_of_an_upstream_that_cuts_after_a_stop() {
+    play_case("upstream-cuts-after-a-stop");
+}
+
 #[test]
 fn the_same_seed_gives_the_same_faults() {
     let size = soak::plan::Size { hosts: 5, engines: 4, upstreams: 7, zones: 2, time: TIME };
