--- a/bench/src/soak/check.rs
+++ b/bench/src/soak/check.rs
@@ -6,7 +6,7 @@
 };
 
 use mothvale_platform_standin::{
-    engine::{Arrival, OrderArrival},
+    engine::{Arrival, LimitNotice, OrderArrival},
     operator::{ENGINES, PLAIN, ROUTES},
 };
 
@@ -19,6 +19,14 @@
 /// Lines of a process may be lost that it wrote this long before SIGKILL.
 const LOG_LAG: Duration = Duration::from_secs(1);
 
+/// Span in which an upstream with a limit counts what it gets.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// What it may get in that span: this multiple of its limit, and as many requests more.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+/// How long a host may take to act on a limit that it has been told.
+const LIMIT_NOTICE: Duration = Duration::from_millis(500);
+
 /// A broken promise.
 #[derive(Clone, Debug)]
 pub struct Broken {
@@ -34,7 +42,7 @@
 type Check = (&'static str, fn(&Evidence) -> Vec<(Instant, String)>);
 
 /// All checks.
-const CHECKS: [Check; 17] = [
+const CHECKS: [Check; 18] = [
     ("runs-once", runs_once),
     ("true-refusals", true_refusals),
     ("whole-answers", whole_answers),
@@ -46,6 +54,7 @@
     ("not-denied", not_denied),
     ("older-weights", older_weights),
     ("one-holder", one_holder),
+    ("limits", limits),
     ("no-secrets", no_secrets),
     ("bounded-use", bounded_use),
     ("ends", ends),
@@ -280,6 +289,60 @@
     broken
 }
 
+/// From the contact bound after an upstream first named a limit, it gets no more in any span than the limit
+/// and a slack allow, from hosts that it had told.
+fn limits(evidence: &Evidence) -> Vec<(Instant, String)> {
+    let contact = Duration::from_millis(evidence.bounds.contact_ms);
+    let hosts: HashMap<&str, usize> =
+        evidence.record.attempts.iter().map(|it| (it.id.as_str(), it.host)).collect();
+    let names = evidence.host_names.iter().enumerate();
+    let by_name: HashMap<&str, usize> = names.map(|it| (it.1.as_str(), it.0)).collect();
+    let requests = evidence.journal.arrivals.iter().filter(|it| !it.misdirected);
+    let requests = requests.filter_map(|it| Some((it.engine, it.at, *hosts.get(it.id.as_str())?)));
+    let orders = evidence.journal.orders.iter();
+    let orders = orders.filter_map(|it| Some((it.engine, it.at, *by_name.get(&*it.holder)?)));
+    let mut arrivals: Vec<_> = requests.chain(orders).collect();
+    arrivals.sort_by_key(|it| it.1);
+    let mut broken = Vec::new();
+    let mut notices: Vec<_> = evidence.journal.limits.iter().collect();
+    notices.sort_by_key(|it| it.engine);
+    let limit = |it: &LimitNotice| (it.engine, it.born, it.per_second.to_bits());
+    for episode in notices.chunk_by(|a, b| limit(a) == limit(b)) {
+        let (first, last) = (&episode[0], &episode[episode.len() - 1]);
+        let mut told: HashMap<usize, Instant> = HashMap::new();
+        for notice in episode {
+            if let Some(host) = hosts.get(notice.request.as_str()) {
+                told.entry(*host).or_insert(notice.at);
+            }
+        }
+        let counted: Vec<_> = arrivals
+            .iter()
+            .filter(|(engine, at, host)| {
+                *engine == first.engine
+                    && (first.at..=last.at).contains(at)
+                    && told.get(host).is_some_and(|it| *it + LIMIT_NOTICE <= *at)
+                    && evidence.in_contact(*host, *at)
+            })
+            .map(|it| it.1)
+            .collect();
+        let allowed = first.per_second * LIMIT_SPAN.as_secs_f64() * LIMIT_FACTOR + LIMIT_SLACK;
+        let most = counted.iter().enumerate().filter(|(_, at)| **at >= first.at + contact);
+        let over = most
+            .map(|(index, at)| {
+                let in_span = counted[..=index].iter().filter(|it| **it + LIMIT_SPAN > *at);
+                (*at, in_span.count())
+            })
+            .find(|it| it.1 as f64 > allowed);
+        if let Some((at, count)) = over {
+            let (engine, per_second) = (first.engine, first.per_second);
+            let what =
+                format!("upstream {engine} had named {per_second} and got {count} of {allowed}");
+            broken.push((at, what));
+        }
+    }
+    broken
+}
+
 fn no_secrets(evidence: &Evidence) -> Vec<(Instant, String)> {
     let passed = evidence.journal.arrivals.iter().filter(|it| it.has_key);
     let passed = passed.map(|it| (it.at, format!("request {}: its key was passed on", it.id)));
--- a/bench/src/soak/conductor.rs
+++ b/bench/src/soak/conductor.rs
@@ -195,6 +195,11 @@
                     it.set_ignores_orders(true);
                 }
             }
+            Action::Limit(upstream, hundredths) => {
+                if let Some(it) = &self.stage.running[upstream] {
+                    it.set_limit(Some(f64::from(hundredths) / 100.0));
+                }
+            }
             Action::Crash(upstream, _) => {
                 if let Some(it) = self.stage.running[upstream].take() {
                     self.weights[upstream] = it.version();
@@ -252,6 +257,11 @@
                     it.set_ignores_orders(false);
                 }
             }
+            Action::Limit(upstream, _) => {
+                if let Some(it) = &self.stage.running[upstream] {
+                    it.set_limit(None);
+                }
+            }
             Action::Crash(upstream, is_new) => self.start_upstream(upstream, is_new).await?,
             Action::Drain(upstream) => {
                 if let Some(it) = self.stage.running[upstream].take() {
--- a/bench/src/soak/mutant.rs
+++ b/bench/src/soak/mutant.rs
@@ -28,7 +28,7 @@
 }
 
 /// All mutants, by name, with the check that has to notice.
-pub const MUTANTS: [(&str, Mutant, &str); 18] = [
+pub const MUTANTS: [(&str, Mutant, &str); 19] = [
     ("run-twice", Mutant::Upstreams(Lie::RunTwice), "runs-once"),
     ("run-refused", Mutant::Upstreams(Lie::RunRefused), "true-refusals"),
     ("foreign-body", Mutant::Upstreams(Lie::ForeignBody), "whole-answers"),
@@ -41,6 +41,7 @@
     ("unknown-key", Mutant::UnknownKey, "not-denied"),
     ("old-weights", Mutant::Upstreams(Lie::OldWeights), "older-weights"),
     ("many-holders", Mutant::Upstreams(Lie::ManyHolders), "one-holder"),
+    ("silent-limit", Mutant::Upstreams(Lie::SilentLimit), "limits"),
     ("key-in-name", Mutant::KeyInName, "no-secrets"),
     ("tiny-limits", Mutant::TinyLimits, "bounded-use"),
     ("lost-signal", Mutant::LostSignal, "ends"),
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -65,6 +65,8 @@
     Revoke,
     /// New weights are named.
     NewWeights,
+    /// An upstream names a limit, in hundredths of a request per second, until the end.
+    Limit(usize, u32),
 }
 
 /// One fault.
@@ -107,8 +109,13 @@
     Fleet,
     Operator,
     Weights,
+    Limits,
 }
 
+/// Families that were added later. They are drawn by themselves, so that the faults of the others stay the
+/// same for a seed.
+const LATER_FAMILIES: [Family; 1] = [Family::Limits];
+
 const FAMILIES: [Family; 10] = [
     Family::Suspension,
     Family::Restart,
@@ -133,6 +140,12 @@
         }
     }
     miss_operators(&mut random, &mut faults);
+    for (index, family) in LATER_FAMILIES.into_iter().enumerate() {
+        let mut random = Pcg64::seed_from_u64(seed ^ (index as u64 + 1) << 48);
+        if random.random_bool(FAMILY_PROBABILITY) {
+            series(&mut random, family, size, &mut faults);
+        }
+    }
     faults.sort_by_key(|it| (it.start, it.end));
     faults
 }
@@ -185,7 +198,7 @@
         turn += 1;
         start += match family {
             // Their bounds are some seconds.
-            Family::Operator | Family::Fleet => random.random_range(800..6000),
+            Family::Operator | Family::Fleet | Family::Limits => random.random_range(800..6000),
             _ => random.random_range(SERIES_GAP_MS),
         };
     }
@@ -246,6 +259,11 @@
             0 => (Action::Revoke, random.random_range(2000..6000)),
             _ => (Action::Evacuate(random.random_range(0..size.zones)), length + 5000),
         },
+        Family::Limits => {
+            // Their bound begins after the contact bound.
+            let hundredths = random.random_range(20..800);
+            (Action::Limit(upstream, hundredths), random.random_range(4000..12_000))
+        }
         Family::Weights => match random.random_range(0..2) {
             0 => (Action::NewWeights, 0),
             _ => {
--- a/cli/tests/test_soak_check.rs
+++ b/cli/tests/test_soak_check.rs
@@ -7,7 +7,7 @@
     record::{Attempt, Disturbance, Evidence, Exit, Outcome, Process, Record, Scope},
 };
 use mothvale_platform_standin::{
-    engine::{Arrival, Journal},
+    engine::{Arrival, Journal, LimitNotice},
     operator::Bounds,
 };
 
@@ -186,3 +186,36 @@
     assert_eq!(failed_at(5400, &[0, 5300]), ["explained"]);
     assert_eq!(failed_at(3000, &[0, 5300]), ["explained"]);
 }
+
+/// An upstream with a limit of one request per second gets `count` requests of a host that it had told, in
+/// two seconds from `from` on.
+fn limited(from: u64, count: u64, disturbed: bool) -> Vec<&'static str> {
+    let mut scene = Scene::new(&[0]);
+    for (index, at) in std::iter::once(1000).chain((0..count).map(|it| from + it)).enumerate() {
+        scene.cut(at, at + 50);
+        let id = format!("r-{index}");
+        scene.evidence.journal.arrivals[index].id.clone_from(&id);
+        scene.evidence.record.attempts[index].id.clone_from(&id);
+        let at = scene.at(at);
+        scene.evidence.journal.limits.push(LimitNotice {
+            at,
+            engine: 0,
+            born: 1,
+            request: id.clone(),
+            per_second: 1.0,
+        });
+        scene.evidence.logs[0].push_str(&format!("{{\"request\":\"{id}\"}}\n"));
+    }
+    if disturbed {
+        scene.disturb(Scope::Host(0), from, from);
+    }
+    scene.broken()
+}
+
+#[test]
+fn limit_counts_after_the_contact_bound_from_hosts_that_know_it() {
+    assert_eq!(limited(4500, 12, false), ["limits"]);
+    assert!(limited(4500, 11, false).is_empty());
+    assert!(limited(3000, 12, false).is_empty(), "the contact bound is not over");
+    assert!(limited(4500, 12, true).is_empty(), "the host was suspended");
+}
