--- a/bench/src/soak/check.rs
+++ b/bench/src/soak/check.rs
@@ -42,7 +42,7 @@
 type Check = (&'static str, fn(&Evidence) -> Vec<(Instant, String)>);
 
 /// All checks.
-const CHECKS: [Check; 18] = [
+const CHECKS: [Check; 19] = [
     ("runs-once", runs_once),
     ("true-refusals", true_refusals),
     ("whole-answers", whole_answers),
@@ -55,6 +55,7 @@
     ("older-weights", older_weights),
     ("one-holder", one_holder),
     ("limits", limits),
+    ("builds", builds),
     ("no-secrets", no_secrets),
     ("bounded-use", bounded_use),
     ("ends", ends),
@@ -343,6 +344,29 @@
     broken
 }
 
+/// A stream goes on only at the build that began it, whichever request takes it there.
+fn builds(evidence: &Evidence) -> Vec<(Instant, String)> {
+    let mut begun: HashMap<&str, Vec<u32>> = HashMap::new();
+    let mut broken = Vec::new();
+    for arrival in evidence.journal.arrivals.iter().filter(|it| it.ran && it.weights > 0) {
+        // Several runs may begin a stream, of which the first ones break off before their first event.
+        if arrival.last_event == 0 {
+            begun.entry(&arrival.stream).or_default().push(arrival.build);
+            continue;
+        }
+        let began = begun.get(&*arrival.stream).map_or(&[][..], Vec::as_slice);
+        if !began.contains(&arrival.build) {
+            let Arrival { id, stream, build, engine_id, .. } = arrival;
+            let what = format!(
+                "request {id} went on with stream {stream} of builds {began:?} at build {build} of \
+                 {engine_id}"
+            );
+            broken.push((arrival.at, what));
+        }
+    }
+    broken
+}
+
 fn no_secrets(evidence: &Evidence) -> Vec<(Instant, String)> {
     let passed = evidence.journal.arrivals.iter().filter(|it| it.has_key);
     let passed = passed.map(|it| (it.at, format!("request {}: its key was passed on", it.id)));
--- a/bench/src/soak/client.rs
+++ b/bench/src/soak/client.rs
@@ -114,8 +114,9 @@
         let route = random.random_range(0..ROUTES.len());
         let key = random.random_range(0..population.keys.len());
         let leaves = random.random_bool(LEAVE_PROBABILITY);
-        let call = Call {
+        let mut call = Call {
             id: format!("{seed:x}-{index}-{number}"),
+            takes_up: None,
             path: format!("/{}/{index}", ROUTES[route].name),
             key: population.keys[key].clone(),
             deadline: match ROUTES[route].service {
@@ -125,36 +126,47 @@
             generation: (ROUTES[route].service == ENGINES)
                 .then(|| (MODEL, random.random_range(0..SESSIONS))),
         };
-        let first_choice: usize = random.random_range(0..population.addresses.len());
-        let kept = open.take().filter(|it| !it.1.is_closed());
-        let Some((host, mut connection)) = (match kept {
-            Some(kept) => Some(kept),
-            None => connect(&population, first_choice).await,
-        }) else {
-            sleep(RETRY_PAUSE).await;
-            continue;
-        };
-        let at = Instant::now();
-        let wait = if leaves { Duration::from_millis(60) } else { call.deadline + LATE_READ };
-        let streamed = call.generation.is_some();
-        let outcome = match timeout(wait, exchange(&mut connection, &call, streamed)).await {
-            Ok(outcome) => outcome,
-            Err(_) if leaves => Outcome::Left,
-            Err(_) => Outcome::TimedOut,
-        };
-        let answered = match outcome {
-            Outcome::Answered(status) => {
-                open = Some((host, connection));
-                status < 300
+        loop {
+            let first_choice: usize = random.random_range(0..population.addresses.len());
+            let kept = open.take().filter(|it| !it.1.is_closed());
+            let Some((host, mut connection)) = (match kept {
+                Some(kept) => Some(kept),
+                None => connect(&population, first_choice).await,
+            }) else {
+                sleep(RETRY_PAUSE).await;
+                break;
+            };
+            let at = Instant::now();
+            let wait = if leaves { Duration::from_millis(60) } else { call.deadline + LATE_READ };
+            let streamed = call.generation.is_some();
+            let mut events = 0;
+            let exchanged = exchange(&mut connection, &call, streamed, &mut events);
+            let outcome = match timeout(wait, exchanged).await {
+                Ok(outcome) => outcome,
+                Err(_) if leaves => Outcome::Left,
+                Err(_) => Outcome::TimedOut,
+            };
+            let was_cut = matches!(outcome, Outcome::Cut(_));
+            let answered = match outcome {
+                Outcome::Answered(status) => {
+                    open = Some((host, connection));
+                    status < 300
+                }
+                _ => false,
+            };
+            let (id, deadline, ended) = (call.id.clone(), call.deadline, Instant::now());
+            let takes_up = call.takes_up.is_some();
+            let attempt = Attempt { id, route, host, key, at, deadline, takes_up, outcome, ended };
+            lock(&population.record).attempts.push(attempt);
+            if was_cut && ROUTES[route].resumable && events > 0 && call.takes_up.is_none() {
+                call.takes_up = Some((call.id.clone(), events));
+                call.id.push_str("-again");
+                continue;
             }
-            _ => false,
-        };
-        let deadline = call.deadline;
-        let ended = Instant::now();
-        let attempt = Attempt { id: call.id, route, host, key, at, deadline, outcome, ended };
-        lock(&population.record).attempts.push(attempt);
-        if !answered {
-            sleep(RETRY_PAUSE).await;
+            if !answered {
+                sleep(RETRY_PAUSE).await;
+            }
+            break;
         }
     }
 }
@@ -171,26 +183,41 @@
     Some((host, connection))
 }
 
-/// Sends a request and reads the response.
-async fn exchange(connection: &mut Connection, call: &Call, streamed: bool) -> Outcome {
+/// Sends a request and reads the response. `events` is the number of events of the stream that have arrived.
+async fn exchange(
+    connection: &mut Connection,
+    call: &Call,
+    streamed: bool,
+    events: &mut u64,
+) -> Outcome {
     let Ok(response) = connection.send(call.request()).await else { return Outcome::Cut(None) };
-    let (head, body) = response.into_parts();
+    let (head, mut frames) = response.into_parts();
     let status = head.status.as_u16();
     if caller::answered_id(&head.headers).is_some_and(|it| it != call.id) {
         return Outcome::Wrong("the response names another request".into());
     }
-    let Ok(body) = body.collect().await else { return Outcome::Cut(Some(status)) };
+    let mut body = Vec::new();
+    while let Some(frame) = frames.frame().await {
+        let Ok(frame) = frame else { return Outcome::Cut(Some(status)) };
+        body.extend_from_slice(&frame.into_data().unwrap_or_default());
+        if streamed && head.status.is_success() {
+            *events = body.windows(2).filter(|it| it == b"\n\n").count() as u64;
+        }
+    }
     if !head.status.is_success() {
         return Outcome::Answered(status);
     }
     if !caller::is_signed(&head.headers) {
         return Outcome::Wrong("a success without a signature".into());
     }
+    let (stream, last_event) = call.takes_up.as_ref().map_or((&call.id, 0), |it| (&it.0, it.1));
     let expected: String = match streamed {
-        true => (1..=engine::event_count(&call.id)).map(|it| engine::event(&call.id, it)).collect(),
+        true => {
+            let due = last_event + 1..=engine::event_count(stream);
+            due.map(|it| engine::event(stream, it)).collect()
+        }
         false => engine::whole_body(&call.id),
     };
-    let body = body.to_bytes();
     if body != expected.as_bytes() {
         let (got, due) = (body.len(), expected.len());
         return Outcome::Wrong(format!("a success with a wrong body: {got} bytes of {due}"));
--- a/bench/src/soak/conductor.rs
+++ b/bench/src/soak/conductor.rs
@@ -83,6 +83,9 @@
     active: Vec<Fault>,
     generations: Vec<u32>,
     weights: Vec<u32>,
+    /// Build of each upstream, and the one that new upstreams get.
+    builds: Vec<u32>,
+    newest_build: u32,
     target: u32,
     configuration: u64,
 }
@@ -97,6 +100,8 @@
             active: Vec::new(),
             generations: vec![0; upstreams],
             weights: vec![1; upstreams],
+            builds: vec![1; upstreams],
+            newest_build: 1,
             target: 1,
             configuration: 0,
         }
@@ -195,6 +200,7 @@
                     it.set_ignores_orders(true);
                 }
             }
+            Action::NewBuild => self.newest_build += 1,
             Action::Limit(upstream, hundredths) => {
                 if let Some(it) = &self.stage.running[upstream] {
                     it.set_limit(Some(f64::from(hundredths) / 100.0));
@@ -286,7 +292,7 @@
                     self.configure(false);
                 }
             }
-            Action::NewWeights | Action::Interrupt(..) => {}
+            Action::NewWeights | Action::NewBuild | Action::Interrupt(..) => {}
         }
         self.settle();
         Ok(())
@@ -418,6 +424,7 @@
             self.stage.store.remove("servers", &old_id);
             self.generations[index] += 1;
             self.weights[index] = self.target;
+            self.builds[index] = self.newest_build;
         }
         {
             let mut record = lock(&self.stage.record);
@@ -426,7 +433,9 @@
         }
         let id = format!("u{index}-{}", self.generations[index]);
         let link = &self.stage.upstream_links[index];
-        let running = engine.start(&id, self.weights[index], |it| link.set_target(it)).await?;
+        let running = engine
+            .start(&id, self.weights[index], self.builds[index], |it| link.set_target(it))
+            .await?;
         self.stage.running[index] = Some(running);
         Ok(())
     }
--- a/bench/src/soak/mutant.rs
+++ b/bench/src/soak/mutant.rs
@@ -28,7 +28,7 @@
 }
 
 /// All mutants, by name, with the check that has to notice.
-pub const MUTANTS: [(&str, Mutant, &str); 19] = [
+pub const MUTANTS: [(&str, Mutant, &str); 20] = [
     ("run-twice", Mutant::Upstreams(Lie::RunTwice), "runs-once"),
     ("run-refused", Mutant::Upstreams(Lie::RunRefused), "true-refusals"),
     ("foreign-body", Mutant::Upstreams(Lie::ForeignBody), "whole-answers"),
@@ -42,6 +42,7 @@
     ("old-weights", Mutant::Upstreams(Lie::OldWeights), "older-weights"),
     ("many-holders", Mutant::Upstreams(Lie::ManyHolders), "one-holder"),
     ("silent-limit", Mutant::Upstreams(Lie::SilentLimit), "limits"),
+    ("first-build", Mutant::Upstreams(Lie::FirstBuild), "builds"),
     ("key-in-name", Mutant::KeyInName, "no-secrets"),
     ("tiny-limits", Mutant::TinyLimits, "bounded-use"),
     ("lost-signal", Mutant::LostSignal, "ends"),
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -67,6 +67,8 @@
     NewWeights,
     /// An upstream names a limit, in hundredths of a request per second, until the end.
     Limit(usize, u32),
+    /// Upstreams that start from now on have a newer build.
+    NewBuild,
 }
 
 /// One fault.
@@ -110,11 +112,12 @@
     Operator,
     Weights,
     Limits,
+    Builds,
 }
 
 /// Families that were added later. They are drawn by themselves, so that the faults of the others stay the
 /// same for a seed.
-const LATER_FAMILIES: [Family; 1] = [Family::Limits];
+const LATER_FAMILIES: [Family; 2] = [Family::Limits, Family::Builds];
 
 const FAMILIES: [Family; 10] = [
     Family::Suspension,
@@ -264,6 +267,15 @@
             let hundredths = random.random_range(20..800);
             (Action::Limit(upstream, hundredths), random.random_range(4000..12_000))
         }
+        Family::Builds => match random.random_range(0..5) {
+            0 => (Action::NewBuild, 0),
+            // A new engine follows an old one, which makes the builds differ.
+            1 => (Action::Drain(random.random_range(0..size.engines)), length + 2000),
+            2 => (Action::Crash(random.random_range(0..size.engines), true), length),
+            3 => (Action::Misbehave(upstream, engine::Mode::CutAnswer), length),
+            // Its callers take up their streams.
+            _ => (Action::Interrupt(host, Interruption::Kill), length),
+        },
         Family::Weights => match random.random_range(0..2) {
             0 => (Action::NewWeights, 0),
             _ => {
--- a/cli/tests/test_soak_check.rs
+++ b/cli/tests/test_soak_check.rs
@@ -84,6 +84,9 @@
             weights: 0,
             ran: true,
             misdirected: false,
+            build: 1,
+            stream: "r-1".to_owned(),
+            last_event: 0,
         });
         self.evidence.logs[0].insert_str(0, "{\"request\":\"r-1\"}\n");
         for it in &mut self.evidence.record.processes[1..] {
@@ -96,6 +99,7 @@
             key: 0,
             at,
             deadline: Duration::from_secs(4),
+            takes_up: false,
             outcome: Outcome::Cut(Some(200)),
             ended,
         });
@@ -219,3 +223,18 @@
     assert!(limited(3000, 12, false).is_empty(), "the contact bound is not over");
     assert!(limited(4500, 12, true).is_empty(), "the host was suspended");
 }
+
+/// A stream that began at build 1 goes on, in one answer or by another request.
+#[test]
+fn stream_that_goes_on_at_another_build_is_noticed() {
+    for (build, expected) in [(1, &[][..]), (2, &["builds"])] {
+        let mut scene = Scene::new(&[0]);
+        scene.cut(1000, 1100);
+        let mut second = scene.evidence.journal.arrivals[0].clone();
+        second.id = "r-2".to_owned();
+        (second.build, second.last_event) = (build, 2);
+        scene.evidence.journal.arrivals[0].weights = 1;
+        scene.evidence.journal.arrivals.push(Arrival { weights: 1, ..second });
+        assert_eq!(scene.broken(), expected, "build {build}");
+    }
+}
