view, health_tracker: a host is ready once it knows all engines

A host counted as ready when the first engine had answered; with reports in another order, or late beside load, it chose among the engines that it knew and ranked another one first. Callers saw the same after a start: prompts that return were computed again.

Traced by a random schedule of reports instead of reruns: hosts_that_are_ready_rank_the_same_engine_first fails on the former code (its smallest case is kept), and passes now. A host waits for the first answer of each engine, or until it counts as down (two failed reports). That the one failure that was seen had this cause fits, but its own schedule was not recorded.

--- a/bench/src/path.rs
+++ b/bench/src/path.rs
@@ -96,7 +96,7 @@
         let host_runtime = build_runtime(HOST_THREAD_NAME, threads.host)?;
         let host = host_runtime.block_on(async {
             let host = RunningHost::start(settings.clone(), Clients::http(&settings)).await?;
-            while !host.has_live_upstream() {
+            while !host.is_ready() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
             Ok::<_, Box<dyn Error>>(host)
--- a/lib/src/admin.rs
+++ b/lib/src/admin.rs
@@ -16,7 +16,6 @@
     public_api::{body_response, json_response},
     shared::Shared,
     table::Table,
-    view::{State, View},
 };
 
 /// Path prefix under which records are found by request id.
@@ -84,7 +83,7 @@
     /// Answers the readiness probe of the load balancer.
     fn readiness(&self) -> Response {
         let view = self.shared.view.load();
-        match unready_reason(&view) {
+        match view.unready_reason() {
             None => message_response(StatusCode::OK, "ready"),
             Some(reason) => message_response(StatusCode::SERVICE_UNAVAILABLE, reason),
         }
@@ -142,18 +141,6 @@
     }
 }
 
-/// Returns why this host should not receive requests, or `None` if it should.
-fn unready_reason(view: &View) -> Option<&'static str> {
-    if view.draining {
-        return Some("shutting down");
-    }
-    let is_up = |state| matches!(state, State::Warm | State::Cold);
-    if view.upstreams.iter().any(|it| is_up(it.state)) {
-        return None;
-    }
-    Some("no upstream is known to be up")
-}
-
 fn message_response(status: StatusCode, text: &str) -> Response {
     json_response(status, &MessageBody { message: text })
 }
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -175,12 +175,9 @@
         &self.shared
     }
 
-    /// Returns whether at least one upstream is up.
-    pub fn has_live_upstream(&self) -> bool {
-        let is_up = |it: &Arc<crate::view::UpstreamView>| {
-            matches!(it.state, crate::view::State::Warm | crate::view::State::Cold)
-        };
-        self.shared.view.load().upstreams.iter().any(is_up)
+    /// Returns whether the host is ready for requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.view.load().unready_reason().is_none()
     }
 
     /// Shuts down gracefully. The health check fails from the start, while the listeners stay open
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -73,3 +73,23 @@
     /// Whether this host is shutting down.
     pub draining: bool,
 }
+
+impl View {
+    /// Returns why this host should not receive requests, or `None` if it should.
+    pub fn unready_reason(&self) -> Option<&'static str> {
+        if self.draining {
+            return Some("shutting down");
+        }
+        // Prompts that return are found in the cache only if all hosts rank the same engine first, which
+        // takes that they know the same ones.
+        let is_unseen = |it: &UpstreamView| it.state == State::Unknown && it.boot_id.is_empty();
+        if self.upstreams.iter().any(|it| is_unseen(it)) {
+            return Some("waiting for the first answer of an upstream");
+        }
+        let is_up = |state| matches!(state, State::Warm | State::Cold);
+        if self.upstreams.iter().any(|it| is_up(it.state)) {
+            return None;
+        }
+        Some("no upstream is known to be up")
+    }
+}
--- a/lib/standin/src/dev.rs
+++ b/lib/standin/src/dev.rs
@@ -150,8 +150,7 @@
         }
     }
 
-    /// Starts one host for each of `settings`, and waits until every host knows an upstream that
-    /// is up.
+    /// Starts one host for each of `settings`, and waits until every host is ready.
     ///
     /// # Errors
     ///
@@ -176,10 +175,10 @@
         futures_util::future::join_all(shutdowns).await.into_iter().all(|it| it)
     }
 
-    /// Waits until every host knows an upstream that is up.
+    /// Waits until every host is ready.
     async fn wait_ready(&self) -> Result<(), DevError> {
         let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
-        while !self.hosts.iter().all(DevHost::has_live_upstream) {
+        while !self.hosts.iter().all(DevHost::is_ready) {
             if tokio::time::Instant::now() > deadline {
                 return Err(DevError::NotReady);
             }
--- a/lib/tests/test_health_tracker.rs
+++ b/lib/tests/test_health_tracker.rs
@@ -1,15 +1,17 @@
 //! Tests of the health tracker: the state of upstreams after each event, and the probes of hosts.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use mothvale_lib::{
     clock::Instant,
     fault::Fault,
     generated::wire::{Load, Weights},
     health_tracker::{Command, Event, HealthTracker},
-    name::Host,
+    inflight::Counters,
+    name::{Host, Model, Zone},
     settings::{Catalog, Settings},
-    view::State,
+    upstream_choice::{Query, pick},
+    view::{State, View},
 };
 use proptest::prelude::*;
 
@@ -258,3 +260,70 @@
         }
     }
 }
+
+const TWO_ENGINES: &str = r#"
+- {name: engine1, zone: hobart, address: "127.0.0.1:5", models: [demo], cold_limit: 5}
+- {name: engine2, zone: hobart, address: "127.0.0.1:6", models: [demo], cold_limit: 5}
+"#;
+
+/// Returns the view of a host after these reports: the index of each engine, and whether it answered.
+fn view_after(reports: &[(usize, bool)]) -> Arc<View> {
+    let settings = format!("{SETTINGS}{}", TWO_ENGINES.trim_start());
+    let catalog = Settings::parse("test.yaml", &settings).unwrap().catalog;
+    let mut tracker = HealthTracker::new(&catalog, &Host::new("host0"), &[]);
+    let now = Instant::default() + Duration::from_secs(1);
+    let mut view = None;
+    let events = reports.iter().map(|(index, answered)| Event::Report {
+        index: *index,
+        requested_at: now,
+        own_in_flight: 0,
+        result: if *answered { Ok(load("a", false)) } else { Err(Fault::TIMEOUT) },
+    });
+    for event in std::iter::once(Event::Tick).chain(events) {
+        for command in tracker.handle(now, event) {
+            if let Command::Publish(published) = command {
+                view = Some(published);
+            }
+        }
+    }
+    view.unwrap()
+}
+
+/// Returns the engine that a host chooses for a prompt.
+fn first_choice(view: &View, prefix_key: u64) -> usize {
+    let (model, zone) = (Model::new("demo"), Zone::new("hobart"));
+    let query = Query { model: &model, prefix_key, prompt_tokens: 4000, tried: &[], zone: &zone };
+    pick(view, &Counters::new(3), &query, Instant::default()).unwrap().index
+}
+
+proptest! {
+    /// Guards against a prompt that came back at another host and found nothing in the cache: the first
+    /// host was ready when one engine had answered, and ranked that one first.
+    #[test]
+    fn hosts_that_are_ready_rank_the_same_engine_first(
+        orders in prop::array::uniform2(Just([0_usize, 1, 2]).prop_shuffle()),
+        known in prop::array::uniform2(1_usize..=3),
+        prefix_key in any::<u64>(),
+    ) {
+        let views = [0, 1].map(|host| {
+            let reports: Vec<_> = orders[host][..known[host]].iter().map(|it| (*it, true)).collect();
+            view_after(&reports)
+        });
+        if views.iter().all(|it| it.unready_reason().is_none()) {
+            prop_assert_eq!(first_choice(&views[0], prefix_key), first_choice(&views[1], prefix_key));
+        }
+    }
+}
+
+/// An engine that does not answer keeps a host from being ready only until it counts as down; one that
+/// falls silent later does not.
+#[test]
+fn engine_that_never_answers_does_not_keep_a_host_from_being_ready() {
+    let is_ready = |reports: &[(usize, bool)]| view_after(reports).unready_reason().is_none();
+    assert!(!is_ready(&[(0, true), (1, true)]));
+    assert!(!is_ready(&[(0, true), (1, true), (2, false)]));
+    assert!(is_ready(&[(0, true), (1, true), (2, false), (2, false)]));
+    assert!(is_ready(&[(0, true), (1, true), (2, true), (2, false)]));
+    let all_down = [(0, false), (0, false), (1, false), (1, false), (2, false), (2, false)];
+    assert!(!is_ready(&all_down));
+}
