--- a/lib/tests/test_departure.rs
+++ b/lib/tests/test_departure.rs
@@ -4,30 +4,13 @@
 
 use mothvale_lib::{
     departure::{Departure, Departures},
-    fleet::{Choice, Denial, Fleet, Query, UpstreamRow},
+    fleet::{Denial, Fleet, UpstreamRow},
     generated::peer,
     prelude::*,
 };
-use mothvale_testutils::gateway::{ENGINES, at, configuration, engine, fleet};
+use mothvale_testutils::gateway::{at, choose_engine, engine, fleet};
 use proptest::prelude::*;
 
-fn choose(fleet: &mut Fleet, now: Instant, session: u64) -> Result<Choice, Denial> {
-    let query = Query {
-        service: &Service::new(ENGINES),
-        model: Some(&Model::new("demo")),
-        session: Some(session),
-        cached: None,
-        tokens: 100,
-        admitted: false,
-        priority: 0,
-        request_hash: session,
-        max_wait: Duration::from_secs(1),
-        build: None,
-        tried: &[],
-    };
-    fleet.choose(now, &configuration(), &query)
-}
-
 fn departure(row: &UpstreamRow) -> Departure {
     Departure { upstream: row.id.clone(), incarnation: row.incarnation(), age: Duration::ZERO }
 }
@@ -42,7 +25,8 @@
     assert!(fleet.departures.record(at(10), &departure(&started_at(1))));
     assert!(!fleet.departures.record(at(20), &departure(&started_at(1))));
     let no_upstream = |fleet: &mut Fleet, ms| {
-        matches!(choose(fleet, at(ms), 1), Err(Denial::NoUpstream(_))) && fleet.has_no_active()
+        matches!(choose_engine(fleet, at(ms), 1), Err(Denial::NoUpstream(_)))
+            && fleet.has_no_active()
     };
     assert!(no_upstream(&mut fleet, 30));
     fleet.upsert(at(40), started_at(1));
@@ -51,7 +35,7 @@
     fleet.upsert(at(60), started_at(1));
     assert!(no_upstream(&mut fleet, 70));
     fleet.upsert(at(80), started_at(2));
-    assert!(choose(&mut fleet, at(90), 1).is_ok());
+    assert!(choose_engine(&mut fleet, at(90), 1).is_ok());
     // The row store returns from a copy in which the former process was still there.
     fleet.upsert(at(100), started_at(1));
     assert!(no_upstream(&mut fleet, 110));
@@ -63,10 +47,10 @@
     let mut fleet = fleet(1);
     fleet.departures.record(at(10), &departure(&started_at(1)));
     fleet.upsert(at(20), started_at(0));
-    assert!(choose(&mut fleet, at(30), 1).is_err());
+    assert!(choose_engine(&mut fleet, at(30), 1).is_err());
     let address = "127.0.0.2:9".parse().unwrap();
     fleet.upsert(at(40), UpstreamRow { address, ..started_at(0) });
-    assert!(choose(&mut fleet, at(50), 1).is_ok());
+    assert!(choose_engine(&mut fleet, at(50), 1).is_ok());
 }
 
 #[test]
@@ -74,7 +58,7 @@
     let mut fleet = fleet(0);
     fleet.departures.record(at(10), &departure(&started_at(1)));
     fleet.upsert(at(20), started_at(1));
-    assert!(choose(&mut fleet, at(30), 1).is_err());
+    assert!(choose_engine(&mut fleet, at(30), 1).is_err());
 }
 
 /// A leaving upstream is also no source of cached prompts, and gets no orders for weights.
@@ -84,7 +68,7 @@
     fleet.target_weights.set(Some(at(0)), Model::new("demo"), 2);
     fleet.departures.record(at(10), &departure(&started_at(1)));
     for session in 0..40 {
-        let choice = choose(&mut fleet, at(20), session).unwrap();
+        let choice = choose_engine(&mut fleet, at(20), session).unwrap();
         assert_eq!((choice.id.as_str(), choice.cache_source), ("engine1", None));
     }
     let outdated: Vec<_> = fleet.outdated().into_iter().map(|it| it.0.id).collect();
@@ -166,7 +150,7 @@
                 _ => leaving.contains(&start),
             };
             let expected = current.is_some_and(|it| !is_leaving(it));
-            prop_assert_eq!(choose(&mut fleet, now, 1).is_ok(), expected, "{:?}", event);
+            prop_assert_eq!(choose_engine(&mut fleet, now, 1).is_ok(), expected, "{:?}", event);
         }
     }
 }
--- a/lib/tests/test_pause.rs
+++ b/lib/tests/test_pause.rs
@@ -5,34 +5,17 @@
 use mothvale_lib::{
     admission::Pressure,
     codec::RetryAfter,
-    fleet::{Choice, Denial, Fleet, Outcome, Query, UpstreamRow},
+    fleet::{Choice, Denial, Fleet, Outcome, UpstreamRow},
     pause::{Length, NoPause, spread},
     prelude::*,
 };
-use mothvale_testutils::gateway::{ENGINES, at, configuration, engine, fleet};
+use mothvale_testutils::gateway::{ENGINES, at, choose_engine, configuration, engine, fleet};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Longest time by which a pause of a second is spread.
 const SECOND_SPREAD: Duration = Duration::from_millis(250);
 
-fn choose(fleet: &mut Fleet, now: Instant, session: u64) -> Result<Choice, Denial> {
-    let query = Query {
-        service: &Service::new(ENGINES),
-        model: Some(&Model::new("demo")),
-        session: Some(session),
-        cached: None,
-        tokens: 100,
-        admitted: false,
-        priority: 0,
-        request_hash: session,
-        max_wait: Duration::from_secs(1),
-        build: None,
-        tried: &[],
-    };
-    fleet.choose(now, &configuration(), &query)
-}
-
 fn record_outcome(fleet: &mut Fleet, now: Instant, choice: &Choice, outcome: Outcome) {
     let configuration = configuration();
     fleet.record_outcome(now, &configuration.services[&Service::new(ENGINES)], choice, outcome);
@@ -86,9 +69,9 @@
     let mut fleet = fleet(1);
     assert!(pause(&mut fleet, at(1000), &started_at(0, 1), SECOND));
     for ms in [1000, 1500, 1999] {
-        assert!(matches!(choose(&mut fleet, at(ms), 1), Err(Denial::Paused(_))), "{ms}");
+        assert!(matches!(choose_engine(&mut fleet, at(ms), 1), Err(Denial::Paused(_))), "{ms}");
     }
-    assert!(choose(&mut fleet, at(2000) + SECOND_SPREAD, 1).is_ok());
+    assert!(choose_engine(&mut fleet, at(2000) + SECOND_SPREAD, 1).is_ok());
     // Another one is a new pause.
     assert!(pause(&mut fleet, at(2500), &started_at(0, 1), SECOND));
 }
@@ -99,7 +82,7 @@
     let mut fleet = fleet(1);
     assert!(pause(&mut fleet, at(0), &started_at(0, 1), 10 * SECOND));
     assert!(!pause(&mut fleet, at(100), &started_at(0, 1), SECOND));
-    assert!(choose(&mut fleet, at(9999), 1).is_err());
+    assert!(choose_engine(&mut fleet, at(9999), 1).is_err());
 }
 
 #[test]
@@ -107,17 +90,17 @@
     let mut fleet = fleet(1);
     pause(&mut fleet, at(0), &started_at(0, 1), 60 * SECOND);
     fleet.upsert(at(10), started_at(0, 1));
-    assert!(choose(&mut fleet, at(11), 1).is_err());
+    assert!(choose_engine(&mut fleet, at(11), 1).is_err());
     fleet.remove(&Upstream::new("engine0"));
     fleet.upsert(at(20), started_at(0, 1));
-    assert!(choose(&mut fleet, at(21), 1).is_err());
+    assert!(choose_engine(&mut fleet, at(21), 1).is_err());
     fleet.upsert(at(30), started_at(0, 2));
-    assert!(choose(&mut fleet, at(31), 1).is_ok());
+    assert!(choose_engine(&mut fleet, at(31), 1).is_ok());
     fleet.upsert(at(40), started_at(0, 1));
-    assert!(choose(&mut fleet, at(41), 1).is_err());
+    assert!(choose_engine(&mut fleet, at(41), 1).is_err());
     // A row without a start time may be about any process at its address.
     fleet.upsert(at(50), started_at(0, 0));
-    assert!(choose(&mut fleet, at(51), 1).is_err());
+    assert!(choose_engine(&mut fleet, at(51), 1).is_err());
 }
 
 /// The others are ejected or back off: the paused one is no last resort.
@@ -125,11 +108,11 @@
 fn paused_upstream_is_no_last_resort() {
     let mut fleet = fleet(2);
     pause(&mut fleet, at(0), &started_at(0, 1), 60 * SECOND);
-    let choice = choose(&mut fleet, at(10), 1).unwrap();
+    let choice = choose_engine(&mut fleet, at(10), 1).unwrap();
     assert_eq!((choice.id.as_str(), choice.cache_source), ("engine1", None));
     record_outcome(&mut fleet, at(20), &choice, Outcome::Unreachable);
     // Not all pause, so the time is that until the ejection ends.
-    assert_eq!(choose(&mut fleet, at(30), 2), Err(Denial::Full(Duration::from_millis(390))));
+    assert_eq!(choose_engine(&mut fleet, at(30), 2), Err(Denial::Full(Duration::from_millis(390))));
 }
 
 /// A pause is not a failure: afterwards the upstream gets requests as before.
@@ -138,13 +121,13 @@
     let mut fleet = fleet(1);
     for round in 0..40 {
         let now = at(round * 2000);
-        let choice = choose(&mut fleet, now, round).unwrap();
+        let choice = choose_engine(&mut fleet, now, round).unwrap();
         record_outcome(&mut fleet, now, &choice, Outcome::Paused);
         pause(&mut fleet, now, &started_at(0, 1), SECOND);
     }
     assert!(!fleet.fails_often(&Upstream::new("engine0")));
     for session in 0..5 {
-        assert!(choose(&mut fleet, at(90_000), session).is_ok());
+        assert!(choose_engine(&mut fleet, at(90_000), session).is_ok());
     }
 }
 
@@ -156,7 +139,7 @@
     }
     let first = fleet.pauses.until(at(0), &started_at(0, 1)).unwrap();
     let mut waits: Vec<_> = (0..100)
-        .map(|session| match choose(&mut fleet, at(1000), session) {
+        .map(|session| match choose_engine(&mut fleet, at(1000), session) {
             Err(Denial::Paused(wait)) => wait,
             other => panic!("{other:?}"),
         })
@@ -189,7 +172,7 @@
             (300_000, 40),
         )]);
         fleet.record_peer_loads(at(0), &Host::new("host1"), loads);
-        let shed = (0..200).find_map(|session| match choose(fleet, at(1), session) {
+        let shed = (0..200).find_map(|session| match choose_engine(fleet, at(1), session) {
             Err(Denial::Shed(_, Pressure { load, .. })) => Some(load),
             _ => None,
         });
@@ -253,7 +236,7 @@
             }
             let Some(start) = current else { continue };
             let (earliest, latest) = ends.get(&start).copied().unwrap_or_default();
-            let chosen = choose(&mut fleet, now, 1);
+            let chosen = choose_engine(&mut fleet, now, 1);
             if now < earliest {
                 prop_assert!(matches!(chosen, Err(Denial::Paused(_))), "{:?}", event);
             } else if now >= latest {
--- a/lib/tests/test_rate_limit.rs
+++ b/lib/tests/test_rate_limit.rs
@@ -4,14 +4,14 @@
 
 use mothvale_lib::{
     codec::RateLimit,
-    fleet::{Choice, Denial, Fleet, Query, UpstreamRow},
+    fleet::{Denial, UpstreamRow},
     generated::peer,
     obstacle::Obstacle,
     prelude::*,
     rate_limit::{Change, Hosts, Limits, NoRate, Rate, Statement},
     rendezvous,
 };
-use mothvale_testutils::gateway::{ENGINES, at, configuration, engine, fleet};
+use mothvale_testutils::gateway::{at, choose_engine, engine, fleet};
 use proptest::prelude::*;
 
 /// Span in which an upstream counts what it gets.
@@ -271,23 +271,6 @@
     assert_eq!(member.limits.count(), 0);
 }
 
-fn choose(fleet: &mut Fleet, now: Instant, session: u64) -> Result<Choice, Denial> {
-    let query = Query {
-        service: &Service::new(ENGINES),
-        model: Some(&Model::new("demo")),
-        session: Some(session),
-        cached: None,
-        tokens: 100,
-        admitted: false,
-        priority: 0,
-        request_hash: session,
-        max_wait: Duration::from_secs(1),
-        build: None,
-        tried: &[],
-    };
-    fleet.choose(now, &configuration(), &query)
-}
-
 /// Requests go to the other engines, and none is refused.
 #[test]
 fn requests_beyond_the_limit_go_elsewhere() {
@@ -295,7 +278,9 @@
     fleet.record_limit(at(0), &statement(0, Some(2.5)));
     let mut counts: HashMap<_, usize> = HashMap::new();
     for ms in (0..SPAN_MS).step_by(40) {
-        *counts.entry(choose(&mut fleet, at(ms), ms).unwrap().id.to_string()).or_default() += 1;
+        *counts
+            .entry(choose_engine(&mut fleet, at(ms), ms).unwrap().id.to_string())
+            .or_default() += 1;
     }
     let limited = counts["engine0"];
     assert!(limited <= max_in_span(2.5) && limited > 0, "{counts:?}");
@@ -308,10 +293,10 @@
 fn callers_of_a_lone_limited_upstream_are_told_when_to_return() {
     let mut fleet = fleet(1);
     fleet.record_limit(at(0), &statement(0, Some(2.5)));
-    assert!(choose(&mut fleet, at(4000), 1).is_ok());
-    while choose(&mut fleet, at(4000), 1).is_ok() {}
+    assert!(choose_engine(&mut fleet, at(4000), 1).is_ok());
+    while choose_engine(&mut fleet, at(4000), 1).is_ok() {}
     let waits: Vec<_> = (0..20)
-        .map(|session| match choose(&mut fleet, at(4000), session) {
+        .map(|session| match choose_engine(&mut fleet, at(4000), session) {
             Err(Denial::Limited(wait)) => wait,
             other => panic!("{other:?}"),
         })
@@ -319,18 +304,18 @@
     let shortest = *waits.iter().min().unwrap();
     assert!(shortest <= Duration::from_millis(600), "{waits:?}");
     assert!(*waits.iter().max().unwrap() > shortest, "they come back one after the other");
-    assert!(choose(&mut fleet, at(4000) + Duration::from_millis(400), 1).is_ok());
+    assert!(choose_engine(&mut fleet, at(4000) + Duration::from_millis(400), 1).is_ok());
 }
 
 /// A limit that is named while a host connects keeps the request from being sent.
 #[test]
 fn request_that_was_chosen_before_the_limit_is_not_sent() {
     let mut fleet = fleet(1);
-    let (model, choice) = (Model::new("demo"), choose(&mut fleet, at(0), 1).unwrap());
+    let (model, choice) = (Model::new("demo"), choose_engine(&mut fleet, at(0), 1).unwrap());
     assert_eq!(fleet.obstacle(at(10), &choice, Some(&model)), None);
     fleet.record_limit(at(20), &statement(20, Some(2.5)));
     assert_eq!(fleet.obstacle(at(30), &choice, Some(&model)), Some(Obstacle::Limited));
-    let counted = choose(&mut fleet, at(2000), 1).unwrap();
+    let counted = choose_engine(&mut fleet, at(2000), 1).unwrap();
     assert_eq!(fleet.obstacle(at(2010), &counted, Some(&model)), None);
 }
 
@@ -339,14 +324,14 @@
 fn limit_holds_for_one_process() {
     let mut fleet = fleet(1);
     fleet.record_limit(at(0), &statement(0, Some(0.5)));
-    assert!(matches!(choose(&mut fleet, at(10), 1), Err(Denial::Limited(_))));
+    assert!(matches!(choose_engine(&mut fleet, at(10), 1), Err(Denial::Limited(_))));
     fleet.upsert(at(20), UpstreamRow { start_time_ms: 2, ..row() });
     for session in 0..20 {
-        assert!(choose(&mut fleet, at(30), session).is_ok());
+        assert!(choose_engine(&mut fleet, at(30), session).is_ok());
     }
     // Its row without a start time may be about either process.
     fleet.upsert(at(40), UpstreamRow { start_time_ms: 0, ..row() });
-    assert!(matches!(choose(&mut fleet, at(50), 1), Err(Denial::Limited(_))));
+    assert!(matches!(choose_engine(&mut fleet, at(50), 1), Err(Denial::Limited(_))));
 }
 
 proptest! {
--- a/lib/testutils/src/gateway.rs
+++ b/lib/testutils/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use mothvale_lib::{
     configuration::{Configuration, EngineEntry, Limits, RetryPolicy, Route, ServiceEntry},
-    fleet::{Fleet, UpstreamRow},
+    fleet::{Choice, Denial, Fleet, Query, UpstreamRow},
     host_settings::{Bounds, HostSettings},
     prelude::*,
 };
@@ -124,3 +124,25 @@
     }
     fleet
 }
+
+/// Lets a fleet choose an engine for a small request of a session.
+///
+/// # Errors
+///
+/// Returns the fleet's reason if it chooses none.
+pub fn choose_engine(fleet: &mut Fleet, now: Instant, session: u64) -> Result<Choice, Denial> {
+    let query = Query {
+        service: &Service::new(ENGINES),
+        model: Some(&Model::new("demo")),
+        session: Some(session),
+        cached: None,
+        tokens: 100,
+        admitted: false,
+        priority: 0,
+        request_hash: session,
+        max_wait: Duration::from_secs(1),
+        build: None,
+        tried: &[],
+    };
+    fleet.choose(now, &configuration(), &query)
+}
