stream, forward: taking up a stream stands with streams

A move of two functions and a constant out of forward, which has more than one job, to stream, which knows how streams go on. Nothing else changed. Run: test_stream_build and test_path (27), clippy.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -26,8 +26,7 @@
     quarantine::Fingerprint,
     response_body::Body,
     salt,
-    stream_origin::Attempt,
-    stream_resumption::Destination,
+    stream::BEGIN_ANEW_WAIT,
 };
 
 /// Idle time from which a pooled connection is not used for a request that may run only once:
@@ -42,8 +41,6 @@
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 /// Fraction of the time left within the latency objective that fetches of cached parts may take.
 const FETCH_BUDGET_FRACTION: f64 = 0.4;
-/// Time after which the caller of a stream that cannot go on may begin it anew.
-const BEGIN_ANEW_WAIT: Duration = Duration::from_millis(20);
 /// Shortest timeout of an attempt, unless less of the request's time is left.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -285,48 +282,6 @@
         fleet.record_wait(now, &job.service, job.priority(), waited, job.route.latency_objective);
     }
 
-    /// Finds out where the stream began that the request takes up, if it does.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the stream can go on nowhere.
-    async fn take_up_stream(&mut self) -> Result<(), Error> {
-        let Metadata { id, stream_origin, last_event_id, .. } = &self.job.metadata;
-        if stream_origin.is_none() && last_event_id.is_none() {
-            return Ok(());
-        }
-        let started = TokioInstant::now();
-        let service = &self.job.service;
-        let attempt = stream_origin.as_deref().map(Attempt::new);
-        let destination = self.gateway.find_destination(service, attempt).await;
-        let (outcome, build) = match &destination {
-            Destination::Known(build) => ("origin_known", Some(build)),
-            Destination::Only(build) => ("one_build", Some(build)),
-            Destination::Any => ("no_build", None),
-            Destination::Unknown => ("origin_unknown", None),
-        };
-        self.gateway.metrics.taken_up_streams.with_label_values(&[outcome]).inc();
-        log::info!(request = id.as_str(), stream_origin = stream_origin.as_deref(),
-            last_event = last_event_id.as_deref(), service = service.as_str(), outcome = outcome,
-            build = build.map(Build::as_str), asked_ms = started.elapsed().as_millis() as u64;
-            "caller takes up a stream");
-        match destination {
-            Destination::Known(build) | Destination::Only(build) => self.build = Some(build),
-            Destination::Any => {}
-            Destination::Unknown => {
-                let message = "the stream cannot go on, its origin is not known; begin anew";
-                return Err(Error::new(Kind::StreamLost, message).with_retry_after(BEGIN_ANEW_WAIT));
-            }
-        }
-        Ok(())
-    }
-
-    /// Returns the request that brought the first event of the stream, or will.
-    pub(crate) fn stream_attempt(&self) -> Attempt {
-        let Metadata { id, stream_origin, .. } = &self.job.metadata;
-        Attempt::new(stream_origin.as_deref().unwrap_or(id))
-    }
-
     /// Sends the request, with retries, and returns the response for the caller.
     ///
     /// # Errors
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -1,13 +1,17 @@
 //! Forwards responses that are streams of server-sent events: complete events are passed on as
-//! they arrive, and a broken stream is resumed at another upstream if the route allows it.
+//! they arrive, and a broken stream is resumed at another upstream if the route allows it. Also finds
+//! out where a stream can go on that the caller takes up.
 
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use tokio::{sync::mpsc, time::timeout_at};
+use tokio::{
+    sync::mpsc,
+    time::{Instant as TokioInstant, timeout_at},
+};
 
 use crate::{
     cache_index::Plan,
-    codec::Codec,
+    codec::{Codec, Metadata},
     fatal_prompt::Signs,
     fleet::{Choice, Outcome},
     forward::{Forwarder, InFlightAttempt, UpstreamResponse},
@@ -16,8 +20,11 @@
     response_body::{Body, Truncated},
     sse::Decoder,
     stream_origin::Attempt,
+    stream_resumption::Destination,
 };
 
+/// Time after which the caller of a stream that cannot go on may begin it anew.
+pub(crate) const BEGIN_ANEW_WAIT: Duration = Duration::from_millis(20);
 /// Chunks of one or more events that are buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 32;
 
@@ -25,6 +32,48 @@
 where
     C: Codec,
 {
+    /// Finds out where the stream began that the request takes up, if it does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream can go on nowhere.
+    pub(crate) async fn take_up_stream(&mut self) -> Result<(), Error> {
+        let Metadata { id, stream_origin, last_event_id, .. } = &self.job.metadata;
+        if stream_origin.is_none() && last_event_id.is_none() {
+            return Ok(());
+        }
+        let started = TokioInstant::now();
+        let service = &self.job.service;
+        let attempt = stream_origin.as_deref().map(Attempt::new);
+        let destination = self.gateway.find_destination(service, attempt).await;
+        let (outcome, build) = match &destination {
+            Destination::Known(build) => ("origin_known", Some(build)),
+            Destination::Only(build) => ("one_build", Some(build)),
+            Destination::Any => ("no_build", None),
+            Destination::Unknown => ("origin_unknown", None),
+        };
+        self.gateway.metrics.taken_up_streams.with_label_values(&[outcome]).inc();
+        log::info!(request = id.as_str(), stream_origin = stream_origin.as_deref(),
+            last_event = last_event_id.as_deref(), service = service.as_str(), outcome = outcome,
+            build = build.map(Build::as_str), asked_ms = started.elapsed().as_millis() as u64;
+            "caller takes up a stream");
+        match destination {
+            Destination::Known(build) | Destination::Only(build) => self.build = Some(build),
+            Destination::Any => {}
+            Destination::Unknown => {
+                let message = "the stream cannot go on, its origin is not known; begin anew";
+                return Err(Error::new(Kind::StreamLost, message).with_retry_after(BEGIN_ANEW_WAIT));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the request that brought the first event of the stream, or will.
+    fn stream_attempt(&self) -> Attempt {
+        let Metadata { id, stream_origin, .. } = &self.job.metadata;
+        Attempt::new(stream_origin.as_deref().unwrap_or(id))
+    }
+
     /// Returns a streamed response and forwards its events in a separate task.
     pub(crate) fn forward_stream(self, upstream_response: UpstreamResponse<C>) -> Response<Body> {
         let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
