stream: the fields of streams say nothing on routes without streams

Found by reading the change: a request on a route of another kind that has Last-Event-Id or Resumes, which callers may send, was refused (503 stream_lost) while upstreams of several builds serve. Its callers would see a refusal that repeats. Only streaming routes take streams up now.

Run: request_that_is_no_stream_is_served_whatever_it_names failed before (503) and passes; test_stream_build.

--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -12,6 +12,7 @@
 use crate::{
     cache_index::Plan,
     codec::{Codec, Metadata},
+    configuration::RetryPolicy,
     fatal_prompt::Signs,
     fleet::{Choice, Outcome},
     forward::{Forwarder, InFlightAttempt, UpstreamResponse},
@@ -39,7 +40,8 @@
     /// Returns an error if the stream can go on nowhere.
     pub(crate) async fn take_up_stream(&mut self) -> Result<(), Error> {
         let Metadata { id, stream_origin, last_event_id, .. } = &self.job.metadata;
-        if stream_origin.is_none() && last_event_id.is_none() {
+        let is_stream = matches!(self.job.route.retry_policy, RetryPolicy::Stream { .. });
+        if !is_stream || stream_origin.is_none() && last_event_id.is_none() {
             return Ok(());
         }
         let started = TokioInstant::now();
