stream, stream_resumption: a stream goes on at the service that began it

Found by reading the change: a host that knew where a stream had begun refused it (503 stream_lost) when the route's weights had led its session to another service since. It goes on at its own service now, as long as the route has that one. The answer between hosts names the service beside the build.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -288,8 +288,8 @@
     ///
     /// Returns the error for the caller if no upstream gave a response.
     pub async fn run(mut self) -> Result<Response<Body>, Error> {
-        self.gateway.count_request(&self.job.service);
         self.take_up_stream().await?;
+        self.gateway.count_request(&self.job.service);
         loop {
             let upstream_response = match self.send_with_retries(None).await {
                 Ok(upstream_response) => upstream_response,
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -713,7 +713,7 @@
                         return;
                     }
                 }
-                let _ = answer.send(peer::OriginAnswer { build: None, mixed });
+                let _ = answer.send(peer::OriginAnswer { mixed, ..peer::OriginAnswer::default() });
             });
         }
     }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -49,7 +49,7 @@
         let attempt = stream_origin.as_deref().map(Attempt::new);
         let destination = self.gateway.find_destination(service, attempt).await;
         let (outcome, build) = match &destination {
-            Destination::Known(build) => ("origin_known", Some(build)),
+            Destination::Known(place) => ("origin_known", Some(&place.build)),
             Destination::Only(build) => ("one_build", Some(build)),
             Destination::Any => ("no_build", None),
             Destination::Unknown => ("origin_unknown", None),
@@ -59,12 +59,26 @@
             last_event = last_event_id.as_deref(), service = service.as_str(), outcome = outcome,
             build = build.map(Build::as_str), asked_ms = started.elapsed().as_millis() as u64;
             "caller takes up a stream");
+        let lost =
+            |message| Err(Error::new(Kind::StreamLost, message).with_retry_after(BEGIN_ANEW_WAIT));
         match destination {
-            Destination::Known(build) | Destination::Only(build) => self.build = Some(build),
+            Destination::Known(place) if place.service == *service => {
+                self.build = Some(place.build);
+            }
+            // The route's weights have led the session to another service since.
+            Destination::Known(place) => {
+                let still_there = self.job.route.services.iter().any(|it| it.0 == place.service);
+                let job = Arc::get_mut(&mut self.job).filter(|_| still_there);
+                let Some(job) = job else {
+                    return lost("the route does not lead to the stream's service; begin anew");
+                };
+                job.service = place.service;
+                self.build = Some(place.build);
+            }
+            Destination::Only(build) => self.build = Some(build),
             Destination::Any => {}
             Destination::Unknown => {
-                let message = "the stream cannot go on, its origin is not known; begin anew";
-                return Err(Error::new(Kind::StreamLost, message).with_retry_after(BEGIN_ANEW_WAIT));
+                return lost("the stream cannot go on, its origin is not known; begin anew");
             }
         }
         Ok(())
--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -22,8 +22,8 @@
 /// Where a stream that is taken up can go on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Destination {
-    /// At upstreams of this build, which began it.
-    Known(Build),
+    /// At upstreams of this service and build, which began it.
+    Known(Place),
     /// At upstreams of this build: the service has had no other one.
     Only(Build),
     /// At any upstream: no build of the service is known.
@@ -83,7 +83,7 @@
         attempt: Option<Attempt>,
     ) -> Destination {
         let Some(attempt) = attempt else { return self.only_destination(service) };
-        if let Some(destination) = self.known_destination(service, attempt) {
+        if let Some(destination) = self.known_destination(attempt) {
             return destination;
         }
         let destination = self.only_destination(service);
@@ -91,12 +91,12 @@
             return destination;
         }
         let answer = self.ask_other_hosts(service, attempt).await;
-        if let Some(build) = answer.build {
-            let place = Place { service: service.clone(), build: Build::new(build) };
+        if let (Some(service), Some(build)) = (answer.service, answer.build) {
+            let place = Place { service: Service::new(service), build: Build::new(build) };
             lock(&self.stream_origins).record(self.now(), attempt, &place, Source::Told);
         }
         // It may also have been told meanwhile.
-        match self.known_destination(service, attempt) {
+        match self.known_destination(attempt) {
             Some(destination) => destination,
             None if answer.mixed => Destination::Unknown,
             None => self.only_destination(service),
@@ -113,14 +113,8 @@
         }
     }
 
-    fn known_destination(&self, service: &Service, attempt: Attempt) -> Option<Destination> {
-        let origins = lock(&self.stream_origins);
-        let place = origins.place(attempt)?;
-        Some(match place.service == *service {
-            true => Destination::Known(place.build.clone()),
-            // The route has led to another service since.
-            false => Destination::Unknown,
-        })
+    fn known_destination(&self, attempt: Attempt) -> Option<Destination> {
+        lock(&self.stream_origins).place(attempt).cloned().map(Destination::Known)
     }
 
     /// Asks other hosts where a stream began. The answer is empty if there is none in time.
@@ -142,12 +136,12 @@
     /// Answers another host's question where a stream began.
     pub(crate) fn answer_origin(&self, question: &peer::OriginQuestion) -> peer::OriginAnswer {
         let service = Service::new(question.service.clone());
-        let destination = self.known_destination(&service, Attempt(question.attempt));
+        let origins = lock(&self.stream_origins);
+        let place = origins.place(Attempt(question.attempt)).cloned();
+        drop(origins);
         peer::OriginAnswer {
-            build: match destination {
-                Some(Destination::Known(build)) => Some(FastStr::new(build.as_str())),
-                _ => None,
-            },
+            service: place.as_ref().map(|it| FastStr::new(it.service.as_str())),
+            build: place.as_ref().map(|it| FastStr::new(it.build.as_str())),
             mixed: self.fleet().builds.is_mixed(self.now(), &service),
         }
     }
