gateway, notice: the gauge of limited upstreams follows what is forgotten

mothvale_limited_upstreams was set only when an upstream said something; a limit that is dropped, as its process is not listed any more, stayed in it. It is set after each purge too. Found by reading the change; no test of the purge's period. Run: test_rate_limit over sockets, clippy.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -437,6 +437,7 @@
         self.purge_causes();
         lock(&self.stream_origins).purge(self.now());
         self.fleet().purge(self.now());
+        self.update_limited_upstreams();
     }
 }
 
--- a/lib/src/notice.rs
+++ b/lib/src/notice.rs
@@ -155,8 +155,7 @@
             Change::Changed(former) => Some(former.per_second()),
             Change::Named | Change::Ended => None,
         };
-        let limited = self.fleet().limits.count();
-        self.metrics.limited_upstreams.set(i64::try_from(limited).unwrap_or(i64::MAX));
+        self.update_limited_upstreams();
         log::info!(upstream = statement.upstream.as_str(),
             address = statement.incarnation.address.to_string().as_str(),
             started_ms = statement.incarnation.start_time_ms,
@@ -165,6 +164,12 @@
             "upstream's limit changed");
     }
 
+    /// Sets the gauge of the upstreams that have a limit.
+    pub(crate) fn update_limited_upstreams(&self) {
+        let limited = self.fleet().limits.count();
+        self.metrics.limited_upstreams.set(i64::try_from(limited).unwrap_or(i64::MAX));
+    }
+
     /// Records a departure that another host has learned.
     pub fn record_remote_departure(&self, peer: &Host, departure: &Departure) {
         self.record_departure(departure, "host", peer.as_str());
