stream, soak, docs: the field's word for going on with a stream

Renamed before anything was released: the log line "caller resumes a stream", mothvale_resumed_streams_total, prepare_resumption, and the soak's figures resumed and resumed_whole.

--- a/bench/src/soak/client.rs
+++ b/bench/src/soak/client.rs
@@ -116,7 +116,7 @@
         let leaves = random.random_bool(LEAVE_PROBABILITY);
         let mut call = Call {
             id: format!("{seed:x}-{index}-{number}"),
-            takes_up: None,
+            resumes: None,
             path: format!("/{}/{index}", ROUTES[route].name),
             key: population.keys[key].clone(),
             deadline: match ROUTES[route].service {
@@ -155,11 +155,11 @@
                 _ => false,
             };
             let (id, deadline, ended) = (call.id.clone(), call.deadline, Instant::now());
-            let takes_up = call.takes_up.is_some();
-            let attempt = Attempt { id, route, host, key, at, deadline, takes_up, outcome, ended };
+            let resumes = call.resumes.is_some();
+            let attempt = Attempt { id, route, host, key, at, deadline, resumes, outcome, ended };
             lock(&population.record).attempts.push(attempt);
-            if was_cut && ROUTES[route].resumable && events > 0 && call.takes_up.is_none() {
-                call.takes_up = Some((call.id.clone(), events));
+            if was_cut && ROUTES[route].resumable && events > 0 && call.resumes.is_none() {
+                call.resumes = Some((call.id.clone(), events));
                 call.id.push_str("-again");
                 continue;
             }
@@ -210,7 +210,7 @@
     if !caller::is_signed(&head.headers) {
         return Outcome::Wrong("a success without a signature".into());
     }
-    let (stream, last_event) = call.takes_up.as_ref().map_or((&call.id, 0), |it| (&it.0, it.1));
+    let (stream, last_event) = call.resumes.as_ref().map_or((&call.id, 0), |it| (&it.0, it.1));
     let expected: String = match streamed {
         true => {
             let due = last_event + 1..=engine::event_count(stream);
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -258,7 +258,7 @@
         record.attempts.iter().filter(|it| select(&it.outcome)).count()
     };
     let usage = &record.usage;
-    let taken_up: Vec<_> = record.attempts.iter().filter(|it| it.takes_up).collect();
+    let resumed: Vec<_> = record.attempts.iter().filter(|it| it.resumes).collect();
     json!({
         "bench": "soak", "seed": options.seed, "hosts": options.hosts,
         "seconds": options.time.as_secs_f64(), "faults": faults,
@@ -278,8 +278,8 @@
         "max_files": usage.iter().map(|it| it.1).max(),
         "stalls": record.disturbances.iter().filter(|it| it.scope == Scope::Machine).count(),
         "longest_stall_ms": record.longest_stall.as_millis() as u64,
-        "taken_up": taken_up.len(),
-        "gone_on": taken_up.iter().filter(|it| it.outcome == Outcome::Answered(200)).count(),
+        "resumed": resumed.len(),
+        "resumed_whole": resumed.iter().filter(|it| it.outcome == Outcome::Answered(200)).count(),
         "broken": broken,
     })
 }
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -273,7 +273,7 @@
             1 => (Action::Drain(random.random_range(0..size.engines)), length + 2000),
             2 => (Action::Crash(random.random_range(0..size.engines), true), length),
             3 => (Action::Misbehave(upstream, engine::Mode::CutAnswer), length),
-            // Its callers take up their streams.
+            // Its callers resume their streams.
             _ => (Action::Interrupt(host, Interruption::Kill), length),
         },
         Family::Weights => match random.random_range(0..2) {
--- a/bench/src/soak/record.rs
+++ b/bench/src/soak/record.rs
@@ -35,8 +35,8 @@
     pub at: Instant,
     /// How long the caller waits.
     pub deadline: Duration,
-    /// Whether it takes up a stream of an earlier attempt.
-    pub takes_up: bool,
+    /// Whether it resumes a stream of an earlier attempt.
+    pub resumes: bool,
     /// How it ended.
     pub outcome: Outcome,
     /// When it ended.
--- a/cli/tests/test_soak_check.rs
+++ b/cli/tests/test_soak_check.rs
@@ -99,7 +99,7 @@
             key: 0,
             at,
             deadline: Duration::from_secs(4),
-            takes_up: false,
+            resumes: false,
             outcome: Outcome::Cut(Some(200)),
             ended,
         });
--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -28,9 +28,9 @@
     pub prompt_tokens: u32,
     /// Maximum length of the answer, in tokens.
     pub max_answer_tokens: u32,
-    /// Id of the last event of a stream that the caller has, when it takes the stream up.
+    /// Id of the last event of a stream that the caller has, when it resumes the stream.
     pub last_event_id: Option<FastStr>,
-    /// Id of the caller's request that brought the first event of a stream that the caller takes up.
+    /// Id of the caller's request that brought the first event of a stream that the caller resumes.
     pub stream_origin: Option<FastStr>,
     /// Parts of the prompt in order; the last one is the caller's own, the others may be shared.
     pub parts: SmallVec<[Part; 4]>,
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -288,7 +288,7 @@
     ///
     /// Returns the error for the caller if no upstream gave a response.
     pub async fn run(mut self) -> Result<Response<Body>, Error> {
-        self.take_up_stream().await?;
+        self.prepare_resumption().await?;
         self.gateway.count_request(&self.job.service);
         loop {
             let upstream_response = match self.send_with_retries(None).await {
@@ -357,7 +357,7 @@
             session: self.session_key,
             cached: cached.as_ref(),
             tokens: job.metadata.prompt_tokens.saturating_add(job.metadata.max_answer_tokens),
-            // What the caller has of a taken-up stream would be lost.
+            // What the caller has of a resumed stream would be lost.
             admitted: self.placed || self.build.is_some(),
             priority: job.priority(),
             request_hash: crate::rendezvous::hash_parts(&["admission", &job.metadata.id]),
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -686,7 +686,7 @@
         }
     }
 
-    /// Asks other hosts where streams began that callers take up here.
+    /// Asks other hosts where streams began that callers resume here.
     async fn ask_origins(self: Arc<Self>) {
         let Some(mut questions) = self.table_sync.gateway.origin_questions.take_receiver() else {
             return;
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -43,8 +43,8 @@
     pub limited_upstreams: IntGauge,
     /// Requests that were refused because all their upstreams had asked for a pause.
     pub pause_refusals: IntCounter,
-    /// Streams that callers take up, by what is known of their origin.
-    pub taken_up_streams: IntCounterVec,
+    /// Streams that callers resume, by what is known of their origin.
+    pub resumed_streams: IntCounterVec,
     /// Requests that were refused because the limits of all their upstreams were used up.
     pub limit_refusals: IntCounter,
     /// Attempts that were not sent because the chosen upstream changed meanwhile, by reason.
@@ -141,9 +141,9 @@
                 "mothvale_pause_refusals_total",
                 "Requests refused because all their upstreams had asked for a pause",
             )?,
-            taken_up_streams: counters(
-                "mothvale_taken_up_streams_total",
-                "Streams that callers take up, by what is known of their origin",
+            resumed_streams: counters(
+                "mothvale_resumed_streams_total",
+                "Streams that callers resume, by what is known of their origin",
                 &["outcome"],
             )?,
             limit_refusals: counter(
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -1,6 +1,6 @@
 //! Forwards responses that are streams of server-sent events: complete events are passed on as
 //! they arrive, and a broken stream is resumed at another upstream if the route allows it. Also finds
-//! out where a stream can go on that the caller takes up.
+//! out where a stream can go on that the caller resumes.
 
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
@@ -33,12 +33,12 @@
 where
     C: Codec,
 {
-    /// Finds out where the stream began that the request takes up, if it does.
+    /// Finds out where the stream began that the request resumes, if it does.
     ///
     /// # Errors
     ///
     /// Returns an error if the stream can go on nowhere.
-    pub(crate) async fn take_up_stream(&mut self) -> Result<(), Error> {
+    pub(crate) async fn prepare_resumption(&mut self) -> Result<(), Error> {
         let Metadata { id, stream_origin, last_event_id, .. } = &self.job.metadata;
         let is_stream = matches!(self.job.route.retry_policy, RetryPolicy::Stream { .. });
         if !is_stream || stream_origin.is_none() && last_event_id.is_none() {
@@ -54,11 +54,11 @@
             Destination::Any => ("no_build", None),
             Destination::Unknown => ("origin_unknown", None),
         };
-        self.gateway.metrics.taken_up_streams.with_label_values(&[outcome]).inc();
+        self.gateway.metrics.resumed_streams.with_label_values(&[outcome]).inc();
         log::info!(request = id.as_str(), stream_origin = stream_origin.as_deref(),
             last_event = last_event_id.as_deref(), service = service.as_str(), outcome = outcome,
             build = build.map(Build::as_str), asked_ms = started.elapsed().as_millis() as u64;
-            "caller takes up a stream");
+            "caller resumes a stream");
         let lost =
             |message| Err(Error::new(Kind::StreamLost, message).with_retry_after(BEGIN_ANEW_WAIT));
         match destination {
--- a/lib/src/stream_origin.rs
+++ b/lib/src/stream_origin.rs
@@ -1,8 +1,8 @@
 //! The builds at which streams began. What upstreams of two builds write does not fit together, so a stream
-//! goes on only at an upstream of the build that began it, also if its caller takes it up at another host.
+//! goes on only at an upstream of the build that began it, also if its caller resumes it at another host.
 //!
 //! Load pattern: a host or several engines are lost while engines of two builds serve side by side, and
-//! hundreds of callers take up their streams at other hosts within a moment.
+//! hundreds of callers resume their streams at other hosts within a moment.
 //!
 //! Does no I/O.
 
--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -1,4 +1,4 @@
-//! Finds the upstreams at which a stream can go on that a caller takes up, if need be with the help of
+//! Finds the upstreams at which a stream can go on that a caller resumes, if need be with the help of
 //! other hosts. `stream_origin` keeps what is known.
 
 use tokio::{
@@ -14,12 +14,12 @@
     stream_origin::{Attempt, Builds, Place, Source},
 };
 
-/// How long a request that takes up a stream waits for other hosts to say where it began.
+/// How long a request that resumes a stream waits for other hosts to say where it began.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Questions to other hosts that may wait to be asked.
 const MAX_WAITING_QUESTIONS: usize = 1024;
 
-/// Where a stream that is taken up can go on.
+/// Where a stream that is resumed can go on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Destination {
     /// At upstreams of this service and build, which began it.
--- a/lib/tests/test_stream_origin.rs
+++ b/lib/tests/test_stream_origin.rs
@@ -54,7 +54,7 @@
     origins.tell_running_again();
     let expected = [(1, "v1".to_owned()), (3, "v1".to_owned())];
     assert_eq!(told(&mut origins, true), expected);
-    assert!(origins.place(Attempt(2)).is_some(), "its caller may still take it up");
+    assert!(origins.place(Attempt(2)).is_some(), "its caller may still resume it");
 }
 
 #[test]
