reach, fleet, error: a host says when it reaches no upstream of a service

Change: a service counts as out of reach once connections to four of its upstreams (to all, if it has fewer) have failed one after the other, with no new connection in between; one line when that begins and one when it ends, a gauge, and an error kind of its own. Nothing is decided by it yet: what is chosen, sent and refused is as before, and only the code of such a refusal differs.

The table of error kinds in test_bad_input has one row more.

--- a/lib/src/choice.rs
+++ b/lib/src/choice.rs
@@ -65,6 +65,8 @@
 pub enum Denial {
     /// The service is unknown or has no live upstream.
     NoUpstream(Duration),
+    /// This host reaches none of the live upstreams.
+    Unreachable(Duration),
     /// No live upstream has the build that began the stream, others have.
     OtherBuilds,
     /// None of the live upstreams can take another request.
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -98,6 +98,8 @@
     Overloaded: 503 SERVER "overloaded" NotRun true;
     /// No upstream that serves the model is known to be up.
     NoUpstream: 503 SERVER "no_upstream" NotRun true;
+    /// This host reaches no upstream of the service, as far as it knows; other hosts may.
+    Unreachable: 503 SERVER "upstreams_unreachable" NotRun true;
     /// The stream cannot go on: no upstream of the build that began it is left, or the build is not known.
     StreamLost: 503 SERVER "stream_lost" NotRun true;
     /// The host is shutting down.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -15,6 +15,7 @@
     pause::{self, Pauses},
     prelude::*,
     rate_limit::{self, Hosts, Limits, Statement},
+    reach::{Change, Reach},
     rendezvous, share,
     stream_origin::Builds,
     target_weights::Targets,
@@ -104,6 +105,8 @@
     pub limits: Limits,
     /// The builds that services have had lately.
     pub builds: Builds,
+    /// The services whose upstreams this host reaches.
+    pub reach: Reach,
 }
 
 impl Fleet {
@@ -126,6 +129,7 @@
             pauses: Pauses::default(),
             limits: Limits::default(),
             builds: Builds::default(),
+            reach: Reach::default(),
         }
     }
 
@@ -465,6 +469,9 @@
         let may_eject_faulty = self.may_eject_faulty(now, &choice.id);
         let behind_target = self.is_behind_target(&choice.id);
         self.record_token_time(choice, outcome);
+        if outcome == Outcome::Unreachable {
+            self.record_unreachable(now, &choice.id);
+        }
         let Some(state) = self.states.get_mut(&choice.id) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         state.tokens = state.tokens.saturating_sub(choice.tokens.into());
@@ -476,6 +483,33 @@
         state.record_outcome(now, service, outcome, may_eject_faulty);
     }
 
+    /// Records that no connection to an upstream could be established.
+    fn record_unreachable(&mut self, now: Instant, id: &Upstream) {
+        let Some(service) = self.states.get(id).map(|it| it.row.service.clone()) else { return };
+        let upstreams = self.live(&service).count();
+        if let Some(Change::Lost(failed)) = self.reach.record_failure(now, &service, id, upstreams)
+        {
+            log::warn!(service = service.as_str(), failed = failed, upstreams = upstreams;
+                "service is out of reach from this host");
+        }
+    }
+
+    /// Records that a connection to an upstream was established.
+    pub fn record_connection(&mut self, now: Instant, id: &Upstream) {
+        let Some(service) = self.states.get(id).map(|it| &it.row.service) else { return };
+        if let Some(Change::Restored(lost)) = self.reach.record_connection(now, service) {
+            log::warn!(service = service.as_str(), upstream = id.as_str(),
+                lost_ms = lost.as_millis() as u64; "service is within reach again");
+        }
+    }
+
+    /// Returns the upstreams of a service that requests may go to, whatever state they are in.
+    fn live(&self, service: &Service) -> impl Iterator<Item = &State> {
+        let states = self.by_service.get(service).into_iter().flatten();
+        let states = states.filter_map(|id| self.states.get(id));
+        states.filter(|it| !self.is_leaving(&it.row) && !self.evacuated.contains(&it.row.zone))
+    }
+
     /// Updates the mean time to the first token for each token in flight.
     fn record_token_time(&mut self, choice: &Choice, outcome: Outcome) {
         let (Outcome::Served(latency), Some(state)) = (outcome, self.states.get(&choice.id)) else {
@@ -602,16 +636,12 @@
 
     /// Returns why no upstream is usable, with the time until one may be.
     fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
-        let states = self.by_service.get(query.service).into_iter().flatten();
-        let states = states.filter_map(|id| self.states.get(id));
         let mut has_other_builds = false;
-        let live = states
-            .filter(|it| !self.is_leaving(&it.row) && !self.evacuated.contains(&it.row.zone))
-            .filter(|it| {
-                let fits = query.build.is_none_or(|build| *build == it.row.build);
-                has_other_builds |= !fits;
-                fits
-            });
+        let live = self.live(query.service).filter(|it| {
+            let fits = query.build.is_none_or(|build| *build == it.row.build);
+            has_other_builds |= !fits;
+            fits
+        });
         let (mut all_paused, mut all_held_off) = (true, true);
         let wait = live.map(|it| {
             let paused_until = self.pauses.until(now, &it.row);
@@ -633,6 +663,9 @@
                 let wait = wait + pause::spread(wait, sample);
                 if all_paused { Denial::Paused(wait) } else { Denial::Limited(wait) }
             }
+            Some(wait) if self.reach.lost_since(query.service).is_some() => {
+                Denial::Unreachable(wait.max(REFUSAL_BACKOFF / 2))
+            }
             Some(wait) => Denial::Full(wait.max(REFUSAL_BACKOFF / 2)),
             None if has_other_builds => Denial::OtherBuilds,
             None => Denial::NoUpstream(REFUSAL_BACKOFF_MAX),
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -397,10 +397,13 @@
                 attempt.complete(Outcome::Unreachable);
                 self.tried.push(choice.id);
                 self.connect_failures += 1;
-                return Err(self.retry_or_refuse(
-                    self.connect_failures < MAX_CONNECT_FAILURES,
-                    Kind::NoUpstream,
-                ));
+                let kind = match self.gateway.fleet().reach.lost_since(&self.job.service) {
+                    Some(_) => Kind::Unreachable,
+                    None => Kind::NoUpstream,
+                };
+                return Err(
+                    self.retry_or_refuse(self.connect_failures < MAX_CONNECT_FAILURES, kind)
+                );
             }
         };
         if let Some(obstacle) = self.gateway.obstacle(&choice, self.job.metadata.model.as_ref()) {
@@ -635,7 +638,9 @@
         }
         let connected =
             timeout(self.job.time_left(), Connection::connect(choice.incarnation.address)).await;
-        Some((connected.ok()?.ok()?, false))
+        let connection = connected.ok()?.ok()?;
+        self.gateway.record_connection(&choice.id);
+        Some((connection, false))
     }
 
     /// Builds the request for the upstream, with the headers that the gateway adds.
@@ -750,6 +755,7 @@
             }
             Denial::OtherBuilds => self.refusal_error(Kind::NoUpstream, BEGIN_ANEW_WAIT),
             Denial::NoUpstream(wait) => self.refusal_error(Kind::NoUpstream, wait),
+            Denial::Unreachable(wait) => self.refusal_error(Kind::Unreachable, wait),
             Denial::Full(wait) => self.refusal_error(Kind::Overloaded, wait),
             Denial::Paused(wait) | Denial::Limited(wait) if self.runs > 0 => {
                 self.refusal_error(Kind::Overloaded, wait)
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -384,11 +384,26 @@
     ) {
         let service_entry = configuration.services.get(service).cloned().unwrap_or_default();
         self.fleet().record_outcome(self.now(), &service_entry, choice, outcome);
+        if outcome == Outcome::Unreachable {
+            self.update_unreachable_services();
+        }
         if matches!(outcome, Outcome::Unreachable | Outcome::AddressReused) {
             self.pool().remove(&choice.id);
         }
     }
 
+    /// Records that a connection to an upstream was established.
+    pub fn record_connection(&self, id: &Upstream) {
+        self.fleet().record_connection(self.now(), id);
+        self.update_unreachable_services();
+    }
+
+    /// Sets the gauge of the services that are out of reach.
+    fn update_unreachable_services(&self) {
+        let lost = self.fleet().reach.lost_count();
+        self.metrics.unreachable_services.set(i64::try_from(lost).unwrap_or(i64::MAX));
+    }
+
     /// Counts a caller's request towards the retry budget of its service.
     pub fn count_request(&self, service: &Service) {
         let now = self.now();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod public_api;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reach;
 pub mod record;
 pub mod relay;
 pub mod rendezvous;
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -41,6 +41,8 @@
     pub pauses: IntCounter,
     /// Upstreams that name a limit on their requests, as far as this host knows.
     pub limited_upstreams: IntGauge,
+    /// Services of which this host reaches no upstream, as far as it knows.
+    pub unreachable_services: IntGauge,
     /// Requests that were refused because all their upstreams had asked for a pause.
     pub pause_refusals: IntCounter,
     /// Streams that callers resume, by what is known of their origin.
@@ -102,7 +104,13 @@
         let limited_upstreams =
             IntGauge::new("mothvale_limited_upstreams", "Upstreams that name a limit")?;
         registry.register(Box::new(limited_upstreams.clone()))?;
+        let unreachable_services = IntGauge::new(
+            "mothvale_unreachable_services",
+            "Services of which this host reaches no upstream",
+        )?;
+        registry.register(Box::new(unreachable_services.clone()))?;
         Ok(Metrics {
+            unreachable_services,
             crash_causes,
             fatal_prompts: counters(
                 "mothvale_fatal_prompts_total",
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_pause;
 mod test_poison;
 mod test_rate_limit;
+mod test_reach;
 mod test_settings;
 mod test_store_era;
 mod test_store_history;
--- a/lib/tests/test_bad_input.rs
+++ b/lib/tests/test_bad_input.rs
@@ -44,6 +44,7 @@
     WorkspaceBusy: 429 rate_limit_error workspace_busy run=no retry-after
     Overloaded: 503 server_error overloaded run=no retry-after
     NoUpstream: 503 server_error no_upstream run=no retry-after
+    Unreachable: 503 server_error upstreams_unreachable run=no retry-after
     StreamLost: 503 server_error stream_lost run=no retry-after
     ShuttingDown: 503 server_error shutting_down run=no retry-after
     UpstreamFailed: 502 server_error upstream_failed run=unknown retry-after
