--- a/lib/src/choice.rs
+++ b/lib/src/choice.rs
@@ -27,6 +27,9 @@
     pub max_wait: Duration,
     /// The only build that can go on with the stream, if it has begun.
     pub build: Option<&'a Build>,
+    /// The only upstreams that may be chosen, while the service is out of this host's reach: those to which
+    /// it has connections. `None` allows all.
+    pub connected: Option<&'a [Upstream]>,
     /// Upstreams that must not be chosen, because an earlier attempt there failed or was refused.
     pub tried: &'a [Upstream],
 }
--- a/lib/src/connection.rs
+++ b/lib/src/connection.rs
@@ -17,6 +17,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error as ThisError;
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     task::JoinHandle,
     time::{Instant as TokioInstant, timeout},
@@ -75,11 +76,23 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| connect_error)?.map_err(|_| connect_error)?;
         set_socket_options(&stream);
+        Connection::handshake(stream).await
+    }
+
+    /// Starts the task that drives a connection over an open stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::CONNECT`] when the connection cannot be set up.
+    pub(crate) async fn handshake<T>(stream: T) -> Result<Self, CallError>
+    where
+        T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await;
-        let (sender, connection) = handshake.map_err(|_| connect_error)?;
+        let (sender, connection) = handshake.map_err(|_| CallError(Fault::CONNECT))?;
         let task = tokio::spawn(async move {
             if let Err(err) = connection.await {
                 log::debug!(error = err.to_string().as_str(); "connection ended with an error");
@@ -232,6 +245,11 @@
         }
     }
 
+    /// Returns the upstreams to which there are idle connections.
+    pub fn connected(&self) -> Vec<Upstream> {
+        self.idle.keys().map(|it| it.0.clone()).collect()
+    }
+
     /// Drops connections that are closed or have been idle for too long.
     pub fn purge(&mut self) {
         for connections in self.idle.values_mut() {
--- /dev/null
+++ b/lib/src/detour_forward.rs
@@ -0,0 +1,246 @@
+//! Sends a request over another host when this one reaches no upstream of its service.
+
+use http::{HeaderMap, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::{
+    sync::mpsc,
+    time::{Instant as TokioInstant, timeout, timeout_at},
+};
+
+use crate::{
+    body_buffer::Buffer,
+    codec::Codec,
+    configuration::RetryPolicy,
+    connection::Connection,
+    detour::Candidate,
+    detour_link::{self, Link, Terms},
+    fault::Delivery,
+    forward::Forwarder,
+    gateway::Gateway,
+    hop_by_hop,
+    prelude::*,
+    response_body::{Body, Truncated},
+};
+
+/// Hosts that are asked to take a request, one after the other.
+const MAX_HOSTS: usize = 3;
+/// How much later than the request's deadline the other host's last bytes may arrive.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+/// Chunks of a response that are buffered for a slow caller.
+const BUFFERED_CHUNKS: usize = 32;
+
+/// A request that is under way at another host until this is dropped.
+struct UnderWay<C>
+where
+    C: Codec,
+{
+    gateway: Arc<Gateway<C>>,
+    host: Host,
+}
+
+impl<C> Drop for UnderWay<C>
+where
+    C: Codec,
+{
+    fn drop(&mut self) {
+        self.gateway.detours().finish(&self.host);
+    }
+}
+
+/// What became of a request at one other host.
+enum Outcome {
+    /// The host took it and responded.
+    Response(Response<Body>),
+    /// The host did not take it, and it has not run there.
+    NotTaken(&'static str),
+    /// It may have run there, and no whole response arrived.
+    Unknown(&'static str),
+}
+
+impl<C> Forwarder<C>
+where
+    C: Codec,
+{
+    /// Sends the request to other hosts, one after the other, until one takes it. Returns `None` if none
+    /// does.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error for the caller if the request may have run and cannot be sent again.
+    pub(crate) async fn take_detour(&mut self) -> Result<Option<Response<Body>>, Error> {
+        let Some(link) = self.gateway.detour_link() else { return Ok(None) };
+        let mut tried: SmallVec<[Host; MAX_HOSTS]> = SmallVec::new();
+        while tried.len() < MAX_HOSTS {
+            let Some(candidate) = self.choose_host(&tried) else { break };
+            let host = candidate.host.clone();
+            let under_way = UnderWay { gateway: self.gateway.clone(), host: host.clone() };
+            let outcome = self.send_over(&link, &candidate, under_way).await;
+            let name = match &outcome {
+                Outcome::Response(_) => "taken",
+                Outcome::NotTaken(reason) | Outcome::Unknown(reason) => reason,
+            };
+            self.log_detour(&host, name);
+            match outcome {
+                Outcome::Response(response) => return Ok(Some(response)),
+                Outcome::NotTaken(_) => {}
+                Outcome::Unknown(_) => {
+                    self.times_sent += 1;
+                    self.runs += 1;
+                }
+            }
+            let (now, service) = (self.gateway.now(), &self.job.service);
+            self.gateway.detours().avoid(now, &host, service);
+            tried.push(host);
+            if self.job.time_left().is_zero() {
+                return Err(self.deadline_error());
+            }
+            if matches!(outcome, Outcome::Unknown(_)) && !self.may_retry() {
+                return Err(self.lost_error());
+            }
+        }
+        Ok(None)
+    }
+
+    fn choose_host(&self, tried: &[Host]) -> Option<Candidate> {
+        let zone = &self.gateway.host_settings.zone;
+        let request_hash = crate::rendezvous::hash_parts(&["detour", &self.job.metadata.id]);
+        let now = self.gateway.now();
+        self.gateway.detours().choose(now, &self.job.service, zone, request_hash, tried)
+    }
+
+    /// Sends the request to another host and waits for the response head, or for the whole response if its
+    /// length is known.
+    async fn send_over(
+        &self,
+        link: &Link,
+        candidate: &Candidate,
+        under_way: UnderWay<C>,
+    ) -> Outcome {
+        let now = self.gateway.now();
+        let opened = timeout(self.job.time_left(), link.open(now, candidate)).await;
+        let Ok(Some(mut connection)) = opened else { return Outcome::NotTaken("host_unreachable") };
+        let sent = timeout(self.detour_timeout(), connection.send(self.detour_request())).await;
+        let response = match sent {
+            Err(_) => return Outcome::Unknown("host_silent"),
+            Ok(Err(err)) if err.0.delivery == Delivery::NotSent => {
+                return Outcome::NotTaken("host_unreachable");
+            }
+            Ok(Err(_)) => return Outcome::Unknown("host_broke_off"),
+            Ok(Ok(response)) => response,
+        };
+        if detour_link::refusal(response.headers()).is_some() {
+            return Outcome::NotTaken("refused");
+        }
+        let (head, body) = response.into_parts();
+        if !head.headers.contains_key(header::CONTENT_LENGTH) {
+            let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
+            let response = self.build_response(&head, Body::Stream(receiver));
+            let passing = Passing {
+                gateway: self.gateway.clone(),
+                request: self.job.metadata.id.clone(),
+                deadline: self.job.deadline + DEADLINE_MARGIN,
+                _under_way: under_way,
+                _connection: connection,
+            };
+            tokio::spawn(passing.pass_on(body, sender));
+            return Outcome::Response(response);
+        }
+        let read = Buffer::new(self.gateway.body_usage.clone()).read(body);
+        match timeout_at(self.job.deadline + DEADLINE_MARGIN, read).await {
+            Ok(Ok(bytes)) => {
+                Outcome::Response(self.build_response(&head, Body::Buffered(Full::new(bytes))))
+            }
+            Ok(Err(_)) => Outcome::Unknown("host_broke_off"),
+            Err(_) => Outcome::Unknown("host_silent"),
+        }
+    }
+
+    /// Builds the request for another host: the caller's own, with what this host knows of it.
+    fn detour_request(&self) -> Request<Full<Bytes>> {
+        let mut headers: HeaderMap = hop_by_hop::strip(&self.job.headers);
+        let terms = Terms {
+            left: self.job.time_left(),
+            runs: self.runs,
+            configuration: self.job.configuration.version,
+            reached_part: self.gateway.reached_part(&self.job.service).unwrap_or(1.0),
+        };
+        terms.write(&mut headers);
+        let mut request = Request::new(Full::new(self.job.body.clone()));
+        *request.method_mut() = self.job.method.clone();
+        *request.uri_mut() = self.job.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Returns how long to wait for the response of another host. It makes its own attempts meanwhile.
+    fn detour_timeout(&self) -> Duration {
+        let left = self.job.time_left();
+        let may_follow = self.job.route.retry_policy == RetryPolicy::Idempotent
+            && self.runs + 1 < self.job.route.max_runs;
+        if may_follow { left / 2 } else { left + DEADLINE_MARGIN }
+    }
+
+    /// Returns the error of a request that another host may have run.
+    fn lost_error(&self) -> Error {
+        let kind = match self.job.route.retry_policy {
+            RetryPolicy::AtMostOnce => Kind::OutcomeUnknown,
+            RetryPolicy::Idempotent | RetryPolicy::Stream { .. } => Kind::UpstreamFailed,
+        };
+        Error::new(kind, "the host that took the request broke off")
+    }
+
+    fn log_detour(&self, host: &Host, outcome: &str) {
+        let (now, service) = (self.gateway.now(), &self.job.service);
+        let lost_since = self.gateway.fleet().reach.lost_since(service);
+        self.gateway.metrics.detours.with_label_values(&[outcome]).inc();
+        log::info!(request = self.job.metadata.id.as_str(), peer = host.as_str(),
+            service = service.as_str(), outcome = outcome, runs = self.runs,
+            lost_ms = lost_since.map(|it| now.since(it).as_millis() as u64),
+            left_ms = self.job.time_left().as_millis() as u64; "request sent over another host");
+    }
+}
+
+/// A response of another host while it is passed on to the caller.
+struct Passing<C>
+where
+    C: Codec,
+{
+    gateway: Arc<Gateway<C>>,
+    request: FastStr,
+    deadline: TokioInstant,
+    _under_way: UnderWay<C>,
+    _connection: Connection,
+}
+
+impl<C> Passing<C>
+where
+    C: Codec,
+{
+    /// Passes on the chunks of the response until its end, or until the caller leaves.
+    async fn pass_on(self, mut body: Incoming, chunks: mpsc::Sender<Result<Bytes, Truncated>>) {
+        let _active = self.gateway.track_request();
+        let reason = loop {
+            let frame = tokio::select! {
+                () = chunks.closed() => return,
+                frame = timeout_at(self.deadline, body.frame()) => frame,
+            };
+            let data = match frame {
+                Ok(None) => return,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(Some(Err(_))) => break "host_broke_off",
+                Err(_) => break "deadline",
+            };
+            match timeout_at(self.deadline, chunks.send(Ok(data))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return,
+                Err(_) => break "deadline",
+            }
+        };
+        log::info!(request = self.request.as_str(), peer = self._under_way.host.as_str(),
+            reason = reason; "response over another host was cut off");
+        self.gateway.metrics.count_outcome("stream_cut");
+        // As for a stream that was cut off, the caller must not take the response for complete.
+        let _ = chunks.send(Err(Truncated)).await;
+    }
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -62,6 +62,8 @@
 const PEER_LOADS_TTL: Duration = Duration::from_millis(700);
 /// Weight of the newest sample in the mean time to the first token for each token in flight.
 const TOKEN_TIME_WEIGHT: f64 = 0.05;
+/// Time after which a caller should retry whose request needs upstreams that this host does not reach.
+const UNREACHABLE_WAIT: Duration = Duration::from_millis(500);
 /// Back-off after a refusal by an upstream that does not have the target weights yet.
 const ROLLOUT_REFUSAL_BACKOFF: Duration = Duration::from_millis(1200);
 pub use crate::{
@@ -399,6 +401,9 @@
     ) -> Result<Choice, Denial> {
         let no_upstream = Denial::NoUpstream(REFUSAL_BACKOFF_MAX);
         let service = configuration.services.get(query.service).ok_or(no_upstream)?.clone();
+        if query.connected.is_some_and(<[_]>::is_empty) {
+            return Err(Denial::Unreachable(UNREACHABLE_WAIT));
+        }
         // A retry of an admitted request is not shed.
         if let (Some(engine), false) = (&service.engine, query.admitted) {
             let pressure = self.pressure(now, engine, query);
@@ -470,7 +475,7 @@
         let behind_target = self.is_behind_target(&choice.id);
         self.record_token_time(choice, outcome);
         if outcome == Outcome::Unreachable {
-            self.record_unreachable(now, &choice.id);
+            self.record_connection(now, &choice.id, false);
         }
         let Some(state) = self.states.get_mut(&choice.id) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
@@ -483,24 +488,43 @@
         state.record_outcome(now, service, outcome, may_eject_faulty);
     }
 
-    /// Records that no connection to an upstream could be established.
-    fn record_unreachable(&mut self, now: Instant, id: &Upstream) {
+    /// Records whether a connection to an upstream could be established.
+    pub fn record_connection(&mut self, now: Instant, id: &Upstream, succeeded: bool) {
         let Some(service) = self.states.get(id).map(|it| it.row.service.clone()) else { return };
         let upstreams = self.live(&service).count();
-        if let Some(Change::Lost(failed)) = self.reach.record_failure(now, &service, id, upstreams)
-        {
-            log::warn!(service = service.as_str(), failed = failed, upstreams = upstreams;
-                "service is out of reach from this host");
+        match self.reach.record(now, &service, id, upstreams, succeeded) {
+            None => {}
+            Some(Change::Lost(failed)) => {
+                log::warn!(service = service.as_str(), failed = failed, upstreams = upstreams;
+                    "service is out of reach from this host");
+            }
+            Some(Change::Restored(lost)) => {
+                log::warn!(service = service.as_str(), upstream = id.as_str(),
+                    lost_ms = lost.as_millis() as u64; "service is within reach again");
+                for id in self.by_service.get(&service).into_iter().flatten() {
+                    if let Some(state) = self.states.get_mut(id) {
+                        state.forgive_unreachable(now);
+                    }
+                }
+            }
         }
     }
 
-    /// Records that a connection to an upstream was established.
-    pub fn record_connection(&mut self, now: Instant, id: &Upstream) {
-        let Some(service) = self.states.get(id).map(|it| &it.row.service) else { return };
-        if let Some(Change::Restored(lost)) = self.reach.record_connection(now, service) {
-            log::warn!(service = service.as_str(), upstream = id.as_str(),
-                lost_ms = lost.as_millis() as u64; "service is within reach again");
+    /// Returns the upstreams to which a connection should be tried now, with their addresses. `heard_at` is
+    /// when bytes of any upstream last arrived.
+    pub fn due_probes(&mut self, now: Instant, heard_at: Instant) -> Vec<(Upstream, SocketAddr)> {
+        let services: Vec<_> = self.by_service.keys().cloned().collect();
+        let mut due = Vec::new();
+        for service in services {
+            let mut reach = std::mem::take(&mut self.reach);
+            {
+                let upstreams = self.live(&service).map(|it| (&it.row, it.in_flight > 0));
+                let rows = reach.due_probes(now, &service, heard_at, upstreams);
+                due.extend(rows.iter().map(|it| (it.id.clone(), it.address)));
+            }
+            self.reach = reach;
         }
+        due
     }
 
     /// Returns the upstreams of a service that requests may go to, whatever state they are in.
@@ -606,6 +630,7 @@
                 || self.pauses.until(now, &state.row).is_some()
                 || self.limits.wait(now, &state.row).is_some()
                 || query.tried.contains(id)
+                || query.connected.is_some_and(|it| !it.contains(id))
                 || query.build.is_some_and(|it| *it != state.row.build)
                 || self.evacuated.contains(&state.row.zone)
                 || state.ejected_until > now
@@ -663,9 +688,7 @@
                 let wait = wait + pause::spread(wait, sample);
                 if all_paused { Denial::Paused(wait) } else { Denial::Limited(wait) }
             }
-            Some(wait) if self.reach.lost_since(query.service).is_some() => {
-                Denial::Unreachable(wait.max(REFUSAL_BACKOFF / 2))
-            }
+            Some(_) if query.connected.is_some() => Denial::Unreachable(UNREACHABLE_WAIT),
             Some(wait) => Denial::Full(wait.max(REFUSAL_BACKOFF / 2)),
             None if has_other_builds => Denial::OtherBuilds,
             None => Denial::NoUpstream(REFUSAL_BACKOFF_MAX),
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -16,6 +16,7 @@
     codec::{Codec, Metadata, Outgoing, ResponseMetadata},
     configuration::{Configuration, KeyHolder, RetryPolicy, Route},
     connection::{self, Connection},
+    detour_link::Terms,
     fatal_prompt::Signs,
     fault::{Cause, Delivery},
     fleet::{Choice, Denial, Outcome, Query},
@@ -69,6 +70,8 @@
     pub received: TokioInstant,
     /// When the request times out.
     pub deadline: TokioInstant,
+    /// What another host has said about the request, if it comes from one.
+    pub terms: Option<Terms>,
 }
 
 impl Job {
@@ -121,7 +124,7 @@
     }
 
     /// Returns the time until the deadline.
-    fn time_left(&self) -> Duration {
+    pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(TokioInstant::now())
     }
 }
@@ -194,6 +197,14 @@
     Fail(Error),
 }
 
+/// Why there is no connection for an attempt.
+enum ConnectError {
+    /// No connection could be established.
+    Failed,
+    /// No connection was open, and new ones are known to fail.
+    NotTried,
+}
+
 /// Forwards one request and holds its state across attempts.
 pub struct Forwarder<C>
 where
@@ -216,6 +227,12 @@
     pub(crate) refusals: u32,
     /// Attempts for which no usable connection was found.
     pub(crate) connect_failures: u32,
+    /// Whether the last attempt ended because the service is out of this host's reach.
+    pub(crate) out_of_reach: bool,
+    /// Whether no other host takes the request, or it comes from another host.
+    pub(crate) stays_here: bool,
+    /// Whether the current attempt needs an open connection: new ones are known to fail.
+    needs_open_connection: bool,
     /// The last error response of an upstream, returned to the caller if all retries fail.
     pub(crate) failure: Option<Response<Body>>,
     /// Where the last attempt was told to fetch prompt parts from and to save them.
@@ -251,23 +268,27 @@
     /// Creates the state of a request that has not been sent yet.
     pub fn new(gateway: Arc<Gateway<C>>, job: Job) -> Self {
         let (session_key, shared_parts) = (job.session_key(), job.shared_parts());
+        let runs = job.terms.map_or(0, |it| it.runs);
         Forwarder {
             gateway,
-            job: Arc::new(job),
             session_key,
             shared_parts,
             is_trial: false,
             tried: SmallVec::new(),
-            times_sent: 0,
-            runs: 0,
+            times_sent: runs,
+            runs,
             refusals: 0,
             connect_failures: 0,
+            out_of_reach: false,
+            stays_here: job.terms.is_some(),
+            needs_open_connection: false,
             failure: None,
             cache_plan: None,
             placed: false,
             wait_reported: false,
             build: None,
             unnumbered_sent: false,
+            job: Arc::new(job),
         }
     }
 
@@ -288,11 +309,23 @@
     ///
     /// Returns the error for the caller if no upstream gave a response.
     pub async fn run(mut self) -> Result<Response<Body>, Error> {
+        match self.job.terms {
+            Some(terms) => self.check_reach(terms)?,
+            // The host that a request comes from has counted it.
+            None => self.gateway.count_request(&self.job.service),
+        }
         self.prepare_resumption().await?;
-        self.gateway.count_request(&self.job.service);
         loop {
             let upstream_response = match self.send_with_retries(None).await {
                 Ok(upstream_response) => upstream_response,
+                Err(_) if self.out_of_reach && !self.stays_here => match self.take_detour().await {
+                    Ok(Some(response)) => return Ok(response),
+                    Ok(None) => {
+                        self.stays_here = true;
+                        continue;
+                    }
+                    Err(err) => return self.failure.take().ok_or(err),
+                },
                 Err(err) => return self.failure.take().ok_or(err),
             };
             let streamed = matches!(self.job.route.retry_policy, RetryPolicy::Stream { .. });
@@ -330,7 +363,10 @@
                 Ok(admission) => admission == Admission::Trial,
                 Err(rejection) => return Err(self.rejection_error(&rejection)),
             };
-            let choice = self.choose();
+            let connected = self.only_connected();
+            self.needs_open_connection = connected.is_some();
+            let choice = self.choose(connected.as_deref());
+            self.out_of_reach = matches!(choice, Err(Denial::Unreachable(_)));
             let choice = choice.map_err(|denial| self.denial_error(denial))?;
             self.placed = true;
             let attempt = InFlightAttempt {
@@ -347,8 +383,31 @@
         }
     }
 
+    /// Returns the only upstreams that the next attempt may go to, or `None` if all may be chosen. While the
+    /// service is out of reach, the upstreams that are reached get no more than their part of the requests;
+    /// the others go over other hosts first.
+    fn only_connected(&self) -> Option<Vec<Upstream>> {
+        let reached_part = self.gateway.reached_part(&self.job.service)?;
+        let sample = crate::rendezvous::fraction(&["reach", &self.job.metadata.id]);
+        match self.stays_here {
+            false if sample >= reached_part => Some(Vec::new()),
+            true if reached_part == 0.0 => Some(self.gateway.connected_upstreams()),
+            _ => None,
+        }
+    }
+
+    /// Checks that this host can do more for a request of another host than that one itself.
+    fn check_reach(&self, terms: Terms) -> Result<(), Error> {
+        match self.gateway.reached_part(&self.job.service) {
+            Some(reached_part) if reached_part <= terms.reached_part => {
+                Err(Error::new(Kind::Unreachable, "the service is out of reach here as well"))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Chooses an upstream, with a preference for one whose zone holds cached parts of the prompt.
-    fn choose(&self) -> Result<Choice, Denial> {
+    fn choose(&self, connected: Option<&[Upstream]>) -> Result<Choice, Denial> {
         let job = &self.job;
         let cached = self.cached_source();
         let query = Query {
@@ -363,6 +422,7 @@
             request_hash: crate::rendezvous::hash_parts(&["admission", &job.metadata.id]),
             max_wait: job.max_wait(),
             build: self.build.as_ref(),
+            connected,
             tried: &self.tried,
         };
         self.gateway.choose(&job.configuration, &query)
@@ -391,20 +451,8 @@
     ) -> Result<UpstreamResponse<C>, AttemptError> {
         let choice = attempt.choice.clone();
         let (mut connection, pooled) = match self.connect(&choice).await {
-            Some(connection) => connection,
-            None => {
-                self.log_attempt(&choice, "unreachable");
-                attempt.complete(Outcome::Unreachable);
-                self.tried.push(choice.id);
-                self.connect_failures += 1;
-                let kind = match self.gateway.fleet().reach.lost_since(&self.job.service) {
-                    Some(_) => Kind::Unreachable,
-                    None => Kind::NoUpstream,
-                };
-                return Err(
-                    self.retry_or_refuse(self.connect_failures < MAX_CONNECT_FAILURES, kind)
-                );
-            }
+            Ok(connection) => connection,
+            Err(err) => return Err(self.handle_unreachable(attempt, err)),
         };
         if let Some(obstacle) = self.gateway.obstacle(&choice, self.job.metadata.model.as_ref()) {
             self.log_attempt(&choice, obstacle.name());
@@ -458,6 +506,29 @@
         }
     }
 
+    /// Handles an upstream to which there is no connection.
+    fn handle_unreachable(
+        &mut self,
+        attempt: InFlightAttempt<C>,
+        err: ConnectError,
+    ) -> AttemptError {
+        let (name, outcome) = match err {
+            ConnectError::Failed => ("unreachable", Outcome::Unreachable),
+            ConnectError::NotTried => ("not_sent_out_of_reach", Outcome::Cancelled),
+        };
+        self.log_attempt(&attempt.choice, name);
+        self.tried.push(attempt.choice.id.clone());
+        attempt.complete(outcome);
+        self.connect_failures += 1;
+        self.out_of_reach = self.gateway.reached_part(&self.job.service).is_some();
+        let retry = self.connect_failures < MAX_CONNECT_FAILURES;
+        match self.out_of_reach {
+            // Another host comes before further attempts here.
+            true => self.retry_or_refuse(retry && self.stays_here, Kind::Unreachable),
+            false => self.retry_or_refuse(retry, Kind::NoUpstream),
+        }
+    }
+
     /// Checks a response head. After a refusal, another upstream may be tried. A response to
     /// another request, or a successful one without a signature, is treated like a broken
     /// connection.
@@ -470,6 +541,7 @@
         sent_at: Instant,
     ) -> Result<UpstreamResponse<C>, AttemptError> {
         self.times_sent += 1;
+        self.gateway.record_heard();
         let (head, body) = response.into_parts();
         let metadata = self.gateway.codec.parse_response(head.status, &head.headers);
         let choice = attempt.choice.clone();
@@ -623,8 +695,11 @@
     }
 
     /// Takes a connection from the pool or opens a new one; the flag is true for a pooled one.
-    /// Returns `None` if the upstream cannot be reached.
-    async fn connect(&self, choice: &Choice) -> Option<(Connection, bool)> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the upstream cannot be reached, or only open connections may be used.
+    async fn connect(&self, choice: &Choice) -> Result<(Connection, bool), ConnectError> {
         let max_idle = match self.job.route.retry_policy.allows_rerun() {
             true => Duration::MAX,
             false => ONCE_MAX_IDLE,
@@ -633,14 +708,17 @@
             let pooled = self.gateway.pool().take(&choice.id, choice.incarnation.address, max_idle);
             let Some(mut pooled) = pooled else { break };
             if connection::wait_ready(&mut pooled).await {
-                return Some((pooled, true));
+                return Ok((pooled, true));
             }
         }
+        if self.needs_open_connection {
+            return Err(ConnectError::NotTried);
+        }
         let connected =
             timeout(self.job.time_left(), Connection::connect(choice.incarnation.address)).await;
-        let connection = connected.ok()?.ok()?;
-        self.gateway.record_connection(&choice.id);
-        Some((connection, false))
+        let Ok(Ok(connection)) = connected else { return Err(ConnectError::Failed) };
+        self.gateway.record_connection(&choice.id, true);
+        Ok((connection, false))
     }
 
     /// Builds the request for the upstream, with the headers that the gateway adds.
@@ -798,7 +876,7 @@
     }
 
     /// Returns the error of a request whose deadline has passed.
-    fn deadline_error(&self) -> Error {
+    pub(crate) fn deadline_error(&self) -> Error {
         let kind = if self.runs == 0 { Kind::NotRun } else { Kind::TimedOut };
         Error::new(kind, "the request's time is over").with_retry_after(Duration::from_millis(100))
     }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -3,9 +3,10 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
 };
 
@@ -20,12 +21,15 @@
     codec::{Codec, OperatorUpdate},
     configuration::Configuration,
     connection::Pool,
+    detour::Detours,
+    detour_link::Link,
     era_watch::Sighting,
     fleet::{Choice, Denial, Fleet, Outcome, Query},
     holdover::Holdover,
     host_settings::HostSettings,
     metric::Metrics,
     obstacle::Obstacle,
+    pinned_tls::Pins,
     poison::{Break, Detector, Key},
     prelude::*,
     quarantine::{Fingerprint, Quarantine},
@@ -53,6 +57,8 @@
     pub closing: CancellationToken,
     /// Notified when upstreams may need to load newer weights.
     pub rollout_needed: Notify,
+    /// Certificates of the other hosts.
+    pub pins: Pins,
     clock: Clock,
     configuration: ArcSwapOption<Configuration>,
     fleet: Mutex<Fleet>,
@@ -82,6 +88,10 @@
     pub(crate) body_usage: Arc<Usage>,
     /// Whether this host exchanges messages with other hosts.
     mesh_joined: AtomicBool,
+    /// When bytes of an upstream last arrived, in milliseconds of the clock.
+    heard_ms: AtomicU64,
+    detours: Mutex<Detours>,
+    detour_link: OnceLock<Arc<Link>>,
 }
 
 /// Progress of a weight rollout, which the holder of the weights lease sends to the other
@@ -113,6 +123,7 @@
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
             rollout_needed: Notify::new(),
+            pins: Pins::default(),
             clock: Clock::start(),
             configuration: ArcSwapOption::empty(),
             pool: Mutex::default(),
@@ -133,6 +144,9 @@
             unfinished_connections: AtomicU32::new(0),
             body_usage: Arc::default(),
             mesh_joined: AtomicBool::new(false),
+            heard_ms: AtomicU64::new(0),
+            detours: Mutex::default(),
+            detour_link: OnceLock::new(),
         })
     }
 
@@ -392,12 +406,62 @@
         }
     }
 
-    /// Records that a connection to an upstream was established.
-    pub fn record_connection(&self, id: &Upstream) {
-        self.fleet().record_connection(self.now(), id);
+    /// Records whether a connection to an upstream could be established.
+    pub fn record_connection(&self, id: &Upstream, succeeded: bool) {
+        if succeeded {
+            self.record_heard();
+        }
+        self.fleet().record_connection(self.now(), id, succeeded);
         self.update_unreachable_services();
     }
 
+    /// Records that bytes of an upstream have arrived.
+    pub fn record_heard(&self) {
+        let now_ms = self.now().since(Instant::ZERO).as_millis();
+        self.heard_ms.store(u64::try_from(now_ms).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    /// Returns when bytes of an upstream last arrived.
+    fn heard_at(&self) -> Instant {
+        Instant::ZERO + Duration::from_millis(self.heard_ms.load(Ordering::Relaxed))
+    }
+
+    /// Returns the upstreams to which a connection should be tried now, with their addresses.
+    pub fn due_probes(&self) -> Vec<(Upstream, SocketAddr)> {
+        let (now, heard_at) = (self.now(), self.heard_at());
+        self.fleet().due_probes(now, heard_at)
+    }
+
+    /// Returns the part of a service that this host reaches while the service is out of reach, or `None` if
+    /// it is within reach.
+    pub fn reached_part(&self, service: &Service) -> Option<f64> {
+        self.fleet().reach.reached_part(service)
+    }
+
+    /// Returns the upstreams with open connections that may still live: none if nothing was heard over any
+    /// for a while.
+    pub fn connected_upstreams(&self) -> Vec<Upstream> {
+        let (now, heard_at) = (self.now(), self.heard_at());
+        let is_silent = self.fleet().reach.is_silent(now, heard_at);
+        if is_silent { Vec::new() } else { self.pool().connected() }
+    }
+
+    /// Locks the other hosts that may take requests.
+    pub fn detours(&self) -> MutexGuard<'_, Detours> {
+        lock(&self.detours)
+    }
+
+    /// Sets the link over which requests take detours.
+    pub fn set_detour_link(&self, link: Arc<Link>) {
+        // There is one for the whole life of the process.
+        let _ = self.detour_link.set(link);
+    }
+
+    /// Returns the link over which requests take detours, if this host has one.
+    pub fn detour_link(&self) -> Option<Arc<Link>> {
+        self.detour_link.get().cloned()
+    }
+
     /// Sets the gauge of the services that are out of reach.
     fn update_unreachable_services(&self) {
         let lost = self.fleet().reach.lost_count();
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -2,7 +2,7 @@
 //! of its settings, and its shutdown.
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, UdpSocket},
     sync::atomic::{AtomicBool, Ordering},
     thread,
 };
@@ -19,6 +19,7 @@
 use crate::{
     cache_gc, cache_watch,
     codec::Codec,
+    detour_link::Link,
     era_watch::Watched,
     gateway::Gateway,
     gateway_server,
@@ -27,7 +28,7 @@
     mesh::Mesh,
     pinned_tls::{Identity, PinError},
     prelude::*,
-    rendezvous, rollout,
+    reach_watch, rendezvous, rollout,
     row_store::{RowStore, RowStoreError, Table, Write, WriteOutcome},
     table_sync::{Replicas, TableSync},
 };
@@ -86,6 +87,10 @@
     pub zone: String,
     /// Fingerprint of its certificate for calls between hosts.
     pub fingerprint: String,
+    /// Address at which it takes requests from hosts that do not reach the upstreams; `None` if it takes
+    /// none.
+    #[serde(default)]
+    pub detour_address: Option<SocketAddr>,
     /// Processor time that it has, in thousandths of a core; 0 if unknown.
     #[serde(default)]
     pub processor_millis: u32,
@@ -127,13 +132,52 @@
         let traffic = build_runtime()?;
         let control = build_runtime()?;
         let gateway = self.gateway.clone();
-        let identity = Identity::generate(&gateway.host_settings.host)?;
+        let identity = Arc::new(Identity::generate(&gateway.host_settings.host)?);
+        let detour_socket = bind_detour_socket(&gateway.host_settings);
+        let detour_address = detour_socket.as_ref().and_then(|it| it.local_addr().ok());
+        let control_identity = identity.clone();
         thread::Builder::new().name("control".into()).spawn(move || {
             let row_store = connect(gateway.host_settings.store_address);
             let row_store = Watched { gateway: gateway.clone(), row_store };
-            control.block_on(run_control(gateway, row_store, &identity));
+            control.block_on(run_control(gateway, row_store, &control_identity, detour_address));
         })?;
-        traffic.block_on(serve_traffic(self.gateway, reload))
+        traffic.block_on(async move {
+            if let Some(socket) = detour_socket {
+                start_detours(&self.gateway, &identity, socket);
+            }
+            tokio::spawn(reach_watch::run(self.gateway.clone()));
+            serve_traffic(self.gateway, reload).await
+        })
+    }
+}
+
+/// Binds the socket for requests between hosts to a free port for calls between hosts, the last one first.
+/// Without one, this host sends no requests over other hosts and takes none.
+fn bind_detour_socket(host_settings: &HostSettings) -> Option<UdpSocket> {
+    let ip = host_settings.listen_address.ip();
+    let (first_port, last_port) = host_settings.peer_ports;
+    let bound = (first_port..=last_port).rev().find_map(|port| UdpSocket::bind((ip, port)).ok());
+    if bound.is_none() {
+        log::error!(address = ip.to_string().as_str(), first_port = first_port,
+            last_port = last_port; "no port is free for requests between hosts");
+    }
+    bound
+}
+
+/// Starts to take requests from other hosts, and makes it possible to send them some.
+fn start_detours<C>(gateway: &Arc<Gateway<C>>, identity: &Identity, socket: UdpSocket)
+where
+    C: Codec,
+{
+    match Link::new(identity, &gateway.pins, socket) {
+        Ok(link) => {
+            let link = Arc::new(link);
+            gateway.set_detour_link(link.clone());
+            tokio::spawn(link.accept(gateway.clone()));
+        }
+        Err(err) => {
+            log::error!(error = err.to_string().as_str(); "no requests go over other hosts");
+        }
     }
 }
 
@@ -143,8 +187,12 @@
 
 /// Runs the control loops: reads of the row store's tables, the changes of the cache stores, the
 /// freeing of old cached parts, weight rollouts, and the mesh with the registration of this host.
-async fn run_control<C, L>(gateway: Arc<Gateway<C>>, row_store: L, identity: &Identity)
-where
+async fn run_control<C, L>(
+    gateway: Arc<Gateway<C>>,
+    row_store: L,
+    identity: &Identity,
+    detour_address: Option<SocketAddr>,
+) where
     C: Codec,
     L: RowStore,
 {
@@ -159,13 +207,17 @@
         cache_watch::run(gateway.clone(), replicas),
         rollout::run(gateway.clone(), row_store.clone()),
         cache_gc::run(gateway.clone()),
-        run_mesh(&gateway, table_sync, identity),
+        run_mesh(&gateway, table_sync, identity, detour_address),
     );
 }
 
 /// Joins the mesh, registers this host and takes part in the mesh until the process ends.
-async fn run_mesh<C, L>(gateway: &Gateway<C>, table_sync: TableSync<C, L>, identity: &Identity)
-where
+async fn run_mesh<C, L>(
+    gateway: &Gateway<C>,
+    table_sync: TableSync<C, L>,
+    identity: &Identity,
+    detour_address: Option<SocketAddr>,
+) where
     C: Codec,
     L: RowStore,
 {
@@ -174,6 +226,7 @@
         address,
         zone: gateway.host_settings.zone.to_string(),
         fingerprint: identity.fingerprint(),
+        detour_address,
         processor_millis: gateway.host_settings.processor_millis,
     };
     let row_store = table_sync.row_store.clone();
--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -22,8 +22,9 @@
 };
 
 use crate::{
-    codec::{Codec, Metadata},
+    codec::Codec,
     configuration::Configuration,
+    detour_link::{self, Terms},
     forward::{Forwarder, Job},
     gateway::{ConnectionGuard, Gateway},
     prelude::*,
@@ -199,14 +200,10 @@
 {
     let received = TokioInstant::now();
     let _request_guard = gateway.track_request();
-    let metadata = gateway.codec.parse_request(request.headers());
-    let id = metadata.id.clone();
+    let id = gateway.codec.parse_request(request.headers()).id;
     let path = FastStr::new(request.uri().path());
-    let mut response = match build_job(&gateway, request, metadata, received).await {
-        Ok(job) => match Box::pin(Forwarder::new(gateway.clone(), job).run()).await {
-            Ok(response) => response,
-            Err(err) => error_response(&gateway, &err, &id, &path, received),
-        },
+    let mut response = match respond(&gateway, request, None, received).await {
+        Ok(response) => response,
         Err(err) => error_response(&gateway, &err, &id, &path, received),
     };
     gateway.metrics.count_outcome(response.status().as_str());
@@ -216,6 +213,70 @@
     response
 }
 
+/// Responds to a request that another host sends because it reaches no upstream of the service. A request
+/// that this host cannot serve either is refused, so that the other host can ask the next one.
+pub(crate) async fn handle_detour<C>(
+    gateway: Arc<Gateway<C>>,
+    peer: &Host,
+    request: Request<Incoming>,
+    terms: Terms,
+) -> Response<Body>
+where
+    C: Codec,
+{
+    let received = TokioInstant::now();
+    let _request_guard = gateway.track_request();
+    let id = gateway.codec.parse_request(request.headers()).id;
+    let path = FastStr::new(request.uri().path());
+    log::info!(request = id.as_str(), peer = peer.as_str(),
+        left_ms = terms.left.as_millis() as u64, runs = terms.runs; "request of another host");
+    let result = match unfit_for_detours(&gateway, terms) {
+        Some(reason) => Err((Error::new(Kind::ShuttingDown, reason), Some(reason))),
+        None => respond(&gateway, request, Some(terms), received).await.map_err(|err| {
+            let is_lost = err.kind == Kind::Unreachable;
+            (err, is_lost.then_some("unreachable"))
+        }),
+    };
+    let (err, refusal) = match result {
+        Ok(response) => return response,
+        Err(it) => it,
+    };
+    let mut response = error_response(&gateway, &err, &id, &path, received);
+    if let Some(reason) = refusal {
+        detour_link::mark_refused(response.headers_mut(), reason);
+    }
+    response
+}
+
+/// Returns why this host takes no request of another host with these terms, if it does not.
+fn unfit_for_detours<C>(gateway: &Gateway<C>, terms: Terms) -> Option<&'static str>
+where
+    C: Codec,
+{
+    let version = gateway.configuration().map_or(0, |it| it.version);
+    match () {
+        () if gateway.draining.is_cancelled() => Some("shutting_down"),
+        // What the caller may do by the newer configuration may be unknown here.
+        () if version < terms.configuration => Some("older_configuration"),
+        () => None,
+    }
+}
+
+/// Forwards one request to an upstream and returns the response for the caller. `terms` are set for a
+/// request of another host.
+async fn respond<C>(
+    gateway: &Arc<Gateway<C>>,
+    request: Request<Incoming>,
+    terms: Option<Terms>,
+    received: TokioInstant,
+) -> Result<Response<Body>, Error>
+where
+    C: Codec,
+{
+    let job = build_job(gateway, request, terms, received).await?;
+    Box::pin(Forwarder::new(gateway.clone(), job).run()).await
+}
+
 /// Resolves route, key holder and service of a request, and reads its body.
 ///
 /// # Errors
@@ -225,7 +286,7 @@
 async fn build_job<C>(
     gateway: &Gateway<C>,
     request: Request<Incoming>,
-    metadata: Metadata,
+    terms: Option<Terms>,
     received: TokioInstant,
 ) -> Result<Job, Error>
 where
@@ -236,6 +297,7 @@
         return Err(err.with_retry_after(Duration::from_millis(500)));
     };
     let (head, body) = request.into_parts();
+    let metadata = gateway.codec.parse_request(&head.headers);
     let host = head.headers.get(header::HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let route = configuration.route(host, head.uri.path()).cloned();
@@ -249,6 +311,7 @@
             Some(holder.ok_or_else(|| Error::new(Kind::KeyUnknown, "the key is unknown"))?);
     }
     let limit = metadata.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT).min(route.timeout);
+    let limit = terms.map_or(limit, |it| it.left.min(limit));
     let deadline = received + limit;
     let body = read_body(body, &configuration, deadline).await?;
     let path = head.uri.path_and_query().cloned();
@@ -264,6 +327,7 @@
         body,
         received,
         deadline,
+        terms,
     };
     let key = job
         .session_key()
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -16,7 +16,6 @@
     ClientConfig, Connection, Endpoint, ServerConfig,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
-use rustls::pki_types::CertificateDer;
 use thiserror::Error as ThisError;
 use tokio::{
     task::JoinSet,
@@ -28,11 +27,12 @@
     codec::Codec,
     crash_gossip,
     departure::Departure,
+    detour::Candidate,
     fleet::Loads,
     gateway_process::HostRow,
     generated::peer::{self, Gossip, Pull, Question, Wanted, question},
     peer::{encode, transport_config},
-    pinned_tls::{self, Identity, PinError, Pins},
+    pinned_tls::{self, Identity, PinError},
     prelude::*,
     rendezvous,
     replica::{Revision, Row},
@@ -101,7 +101,6 @@
 pub struct Mesh<C, L> {
     table_sync: TableSync<C, L>,
     endpoint: Endpoint,
-    pins: Pins,
     connections: Mutex<HashMap<Host, Connection>>,
     /// Gossip of the last [`RELAY_WINDOW`], which a leader relays in a large mesh.
     recent_gossip: Mutex<Vec<RecentGossip>>,
@@ -143,11 +142,11 @@
         identity: &Identity,
         address: SocketAddr,
     ) -> Result<Arc<Self>, MeshError> {
-        let pins = Pins::default();
-        let server = QuicServerConfig::try_from(pinned_tls::server_config(identity, &pins)?)?;
+        let pins = &table_sync.gateway.pins;
+        let server = QuicServerConfig::try_from(pinned_tls::server_config(identity, pins)?)?;
         let mut server = ServerConfig::with_crypto(Arc::new(server));
         server.transport_config(transport_config(IDLE_TIMEOUT_MS, MAX_CONCURRENT_STREAMS));
-        let client = QuicClientConfig::try_from(pinned_tls::client_config(identity, &pins)?)?;
+        let client = QuicClientConfig::try_from(pinned_tls::client_config(identity, pins)?)?;
         let mut client = ClientConfig::new(Arc::new(client));
         client.transport_config(transport_config(IDLE_TIMEOUT_MS, MAX_CONCURRENT_STREAMS));
         let mut endpoint = Endpoint::server(server, address)?;
@@ -155,7 +154,6 @@
         Ok(Arc::new(Mesh {
             table_sync,
             endpoint,
-            pins,
             connections: Mutex::default(),
             recent_gossip: Mutex::default(),
             election: Mutex::default(),
@@ -256,7 +254,8 @@
         loop {
             let rows = self.host_rows();
             let pins = rows.iter().map(|(host, row)| (row.fingerprint.clone(), host.clone()));
-            self.pins.set(pins.collect());
+            self.table_sync.gateway.pins.set(pins.collect());
+            self.set_detour_candidates(&rows);
             let full_mesh = rows.len() <= FULL_MESH_PEERS + 1;
             for host in self.neighbours(&rows) {
                 // In a full mesh both hosts want the connection; the one whose name sorts first
@@ -275,6 +274,21 @@
         }
     }
 
+    /// Sets the hosts that may take requests whose upstreams this host does not reach.
+    fn set_detour_candidates(&self, rows: &HashMap<Host, HostRow>) {
+        let gateway = &self.table_sync.gateway;
+        let others = rows.iter().filter(|it| *it.0 != gateway.host_settings.host);
+        let candidate = |(host, row): (&Host, &HostRow)| {
+            Some(Candidate {
+                host: host.clone(),
+                zone: Zone::new(row.zone.clone()),
+                address: row.detour_address?,
+                processor_millis: row.processor_millis,
+            })
+        };
+        gateway.detours().set_candidates(others.filter_map(candidate).collect());
+    }
+
     /// Opens a connection to a host and serves it until it ends.
     async fn connect(self: Arc<Self>, host: Host, address: SocketAddr) {
         let Ok(connecting) = self.endpoint.connect(address, "mothvale") else { return };
@@ -302,19 +316,12 @@
             let mesh = self.clone();
             tokio::spawn(async move {
                 let Ok(Ok(connection)) = timeout(CALL_TIMEOUT, incoming).await else { return };
-                let Some(host) = mesh.peer_host(&connection) else { return };
+                let Some(host) = mesh.table_sync.gateway.pins.peer(&connection) else { return };
                 mesh.serve_connection(host, connection).await;
             });
         }
     }
 
-    /// Returns the host at the other end, found by the fingerprint of its certificate.
-    fn peer_host(&self, connection: &Connection) -> Option<Host> {
-        let identity = connection.peer_identity()?;
-        let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
-        self.pins.host(&pinned_tls::fingerprint(chain.first()?))
-    }
-
     /// Receives gossip and answers calls until the connection ends.
     async fn serve_connection(self: Arc<Self>, host: Host, connection: Connection) {
         log::info!(peer = host.as_str(); "host is connected");
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -41,6 +41,8 @@
     pub pauses: IntCounter,
     /// Upstreams that name a limit on their requests, as far as this host knows.
     pub limited_upstreams: IntGauge,
+    /// Requests that were sent over other hosts, by what became of them there.
+    pub detours: IntCounterVec,
     /// Services of which this host reaches no upstream, as far as it knows.
     pub unreachable_services: IntGauge,
     /// Requests that were refused because all their upstreams had asked for a pause.
@@ -111,6 +113,11 @@
         registry.register(Box::new(unreachable_services.clone()))?;
         Ok(Metrics {
             unreachable_services,
+            detours: counters(
+                "mothvale_detours_total",
+                "Requests sent over other hosts, by outcome",
+                &["outcome"],
+            )?,
             crash_causes,
             fatal_prompts: counters(
                 "mothvale_fatal_prompts_total",
--- a/lib/src/pinned_tls.rs
+++ b/lib/src/pinned_tls.rs
@@ -84,6 +84,13 @@
     pub fn host(&self, fingerprint: &str) -> Option<Host> {
         self.hosts.read().unwrap_or_else(PoisonError::into_inner).get(fingerprint).cloned()
     }
+
+    /// Returns the host at the other end of a connection, found by the fingerprint of its certificate.
+    pub fn peer(&self, connection: &quinn::Connection) -> Option<Host> {
+        let identity = connection.peer_identity()?;
+        let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+        self.host(&fingerprint(chain.first()?))
+    }
 }
 
 /// Returns the TLS configuration for connections from other hosts.
--- a/lib/src/reach.rs
+++ b/lib/src/reach.rs
@@ -1,30 +1,66 @@
-//! Whether this host reaches the upstreams of each service.
+//! How much of each service this host reaches.
 //!
-//! A host can lose its links to all upstreams while callers, the row store and other hosts still reach it.
-//! Upstreams that fail on their own cannot be told from that by one connection; several that fail one after
-//! the other, with no new connection to any upstream of the service in between, count as a lost link.
-//! Responses over older connections do not count against it: these may live on while new ones fail.
+//! A host can lose its links to all upstreams, or to most, while callers, the row store and other hosts still
+//! reach it. Upstreams that fail on their own cannot be told from that by one connection; several that fail
+//! one after the other, with no new connection in between, count as lost links. From then on connections are
+//! tried in turn, whatever callers ask for, and show which part of the service can be reached. Responses over
+//! older connections do not count: these may live on while new ones fail.
 //!
 //! Does no I/O.
 
 use std::collections::HashMap;
 
-use crate::prelude::*;
+use crate::{prelude::*, upstream_state::UpstreamRow};
 
 /// Upstreams of a service to which connections must fail one after the other. In a service with fewer
 /// upstreams, those to all of them.
 const MAX_FAILED_UPSTREAMS: usize = 4;
 /// How long a failed connection counts.
 const FAILURE_TTL: Duration = Duration::from_secs(5);
+/// Upstreams whose last attempts show which part of a service is reached.
+const SAMPLED_UPSTREAMS: usize = 8;
+/// Part of the sampled upstreams from which on the service is within reach again.
+const RESTORED_PART: f64 = 0.5;
+/// Interval between probes of the upstreams of a service that is out of reach.
+const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Upstreams that are probed at a time.
+const PROBED_UPSTREAMS: usize = MAX_FAILED_UPSTREAMS;
+/// Time without a byte from any upstream after which those with requests in flight are probed.
+const SILENCE: Duration = Duration::from_millis(500);
+
+/// Whether a connection to an upstream could be established.
+#[derive(Clone, Debug)]
+struct Attempt {
+    upstream: Upstream,
+    made_at: Instant,
+    succeeded: bool,
+}
 
 /// What is known about the way to the upstreams of one service.
 #[derive(Clone, Debug, Default)]
 struct Path {
-    /// Upstreams to which connections have failed since the last one that succeeded, with the time of
-    /// the last failure.
-    failed: SmallVec<[(Upstream, Instant); MAX_FAILED_UPSTREAMS]>,
+    /// The last attempts, one for each upstream, oldest first.
+    attempts: SmallVec<[Attempt; SAMPLED_UPSTREAMS]>,
     /// Since when the service is out of reach.
     lost_since: Option<Instant>,
+    /// No upstream is probed before this time.
+    next_probe: Instant,
+    /// Position in the list of upstreams at which the next probes begin.
+    probe_position: usize,
+}
+
+impl Path {
+    /// Returns the number of upstreams that have failed since the last success.
+    fn failed_in_a_row(&self, now: Instant) -> usize {
+        let newest_first = self.attempts.iter().rev();
+        newest_first.take_while(|it| !it.succeeded && now.since(it.made_at) < FAILURE_TTL).count()
+    }
+
+    /// Returns the part of the sampled upstreams that could be reached.
+    fn reached_part(&self) -> f64 {
+        let succeeded = self.attempts.iter().filter(|it| it.succeeded).count();
+        succeeded as f64 / self.attempts.len().max(1) as f64
+    }
 }
 
 /// A change in what a host reaches.
@@ -43,31 +79,39 @@
 }
 
 impl Reach {
-    /// Records that no connection to an upstream could be established. `upstreams` is the number of those
+    /// Records whether a connection to an upstream could be established. `upstreams` is the number of those
     /// of the service that requests may go to.
-    pub fn record_failure(
+    pub fn record(
         &mut self,
         now: Instant,
         service: &Service,
         upstream: &Upstream,
         upstreams: usize,
+        succeeded: bool,
     ) -> Option<Change> {
         let path = self.paths.entry(service.clone()).or_default();
-        path.failed.retain(|it| it.0 != *upstream && now.since(it.1) < FAILURE_TTL);
-        path.failed.push((upstream.clone(), now));
-        let is_lost = path.failed.len() >= upstreams.clamp(1, MAX_FAILED_UPSTREAMS);
-        if !is_lost || path.lost_since.is_some() {
+        path.attempts.retain(|it| it.upstream != *upstream);
+        path.attempts.push(Attempt { upstream: upstream.clone(), made_at: now, succeeded });
+        let sampled = upstreams.clamp(1, SAMPLED_UPSTREAMS);
+        while path.attempts.len() > sampled {
+            path.attempts.remove(0);
+        }
+        let Some(lost_since) = path.lost_since else {
+            let failed = path.failed_in_a_row(now);
+            if failed < upstreams.clamp(1, MAX_FAILED_UPSTREAMS) {
+                return None;
+            }
+            path.lost_since = Some(now);
+            path.next_probe = now;
+            // Earlier successes say nothing about the links any more.
+            path.attempts.retain(|it| !it.succeeded);
+            return Some(Change::Lost(failed));
+        };
+        let is_sampled = path.attempts.len() >= sampled;
+        if !is_sampled || path.reached_part() < RESTORED_PART {
             return None;
         }
-        path.lost_since = Some(now);
-        Some(Change::Lost(path.failed.len()))
-    }
-
-    /// Records that a connection to an upstream of the service was established.
-    pub fn record_connection(&mut self, now: Instant, service: &Service) -> Option<Change> {
-        let path = self.paths.get_mut(service)?;
-        path.failed.clear();
-        let lost_since = path.lost_since.take()?;
+        path.lost_since = None;
         Some(Change::Restored(now.since(lost_since)))
     }
 
@@ -76,8 +120,50 @@
         self.paths.get(service)?.lost_since
     }
 
+    /// Returns the part of a service that this host reaches while the service is out of reach, or `None` if
+    /// it is within reach.
+    pub fn reached_part(&self, service: &Service) -> Option<f64> {
+        let path = self.paths.get(service)?;
+        path.lost_since.map(|_| path.reached_part())
+    }
+
     /// Returns the number of services that are out of reach.
     pub fn lost_count(&self) -> usize {
         self.paths.values().filter(|it| it.lost_since.is_some()).count()
     }
+
+    /// Returns whether nothing was heard of any upstream for so long that open connections may be dead.
+    pub fn is_silent(&self, now: Instant, heard_at: Instant) -> bool {
+        now.since(heard_at) >= SILENCE
+    }
+
+    /// Returns the upstreams of a service to which a connection should be tried now. `upstreams` are those
+    /// that requests may go to, in a fixed order, each with whether this host has requests in flight
+    /// there; `heard_at` is when the last byte from any upstream arrived.
+    pub fn due_probes<'a, I>(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        heard_at: Instant,
+        upstreams: I,
+    ) -> SmallVec<[&'a UpstreamRow; PROBED_UPSTREAMS]>
+    where
+        I: Iterator<Item = (&'a UpstreamRow, bool)>,
+    {
+        let is_silent = self.is_silent(now, heard_at);
+        let path = self.paths.entry(service.clone()).or_default();
+        let is_lost = path.lost_since.is_some();
+        if path.next_probe > now || !is_lost && !is_silent {
+            return SmallVec::new();
+        }
+        let candidates: Vec<_> = upstreams.filter(|it| is_lost || it.1).map(|it| it.0).collect();
+        if candidates.is_empty() {
+            return SmallVec::new();
+        }
+        path.next_probe = now + PROBE_PERIOD;
+        let first = path.probe_position % candidates.len();
+        path.probe_position = first + PROBED_UPSTREAMS;
+        let in_turn = candidates.iter().cycle().skip(first);
+        in_turn.take(PROBED_UPSTREAMS.min(candidates.len())).copied().collect()
+    }
 }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -160,7 +160,10 @@
             };
             let data = match frame {
                 Err(_) => return RunEnd::TimedOut,
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(Some(Ok(frame))) => {
+                    self.gateway.record_heard();
+                    frame.into_data().unwrap_or_default()
+                }
                 Ok(None) if decoder.take_remaining().is_empty() => break,
                 Ok(None | Some(Err(_))) => {
                     let signs = Signs {
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -255,6 +255,16 @@
         self.eject(now, pause.min(EJECTION_MAX));
     }
 
+    /// Ends an ejection for failed connections: not the upstream failed, but this host's links to it.
+    pub(crate) fn forgive_unreachable(&mut self, now: Instant) {
+        if self.connect_failures > 0 {
+            self.connect_failures = 0;
+            self.ejected_until = self.ejected_until.min(now).max(self.faulty_until);
+            // One request at a time would refuse the callers that come at once.
+            self.half_open &= self.faulty_until > now;
+        }
+    }
+
     /// Assumes a cold start, because the upstream may have restarted.
     fn mark_disconnected(&mut self, now: Instant, service: &ServiceEntry) {
         self.last_disconnect = now;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_cache_index;
 mod test_claim;
 mod test_departure;
+mod test_detour;
 mod test_fleet;
 mod test_gateway;
 mod test_group_commit;
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -27,6 +27,7 @@
         request_hash: session,
         max_wait: MAX_WAIT,
         build: None,
+        connected: None,
         tried: &[],
     };
     fleet.choose(now, &configuration(), &query)
@@ -277,6 +278,7 @@
             request_hash: now,
             max_wait: Duration::from_millis(max_wait),
             build: None,
+            connected: None,
             tried: &[],
         };
         fleet.choose(at(now), &configuration(), &query).is_ok()
@@ -421,6 +423,7 @@
             request_hash: session,
             max_wait: MAX_WAIT,
             build: None,
+            connected: None,
             tried: &[],
         };
         assert!(fleet.choose(at(10), &configuration(), &query).is_ok(), "{session}");
@@ -456,6 +459,7 @@
             request_hash: session,
             max_wait: MAX_WAIT,
             build: None,
+            connected: None,
             tried: &[],
         };
         zones.push(fleet.choose(at(100), &configuration(), &query).unwrap().zone);
--- a/lib/tests/test_stream_origin.rs
+++ b/lib/tests/test_stream_origin.rs
@@ -115,6 +115,7 @@
         request_hash: 1,
         max_wait: Duration::from_secs(1),
         build,
+        connected: None,
         tried: &[],
     };
     fleet.choose(now, &configuration(), &query)
--- a/lib/testutils/src/gateway.rs
+++ b/lib/testutils/src/gateway.rs
@@ -142,6 +142,7 @@
         request_hash: session,
         max_wait: Duration::from_secs(1),
         build: None,
+        connected: None,
         tried: &[],
     };
     fleet.choose(now, &configuration(), &query)
