connection: connections to upstreams outlive a silence of a second or so

What callers saw: requests with an unknown outcome and cut streams while a sound upstream was silent for a second or so.

Cause: the kernel broke connections to upstreams after 1.2 s without an acknowledgement. Even a silence of 1.0 s can take longer to end, as bytes sent at its beginning arrive only with the next retransmission, up to twice as late.

Change: 4 s for upstreams; the stores, which answer promptly, keep 1.2 s. The number of keepalive probes agrees with the user timeout. The test reads the options back from the socket (the loopback interface acknowledges for stopped processes, so the break itself cannot be shown there); on the values before it fails at 1.2 s for 3.0 s.

--- a/lib/src/connection.rs
+++ b/lib/src/connection.rs
@@ -28,12 +28,14 @@
 /// Longest wait for a connection. A distant host accepts within a few milliseconds, but one whose
 /// accept queue is full only after seconds, and then another upstream is the better choice.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Time without acknowledgement of sent bytes after which the kernel breaks the connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Longest silence, in which the kernel of the other side acknowledges nothing, before a connection breaks:
+/// that of the row store and the cache stores, which answer promptly.
+pub const STORE_MAX_SILENCE: Duration = Duration::from_millis(1200);
+/// The same for upstreams. Sound ones fall silent for a second or so and go on; bytes that were sent
+/// meanwhile arrive with a later retransmission, the intervals of which double.
+pub const UPSTREAM_MAX_SILENCE: Duration = Duration::from_secs(4);
 /// Idle time before the first TCP keepalive probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keepalive probes after which the kernel breaks the connection.
-const KEEPALIVE_RETRIES: u32 = 2;
 /// Subtracted from the idle time that the other side allows, so that this side stops using a
 /// connection before the other side closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(800);
@@ -66,16 +68,31 @@
 }
 
 impl Connection {
-    /// Connects to an address and starts the task that drives the connection.
+    /// Connects to an address and starts the task that drives the connection. The connection breaks after
+    /// [`STORE_MAX_SILENCE`].
     ///
     /// # Errors
     ///
     /// Returns [`Fault::CONNECT`] when the connection cannot be established in time.
     pub async fn connect(address: SocketAddr) -> Result<Self, CallError> {
+        Connection::connect_with(address, STORE_MAX_SILENCE).await
+    }
+
+    /// Connects to an upstream like [`connect`](Self::connect). The connection breaks after
+    /// [`UPSTREAM_MAX_SILENCE`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::CONNECT`] when the connection cannot be established in time.
+    pub async fn connect_upstream(address: SocketAddr) -> Result<Self, CallError> {
+        Connection::connect_with(address, UPSTREAM_MAX_SILENCE).await
+    }
+
+    async fn connect_with(address: SocketAddr, max_silence: Duration) -> Result<Self, CallError> {
         let connect_error = CallError(Fault::CONNECT);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| connect_error)?.map_err(|_| connect_error)?;
-        set_socket_options(&stream);
+        set_socket_options(&stream, max_silence);
         Connection::handshake(stream).await
     }
 
@@ -176,18 +193,22 @@
     request
 }
 
-/// Sets the options with which the kernel detects a connection whose other side is gone, and
-/// turns off Nagle's algorithm. A failure is only logged; the connection works without them.
-fn set_socket_options(stream: &TcpStream) {
+/// Sets the options with which the kernel breaks a connection whose other side is silent for
+/// `max_silence`, with or without bytes on their way, and turns off Nagle's algorithm. A failure is only
+/// logged; the connection works without them.
+pub fn set_socket_options(stream: &TcpStream, max_silence: Duration) {
     let socket = SockRef::from(stream);
+    // On Linux the user timeout decides when probes give up. The number of retries agrees with it, so that
+    // the same holds elsewhere.
+    let probes = max_silence.as_secs_f64() / KEEPALIVE_INTERVAL.as_secs_f64();
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
+        .with_retries(probes.ceil() as u32);
     let result = stream
         .set_nodelay(true)
         .and_then(|()| socket.set_tcp_keepalive(&keepalive))
-        .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
+        .and_then(|()| socket.set_tcp_user_timeout(Some(max_silence)));
     if let Err(err) = result {
         log::warn!(error = err.to_string().as_str(); "socket options cannot be set");
     }
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -714,8 +714,8 @@
         if self.needs_open_connection {
             return Err(ConnectError::NotTried);
         }
-        let connected =
-            timeout(self.job.time_left(), Connection::connect(choice.incarnation.address)).await;
+        let connecting = Connection::connect_upstream(choice.incarnation.address);
+        let connected = timeout(self.job.time_left(), connecting).await;
         let Ok(Ok(connection)) = connected else { return Err(ConnectError::Failed) };
         self.gateway.record_connection(&choice.id, true);
         Ok((connection, false))
--- a/lib/src/reach_watch.rs
+++ b/lib/src/reach_watch.rs
@@ -30,7 +30,7 @@
 where
     C: Codec,
 {
-    match Connection::connect(address).await {
+    match Connection::connect_upstream(address).await {
         Ok(connection) => {
             gateway.record_connection(&upstream, true);
             gateway.pool().put_back(&upstream, address, connection);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_cache_gc;
 mod test_cache_index;
 mod test_claim;
+mod test_connection;
 mod test_departure;
 mod test_detour;
 mod test_fleet;
