refusal_limit, fleet, notice: upstreams that bear few refusals get what they have room for

New on the users' page: at times upstreams say (Server-Brittle) that they fall over when they turn away more than N requests in a second, and let fewer wait.

Cause of the fault that it would be: hosts learn that an upstream is full by its refusals, each for itself, and go on after 0.2 s; the loads that they tell each other are older than most requests.

Change: the statement is read and logged; while it holds, hosts share out the slots of each upstream, stay away for a second from one that has turned a request away, and use less after refusals (docs/design/refusal_limit.md).

Run: test_refusal_limit of lib (4) and platform (2).

--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -90,6 +90,9 @@
     pub date: Option<SystemTime>,
     /// How many requests the upstream takes from all hosts together, if it names a limit.
     pub rate_limit: Option<RateLimit>,
+    /// How many requests the upstream bears to turn away in a second for want of room, if it says so.
+    /// Beyond that it falls over.
+    pub max_refusals: Option<u32>,
 }
 
 /// A limit that an upstream names, as it is written.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -16,6 +16,7 @@
     prelude::*,
     rate_limit::{self, Hosts, Limits, Statement},
     reach::{Change, Reach},
+    refusal_limit::{self, RefusalLimits},
     rendezvous, share,
     stream_origin::Builds,
     target_weights::Targets,
@@ -55,6 +56,8 @@
 /// How long an upstream gets no requests after the holder of the rollout lease has announced that
 /// the upstream loads new weights. The announcement is repeated several times within this time.
 const LOADING_BACKOFF: Duration = Duration::from_millis(350);
+/// The same while a service bears few refusals: what does not fit into the KV cache waits, and little may.
+const LIMITED_MAX_FILL: f64 = 1.1;
 /// Fraction of an upstream's connections that requests may use; the rest is left for idle
 /// keep-alive connections.
 const CONNECTION_FRACTION: f64 = 0.8;
@@ -109,6 +112,8 @@
     pub builds: Builds,
     /// The services whose upstreams this host reaches.
     pub reach: Reach,
+    /// The services whose upstreams bear few refusals.
+    pub refusal_limits: RefusalLimits,
 }
 
 impl Fleet {
@@ -132,6 +137,7 @@
             limits: Limits::default(),
             builds: Builds::default(),
             reach: Reach::default(),
+            refusal_limits: RefusalLimits::default(),
         }
     }
 
@@ -480,6 +486,15 @@
         let Some(state) = self.states.get_mut(&choice.id) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         state.tokens = state.tokens.saturating_sub(choice.tokens.into());
+        if matches!(outcome, Outcome::Refused | Outcome::Paused)
+            && let Some(room) = self.refusal_limits.room(now, &state.row.service)
+        {
+            log::info!(upstream = choice.id.as_str(), service = state.row.service.as_str(),
+                room = room; "upstream of a service that bears few refusals has refused a request");
+            self.refusal_limits.record_refusal(now, &state.row.service);
+            state.backoff_until = state.backoff_until.max(now + refusal_limit::REFUSAL_BACKOFF);
+            return;
+        }
         if outcome == Outcome::Refused && behind_target {
             // The upstream is most likely loading new weights; its row shows when it has them.
             state.backoff_until = now + ROLLOUT_REFUSAL_BACKOFF;
@@ -618,10 +633,20 @@
         };
         let min_version =
             query.model.map(|it| (it, self.target_weights.min_version(now, query.max_wait, it)));
+        let part = self.refusal_limits.room(now, query.service);
+        let max_fill = part.map_or(MAX_FILL, |it| it * LIMITED_MAX_FILL);
         let max_tokens = service
             .engine
             .as_ref()
-            .map_or(u64::MAX, |it| (it.cache_tokens as f64 * MAX_FILL) as u64);
+            .map_or(u64::MAX, |it| (it.cache_tokens as f64 * max_fill) as u64);
+        // The upstreams at which this host may send single requests if it has no share of any one's room.
+        let single_places = part.map_or_else(SmallVec::new, |part| {
+            let mut states = ids.iter().filter_map(|it| self.states.get(it));
+            if states.any(|it| it.room(service, part).has_share(&self.me, &self.hosts)) {
+                return SmallVec::new();
+            }
+            refusal_limit::single_places(&self.me, ids)
+        });
         let mut usable = Vec::with_capacity(ids.len());
         for id in ids {
             let Some(state) = self.states.get_mut(id) else { continue };
@@ -647,6 +672,12 @@
             {
                 continue;
             }
+            if let Some(part) = part {
+                let room = state.room(service, part);
+                if !room.has_place(&self.me, &self.hosts, single_places.contains(id)) {
+                    continue;
+                }
+            }
             if service.cold_rate > 0.0 && state.cold_until > now {
                 let limit = (cold_rate_limit * COLD_LIMIT_FRACTION) as u32;
                 let host_limit = share::host_share(limit, id.as_str(), &self.me, &self.hosts);
@@ -821,6 +852,9 @@
             self.builds.see(now, &state.row.service, &state.row.build);
         }
         self.builds.purge(now);
+        for service in self.refusal_limits.take_ended(now) {
+            log::info!(service = service.as_str(); "service no longer limits refusals");
+        }
         self.pauses.purge(now);
         let states = &self.states;
         let is_listed = |id: &Upstream, incarnation| {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod reach;
 pub mod reach_watch;
 pub mod record;
+pub mod refusal_limit;
 pub mod relay;
 pub mod rendezvous;
 pub mod replica;
--- a/lib/src/notice.rs
+++ b/lib/src/notice.rs
@@ -42,6 +42,9 @@
                 "response is from an unknown upstream at this address");
             return false;
         };
+        if let Some(max_refusals) = metadata.max_refusals {
+            self.record_refusal_limit(&id, request, max_refusals);
+        }
         if metadata.leaving {
             let upstream = id.clone();
             let departure = Departure { upstream, incarnation, age: Duration::ZERO };
@@ -92,6 +95,15 @@
         true
     }
 
+    /// Records that upstreams of a service bear only so many refusals in a second.
+    fn record_refusal_limit(&self, id: &Upstream, request: &str, per_second: u32) {
+        let Some(service) = self.fleet().row(id).map(|it| it.service.clone()) else { return };
+        if self.fleet().refusal_limits.record(self.now(), &service) {
+            log::info!(service = service.as_str(), upstream = id.as_str(), request = request,
+                per_second = per_second; "service limits refusals");
+        }
+    }
+
     /// Applies the limit that a response names, or that it names none. `sent_at` is when the request was
     /// sent to which this response belongs, or `None` if the response may belong to an earlier request
     /// or is unsigned; such a response names a limit but does not end one.
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -3,7 +3,9 @@
 
 use std::net::SocketAddr;
 
-use crate::{configuration::ServiceEntry, prelude::*, rendezvous, window::Window};
+use crate::{
+    configuration::ServiceEntry, prelude::*, refusal_limit::Room, rendezvous, window::Window,
+};
 
 /// Window over which requests to a cold upstream are counted; its limit is per second.
 pub(crate) const COLD_RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -43,8 +45,7 @@
     pub build: Build,
     /// Whether it is shutting down and takes no new requests.
     pub draining: bool,
-    /// Requests that it runs concurrently. Not used yet; admission uses the slots of the service's
-    /// configuration.
+    /// Requests that it runs concurrently. For engines, the slots of the service's configuration are used.
     pub slots: u32,
     /// Remaining time of its cold start.
     pub cold_remaining: Duration,
@@ -192,6 +193,17 @@
         self.in_flight + self.peer_load.1
     }
 
+    /// Returns what is known of its room for requests, of which `part` is used.
+    pub(crate) fn room(&self, service: &ServiceEntry, part: f64) -> Room<'_> {
+        Room {
+            upstream: &self.row.id,
+            slots: service.engine.as_ref().map_or(self.row.slots, |it| it.slots),
+            part,
+            own: self.in_flight,
+            total: self.total_requests(),
+        }
+    }
+
     /// Returns the rank of the upstream for a session by weighted rendezvous hashing; the highest
     /// is first. Upstreams in the zone of the session's cache store rank first more often.
     pub(crate) fn session_rank(&self, session: u64, cache_zone: Option<&Zone>) -> u64 {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_poison;
 mod test_rate_limit;
 mod test_reach;
+mod test_refusal_limit;
 mod test_settings;
 mod test_store_era;
 mod test_store_history;
