rollout: a host without links to the upstreams leaves orders to another host

Change: a host that reaches none of the upstreams with older weights releases the lease, or does not take it, and looks again after 0.5 s. Its own connections for orders count for what it reaches, so that it notices without callers. Only a host that reaches nothing at all gives way: one with few links goes on.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -357,6 +357,12 @@
         outdated
     }
 
+    /// Returns whether this host reaches some upstream of a service that has upstreams behind their targets.
+    pub fn reaches_outdated(&self) -> bool {
+        let outdated = self.outdated();
+        outdated.iter().any(|it| self.reach.reached_part(&it.0.service) != Some(0.0))
+    }
+
     /// Returns whether an upstream fails so often that it is likely to blame, and not the request.
     pub fn fails_often(&self, id: &Upstream) -> bool {
         self.states.get(id).is_some_and(|it| it.failure_rate > FAILS_OFTEN_LIMIT)
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -53,6 +53,8 @@
 /// Timeout of connecting to an upstream, and of each call to it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 const MAX_RESPONSE_BYTES: usize = 256 << 10;
+/// Pause of a host that reaches none of the upstreams with older weights.
+const OUT_OF_REACH_PAUSE: Duration = Duration::from_millis(500);
 /// Attempts to read the lease row, which tells when targets were set before this host started.
 const TARGET_TIME_ATTEMPTS: u32 = 4;
 /// Key of the lease's row.
@@ -282,7 +284,11 @@
         gateway.rollout_needed.notified().await;
         worker.recover_target_times().await;
         while !gateway.fleet().outdated().is_empty() && !gateway.draining.is_cancelled() {
-            worker.run_under_lease().await;
+            if gateway.fleet().reaches_outdated() {
+                worker.run_under_lease().await;
+            } else {
+                worker.leave_to_others().await;
+            }
         }
         worker.release_lease().await;
     }
@@ -317,6 +323,18 @@
         }
     }
 
+    /// Releases the lease, if it is held, as this host reaches no upstream that needs an order, and waits a
+    /// moment. Other hosts may reach them.
+    async fn leave_to_others(&mut self) {
+        if self.lease.fencing_token(self.gateway.now()).is_some() {
+            log::warn!(
+                "upstreams with older weights are out of reach, orders are left to other hosts"
+            );
+        }
+        self.release_lease().await;
+        sleep(OUT_OF_REACH_PAUSE).await;
+    }
+
     /// Acquires the lease, or waits for it to become free, and gives orders while it is held.
     async fn run_under_lease(&mut self) {
         self.give_orders().await;
@@ -331,13 +349,13 @@
             if !self.lease.is_former_holder(self.gateway.now()) {
                 sleep(self.rank_delay()).await;
             }
-            if self.gateway.fleet().outdated().is_empty() || self.gateway.draining.is_cancelled() {
+            if self.gateway.draining.is_cancelled() || !self.gateway.fleet().reaches_outdated() {
                 return;
             }
             self.acquire_lease().await;
         }
         while self.holds_lease() {
-            if self.gateway.draining.is_cancelled() {
+            if self.gateway.draining.is_cancelled() || !self.gateway.fleet().reaches_outdated() {
                 return;
             }
             self.record_targets();
@@ -607,8 +625,9 @@
         Task::Recheck(row, model, version) => (Outcome::NoOrder, 1, row, model, version),
     };
     let id = row.id.clone();
-    let Ok(Ok(mut connection)) = timeout(CALL_TIMEOUT, Connection::connect(row.address)).await
-    else {
+    let connected = timeout(CALL_TIMEOUT, Connection::connect(row.address)).await;
+    gateway.record_connection(&id, matches!(connected, Ok(Ok(_))));
+    let Ok(Ok(mut connection)) = connected else {
         log::info!(upstream = id.as_str();
             "cannot connect to upstream to read its weight versions");
         return failure;
