mesh, gateway: hosts for detours and probes cost nothing while nothing changes

Now only when the hosts' rows have changed, and only while something is out of reach or silent. Nothing else changes.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -429,7 +429,11 @@
     /// Returns the upstreams to which a connection should be tried now, with their addresses.
     pub fn due_probes(&self) -> Vec<(Upstream, SocketAddr)> {
         let (now, heard_at) = (self.now(), self.heard_at());
-        self.fleet().due_probes(now, heard_at)
+        let mut fleet = self.fleet();
+        if fleet.reach.lost_count() == 0 && !fleet.reach.is_silent(now, heard_at) {
+            return Vec::new();
+        }
+        fleet.due_probes(now, heard_at)
     }
 
     /// Returns the part of a service that this host reaches while the service is out of reach, or `None` if
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -251,11 +251,15 @@
     /// Updates the pinned fingerprints and opens missing connections.
     async fn dial_neighbours(self: Arc<Self>) {
         let me = self.table_sync.gateway.host_settings.host.clone();
+        let mut known = None;
         loop {
             let rows = self.host_rows();
-            let pins = rows.iter().map(|(host, row)| (row.fingerprint.clone(), host.clone()));
-            self.table_sync.gateway.pins.set(pins.collect());
-            self.set_detour_candidates(&rows);
+            if !known.as_ref().is_some_and(|it| Arc::ptr_eq(it, &rows)) {
+                let pins = rows.iter().map(|(host, row)| (row.fingerprint.clone(), host.clone()));
+                self.table_sync.gateway.pins.set(pins.collect());
+                self.set_detour_candidates(&rows);
+                known = Some(rows.clone());
+            }
             let full_mesh = rows.len() <= FULL_MESH_PEERS + 1;
             for host in self.neighbours(&rows) {
                 // In a full mesh both hosts want the connection; the one whose name sorts first
