gateway_process, stream, soak: what is in progress at the end of the grace period is logged

Cause, from the hosts' logs: a host that was suspended for most of its grace period woke with 11 and 28 connections waiting, accepted them, and ended 0.2 to 0.4 s later with 1 and 4 streams in progress ('stopped', active 1 and 4). The process ended without a word about them.

Change: when the grace period is over and requests are in progress, streams end as cut and other requests with 504, each with its line, 0.1 s before the process ends.

--- a/bench/src/soak/regressions.rs
+++ b/bench/src/soak/regressions.rs
@@ -62,7 +62,18 @@
             fault(11_568, 12_797, Action::Misbehave(1, Mode::CutAnswer)),
         ],
     };
-    vec![target_set, key_revoked, cut_after_stop]
+    let ends_busy = Case {
+        name: "end-of-a-suspended-stop",
+        seed: 9038,
+        cause: "a host that was suspended for most of its grace period accepted the callers that had waited, and \
+                ended with their streams in progress and no line about them",
+        time: Duration::from_secs(14),
+        faults: vec![
+            fault(4800, 6154, Action::Interrupt(1, Interruption::Terminate)),
+            fault(5000, 12_100, Action::Interrupt(1, Interruption::Suspend)),
+        ],
+    };
+    vec![target_set, key_revoked, cut_after_stop, ends_busy]
 }
 
 fn fault(start_ms: u64, end_ms: u64, action: Action) -> Fault {
--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -68,6 +68,11 @@
     play_case("upstream-cuts-after-a-stop");
 }
 
+#[test]
+fn case_of_an_end_of_a_suspended_stop() {
+    play_case("end-of-a-suspended-stop");
+}
+
 #[test]
 fn the_same_seed_gives_the_same_faults() {
     let size = soak::plan::Size { hosts: 5, engines: 4, upstreams: 7, zones: 2, time: TIME };
--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -223,6 +223,7 @@
         let reason = loop {
             let frame = tokio::select! {
                 () = chunks.closed() => return,
+                () = self.gateway.ending.cancelled() => break "host_ends",
                 frame = timeout_at(self.deadline, body.frame()) => frame,
             };
             let data = match frame {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -55,6 +55,8 @@
     /// Cancelled when a host that shuts down begins to close its connections and removes its row:
     /// after the time that the load balancer needs to stop using it.
     pub closing: CancellationToken,
+    /// Cancelled when the grace period is over, right before the process ends with requests in progress.
+    pub ending: CancellationToken,
     /// Notified when upstreams may need to load newer weights.
     pub rollout_needed: Notify,
     /// Certificates of the other hosts.
@@ -122,6 +124,7 @@
             metrics: Metrics::new()?,
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
+            ending: CancellationToken::new(),
             rollout_needed: Notify::new(),
             pins: Pins::default(),
             clock: Clock::start(),
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -44,6 +44,8 @@
 const RELOAD_PERIOD: Duration = Duration::from_secs(10);
 /// How often a host that shuts down checks for requests in flight.
 const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
+/// Time for requests in progress to be answered or cut off, with a log line each, before the process ends.
+const ENDING_TIME: Duration = Duration::from_millis(100);
 /// Pause after a failed attempt to write the host's row.
 const REGISTER_RETRY: Duration = Duration::from_millis(700);
 /// Part of a heartbeat over which hosts spread the writes of their rows after the row store has come back
@@ -397,6 +399,10 @@
     while is_busy() && TokioInstant::now() < deadline {
         sleep(SHUTDOWN_POLL).await;
     }
+    if is_busy() {
+        gateway.ending.cancel();
+        sleep(ENDING_TIME).await;
+    }
     log::info!(active = gateway.active_requests(), connections = gateway.unfinished_connections();
         "stopped");
     log_setup::flush();
--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -274,7 +274,13 @@
     C: Codec,
 {
     let job = build_job(gateway, request, terms, received).await?;
-    Box::pin(Forwarder::new(gateway.clone(), job).run()).await
+    tokio::select! {
+        biased;
+        response = Box::pin(Forwarder::new(gateway.clone(), job).run()) => response,
+        () = gateway.ending.cancelled() => {
+            Err(Error::new(Kind::TimedOut, "the host ends before the request does"))
+        }
+    }
 }
 
 /// Resolves route, key holder and service of a request, and reads its body.
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -109,11 +109,12 @@
         let _running =
             RunningStream { gateway: self.gateway.clone(), attempt: self.stream_attempt() };
         let mut last_event_id = None;
+        let ending = self.gateway.ending.clone();
         loop {
             let end = self.forward_run(upstream_response, &chunks, &mut last_event_id).await;
             let retry = match end {
                 RunEnd::Completed | RunEnd::CallerLeft => return,
-                RunEnd::TimedOut | RunEnd::Withdrawn => false,
+                RunEnd::TimedOut | RunEnd::Withdrawn | RunEnd::HostEnds => false,
                 RunEnd::Broken => !self.unnumbered_sent && self.may_retry(),
             };
             if !retry {
@@ -121,6 +122,7 @@
             }
             let resumed = tokio::select! {
                 () = chunks.closed() => return,
+                () = ending.cancelled() => break,
                 resumed = self.send_with_retries(last_event_id) => resumed,
             };
             match resumed {
@@ -152,6 +154,7 @@
         loop {
             let frame = tokio::select! {
                 () = chunks.closed() => return RunEnd::CallerLeft,
+                () = self.gateway.ending.cancelled() => return RunEnd::HostEnds,
                 () = self.wait_fatal(), if first_event_time.is_none() => {
                     self.count_withdrawal(&attempt.choice);
                     return RunEnd::Withdrawn;
@@ -298,6 +301,8 @@
     TimedOut,
     /// The prompt is known to crash upstreams when they begin to respond.
     Withdrawn,
+    /// This process ends.
+    HostEnds,
     /// The connection broke, or the stream was not valid.
     Broken,
 }
