--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -11,11 +11,12 @@
 
 use crate::{
     admission::Pressure,
+    attempt_connection::MAX_CONNECT_FAILURES,
     body_buffer::{Buffer, ReadError},
     cache_index::{Plan, Prompt, Source},
     codec::{Codec, Metadata, Outgoing, ResponseMetadata},
     configuration::{Configuration, KeyHolder, RetryPolicy, Route},
-    connection::{self, Connection},
+    connection::Connection,
     detour_link::Terms,
     fatal_prompt::Signs,
     fault::{Cause, Delivery},
@@ -30,13 +31,8 @@
     stream::BEGIN_ANEW_WAIT,
 };
 
-/// Idle time from which a pooled connection is not used for a request that may run only once:
-/// the upstream may be closing it just then, which would leave the outcome unknown.
-const ONCE_MAX_IDLE: Duration = Duration::from_secs(2);
 /// Refusals by upstreams after which a request is refused.
 const MAX_REFUSALS: u32 = 3;
-/// Attempts without a usable connection after which a request is refused.
-const MAX_CONNECT_FAILURES: u32 = 5;
 /// Timeout of an attempt that may be followed by another one, as a multiple of the route's
 /// latency objective.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
@@ -197,14 +193,6 @@
     Fail(Error),
 }
 
-/// Why there is no connection for an attempt.
-enum ConnectError {
-    /// No connection could be established.
-    Failed,
-    /// No connection was open, and new ones are known to fail.
-    NotTried,
-}
-
 /// Forwards one request and holds its state across attempts.
 pub struct Forwarder<C>
 where
@@ -232,7 +220,7 @@
     /// Whether no other host takes the request, or it comes from another host.
     pub(crate) stays_here: bool,
     /// Whether the current attempt needs an open connection: new ones are known to fail.
-    needs_open_connection: bool,
+    pub(crate) needs_open_connection: bool,
     /// The last error response of an upstream, returned to the caller if all retries fail.
     pub(crate) failure: Option<Response<Body>>,
     /// Where the last attempt was told to fetch prompt parts from and to save them.
@@ -363,9 +351,9 @@
                 Ok(admission) => admission == Admission::Trial,
                 Err(rejection) => return Err(self.rejection_error(&rejection)),
             };
-            let connected = self.only_connected();
-            self.needs_open_connection = connected.is_some();
-            let choice = self.choose(connected.as_deref());
+            let allowed = self.allowed_upstreams();
+            self.needs_open_connection = allowed.is_some();
+            let choice = self.choose(allowed.as_deref());
             self.out_of_reach = matches!(choice, Err(Denial::Unreachable(_)));
             let choice = choice.map_err(|denial| self.denial_error(denial))?;
             self.placed = true;
@@ -383,31 +371,8 @@
         }
     }
 
-    /// Returns the only upstreams that the next attempt may go to, or `None` if all may be chosen. While the
-    /// service is out of reach, the upstreams that are reached get no more than their part of the requests;
-    /// the others go over other hosts first.
-    fn only_connected(&self) -> Option<Vec<Upstream>> {
-        let reached_part = self.gateway.reached_part(&self.job.service)?;
-        let sample = crate::rendezvous::fraction(&["reach", &self.job.metadata.id]);
-        match self.stays_here {
-            false if sample >= reached_part => Some(Vec::new()),
-            true if reached_part == 0.0 => Some(self.gateway.connected_upstreams()),
-            _ => None,
-        }
-    }
-
-    /// Checks that this host can do more for a request of another host than that one itself.
-    fn check_reach(&self, terms: Terms) -> Result<(), Error> {
-        match self.gateway.reached_part(&self.job.service) {
-            Some(reached_part) if reached_part <= terms.reached_part => {
-                Err(Error::new(Kind::Unreachable, "the service is out of reach here as well"))
-            }
-            _ => Ok(()),
-        }
-    }
-
     /// Chooses an upstream, with a preference for one whose zone holds cached parts of the prompt.
-    fn choose(&self, connected: Option<&[Upstream]>) -> Result<Choice, Denial> {
+    fn choose(&self, allowed: Option<&[Upstream]>) -> Result<Choice, Denial> {
         let job = &self.job;
         let cached = self.cached_source();
         let query = Query {
@@ -422,7 +387,7 @@
             request_hash: crate::rendezvous::hash_parts(&["admission", &job.metadata.id]),
             max_wait: job.max_wait(),
             build: self.build.as_ref(),
-            connected,
+            connected: allowed,
             tried: &self.tried,
         };
         self.gateway.choose(&job.configuration, &query)
@@ -506,29 +471,6 @@
         }
     }
 
-    /// Handles an upstream to which there is no connection.
-    fn handle_unreachable(
-        &mut self,
-        attempt: InFlightAttempt<C>,
-        err: ConnectError,
-    ) -> AttemptError {
-        let (name, outcome) = match err {
-            ConnectError::Failed => ("unreachable", Outcome::Unreachable),
-            ConnectError::NotTried => ("not_sent_out_of_reach", Outcome::Cancelled),
-        };
-        self.log_attempt(&attempt.choice, name);
-        self.tried.push(attempt.choice.id.clone());
-        attempt.complete(outcome);
-        self.connect_failures += 1;
-        self.out_of_reach = self.gateway.reached_part(&self.job.service).is_some();
-        let retry = self.connect_failures < MAX_CONNECT_FAILURES;
-        match self.out_of_reach {
-            // Another host comes before further attempts here.
-            true => self.retry_or_refuse(retry && self.stays_here, Kind::Unreachable),
-            false => self.retry_or_refuse(retry, Kind::NoUpstream),
-        }
-    }
-
     /// Checks a response head. After a refusal, another upstream may be tried. A response to
     /// another request, or a successful one without a signature, is treated like a broken
     /// connection.
@@ -694,33 +636,6 @@
         Ok(Some(response))
     }
 
-    /// Takes a connection from the pool or opens a new one; the flag is true for a pooled one.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the upstream cannot be reached, or only open connections may be used.
-    async fn connect(&self, choice: &Choice) -> Result<(Connection, bool), ConnectError> {
-        let max_idle = match self.job.route.retry_policy.allows_rerun() {
-            true => Duration::MAX,
-            false => ONCE_MAX_IDLE,
-        };
-        loop {
-            let pooled = self.gateway.pool().take(&choice.id, choice.incarnation.address, max_idle);
-            let Some(mut pooled) = pooled else { break };
-            if connection::wait_ready(&mut pooled).await {
-                return Ok((pooled, true));
-            }
-        }
-        if self.needs_open_connection {
-            return Err(ConnectError::NotTried);
-        }
-        let connecting = Connection::connect_upstream(choice.incarnation.address);
-        let connected = timeout(self.job.time_left(), connecting).await;
-        let Ok(Ok(connection)) = connected else { return Err(ConnectError::Failed) };
-        self.gateway.record_connection(&choice.id, true);
-        Ok((connection, false))
-    }
-
     /// Builds the request for the upstream, with the headers that the gateway adds.
     fn build_request(
         &mut self,
@@ -820,7 +735,7 @@
     }
 
     /// Returns a retry if `allowed`, or else the refusal of the request with an error of `kind`.
-    fn retry_or_refuse(&self, allowed: bool, kind: Kind) -> AttemptError {
+    pub(crate) fn retry_or_refuse(&self, allowed: bool, kind: Kind) -> AttemptError {
         if allowed { AttemptError::Retry } else { AttemptError::Fail(self.exhausted_error(kind)) }
     }
 
--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::{
-    codec::Codec,
+    codec::{Codec, Metadata},
     configuration::Configuration,
     detour_link::{self, Terms},
     forward::{Forwarder, Job},
@@ -200,9 +200,10 @@
 {
     let received = TokioInstant::now();
     let _request_guard = gateway.track_request();
-    let id = gateway.codec.parse_request(request.headers()).id;
+    let metadata = gateway.codec.parse_request(request.headers());
+    let id = metadata.id.clone();
     let path = FastStr::new(request.uri().path());
-    let mut response = match respond(&gateway, request, None, received).await {
+    let mut response = match respond(&gateway, request, metadata, None, received).await {
         Ok(response) => response,
         Err(err) => error_response(&gateway, &err, &id, &path, received),
     };
@@ -226,13 +227,14 @@
 {
     let received = TokioInstant::now();
     let _request_guard = gateway.track_request();
-    let id = gateway.codec.parse_request(request.headers()).id;
+    let metadata = gateway.codec.parse_request(request.headers());
+    let id = metadata.id.clone();
     let path = FastStr::new(request.uri().path());
     log::info!(request = id.as_str(), peer = peer.as_str(),
         left_ms = terms.left.as_millis() as u64, runs = terms.runs; "request of another host");
     let result = match unfit_for_detours(&gateway, terms) {
         Some(reason) => Err((Error::new(Kind::ShuttingDown, reason), Some(reason))),
-        None => respond(&gateway, request, Some(terms), received).await.map_err(|err| {
+        None => respond(&gateway, request, metadata, Some(terms), received).await.map_err(|err| {
             let is_lost = err.kind == Kind::Unreachable;
             (err, is_lost.then_some("unreachable"))
         }),
@@ -267,13 +269,14 @@
 async fn respond<C>(
     gateway: &Arc<Gateway<C>>,
     request: Request<Incoming>,
+    metadata: Metadata,
     terms: Option<Terms>,
     received: TokioInstant,
 ) -> Result<Response<Body>, Error>
 where
     C: Codec,
 {
-    let job = build_job(gateway, request, terms, received).await?;
+    let job = build_job(gateway, request, metadata, terms, received).await?;
     tokio::select! {
         biased;
         response = Box::pin(Forwarder::new(gateway.clone(), job).run()) => response,
@@ -292,6 +295,7 @@
 async fn build_job<C>(
     gateway: &Gateway<C>,
     request: Request<Incoming>,
+    metadata: Metadata,
     terms: Option<Terms>,
     received: TokioInstant,
 ) -> Result<Job, Error>
@@ -303,7 +307,6 @@
         return Err(err.with_retry_after(Duration::from_millis(500)));
     };
     let (head, body) = request.into_parts();
-    let metadata = gateway.codec.parse_request(&head.headers);
     let host = head.headers.get(header::HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let route = configuration.route(host, head.uri.path()).cloned();
