--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -140,7 +140,7 @@
                 gateway: self.gateway.clone(),
                 request: self.job.metadata.id.clone(),
                 deadline: self.job.deadline + DEADLINE_MARGIN,
-                _under_way: under_way,
+                under_way,
                 _connection: connection,
             };
             tokio::spawn(passing.pass_on(body, sender));
@@ -209,7 +209,8 @@
     gateway: Arc<Gateway<C>>,
     request: FastStr,
     deadline: TokioInstant,
-    _under_way: UnderWay<C>,
+    under_way: UnderWay<C>,
+    /// Ends the request at the other host when it is dropped.
     _connection: Connection,
 }
 
@@ -238,7 +239,7 @@
                 Err(_) => break "deadline",
             }
         };
-        log::info!(request = self.request.as_str(), peer = self._under_way.host.as_str(),
+        log::info!(request = self.request.as_str(), peer = self.under_way.host.as_str(),
             reason = reason; "response over another host was cut off");
         self.gateway.metrics.count_outcome("stream_cut");
         // As for a stream that was cut off, the caller must not take the response for complete.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -537,6 +537,7 @@
         let services: Vec<_> = self.by_service.keys().cloned().collect();
         let mut due = Vec::new();
         for service in services {
+            // Taken out because the upstreams are borrowed from the same fleet.
             let mut reach = std::mem::take(&mut self.reach);
             {
                 let upstreams = self.live(&service).map(|it| (&it.row, it.in_flight > 0));
