unread: slow callers hold no engine while the host has memory for what is unread

Cause: a streamed response was read from its engine at most 32 chunks ahead of its caller. A caller that reads slowly held an engine's slot for as long as it read, and engines cut off responses that stay unread for some seconds.

Change: beyond 32 chunks of its own, a response takes room from a budget that all responses of the host share, a sixteenth of the memory that the settings name, and at most 256 KiB for one response. When the budget is used up it waits as before, so the slowest wait first and the others keep their chunks. Settings without a memory limit change nothing. mothvale_unread_bytes shows the budget's use.

Tests without a network: 5 of the budget and the channel, one of the setting.

--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -3,10 +3,7 @@
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::{
-    sync::mpsc,
-    time::{Instant as TokioInstant, timeout, timeout_at},
-};
+use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use crate::{
     body_buffer::Buffer,
@@ -21,14 +18,13 @@
     hop_by_hop,
     prelude::*,
     response_body::{Body, Truncated},
+    unread::Sender,
 };
 
 /// Hosts that are asked to take a request, one after the other.
 const MAX_HOSTS: usize = 3;
 /// How much later than the request's deadline the other host's last bytes may arrive.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
-/// Chunks of a response that are buffered for a slow caller.
-const BUFFERED_CHUNKS: usize = 32;
 
 /// A request that is under way at another host until this is dropped.
 struct UnderWay<C>
@@ -134,7 +130,7 @@
         }
         let (head, body) = response.into_parts();
         if !head.headers.contains_key(header::CONTENT_LENGTH) {
-            let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
+            let (sender, receiver) = self.gateway.unread.channel();
             let response = self.build_response(&head, Body::Stream(receiver));
             let passing = Passing {
                 gateway: self.gateway.clone(),
@@ -219,7 +215,7 @@
     C: Codec,
 {
     /// Passes on the chunks of the response until its end, or until the caller leaves.
-    async fn pass_on(self, mut body: Incoming, chunks: mpsc::Sender<Result<Bytes, Truncated>>) {
+    async fn pass_on(self, mut body: Incoming, chunks: Sender<Result<Bytes, Truncated>>) {
         let _active = self.gateway.track_request();
         let reason = loop {
             let frame = tokio::select! {
@@ -233,7 +229,8 @@
                 Ok(Some(Err(_))) => break "host_broke_off",
                 Err(_) => break "deadline",
             };
-            match timeout_at(self.deadline, chunks.send(Ok(data))).await {
+            let bytes = data.len();
+            match timeout_at(self.deadline, chunks.send(Ok(data), bytes)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return,
                 Err(_) => break "deadline",
@@ -243,6 +240,6 @@
             reason = reason; "response over another host was cut off");
         self.gateway.metrics.count_outcome("stream_cut");
         // As for a stream that was cut off, the caller must not take the response for complete.
-        let _ = chunks.send(Err(Truncated)).await;
+        let _ = chunks.send(Err(Truncated), 0).await;
     }
 }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -37,6 +37,7 @@
     store_history::History,
     stream_origin::Origins,
     stream_resumption::OriginQuestions,
+    unread::Budget,
     window::RetryBudget,
 };
 
@@ -88,6 +89,8 @@
     unfinished_connections: AtomicU32,
     /// Bytes of responses' bodies that are buffered until they are complete.
     pub(crate) body_usage: Arc<Usage>,
+    /// Memory for chunks of streamed responses that callers have not read yet.
+    pub(crate) unread: Budget,
     /// Whether this host exchanges messages with other hosts.
     mesh_joined: AtomicBool,
     /// When bytes of an upstream last arrived, in milliseconds of the clock.
@@ -119,6 +122,7 @@
         Ok(Gateway {
             fleet: Mutex::new(Fleet::new(&host_settings)),
             holdover: Mutex::new(Holdover::new(&host_settings)),
+            unread: Budget::new(host_settings.memory_bytes),
             host_settings,
             codec,
             metrics: Metrics::new()?,
@@ -524,6 +528,7 @@
         lock(&self.stream_origins).purge(self.now());
         self.fleet().purge(self.now());
         self.update_limited_upstreams();
+        self.metrics.unread_bytes.set(i64::try_from(self.unread.used()).unwrap_or(i64::MAX));
     }
 }
 
--- a/lib/src/host_settings.rs
+++ b/lib/src/host_settings.rs
@@ -20,6 +20,8 @@
     pub peer_ports: (u16, u16),
     /// Processor time that the host has, in thousandths of a core.
     pub processor_millis: u32,
+    /// Memory that the host has, in bytes; 0 if the settings do not say.
+    pub memory_bytes: u64,
     /// Address of the platform's row store.
     pub store_address: SocketAddr,
     /// How often upstreams renew their rows.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -104,6 +104,7 @@
 pub mod target_weights;
 pub mod tls;
 pub mod unit;
+pub mod unread;
 pub mod upstream_choice;
 pub mod upstream_state;
 pub mod view;
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -41,6 +41,8 @@
     pub pauses: IntCounter,
     /// Upstreams that name a limit on their requests, as far as this host knows.
     pub limited_upstreams: IntGauge,
+    /// Bytes of streamed responses that wait for slow callers.
+    pub unread_bytes: IntGauge,
     /// Requests that were sent over other hosts, by what became of them there.
     pub detours: IntCounterVec,
     /// Services of which this host reaches no upstream, as far as it knows.
@@ -106,6 +108,9 @@
         let limited_upstreams =
             IntGauge::new("mothvale_limited_upstreams", "Upstreams that name a limit")?;
         registry.register(Box::new(limited_upstreams.clone()))?;
+        let unread_bytes =
+            IntGauge::new("mothvale_unread_bytes", "Bytes of streams that wait for slow callers")?;
+        registry.register(Box::new(unread_bytes.clone()))?;
         let unreachable_services = IntGauge::new(
             "mothvale_unreachable_services",
             "Services of which this host reaches no upstream",
@@ -152,6 +157,7 @@
             )?,
             pauses: counter("mothvale_upstream_pauses_total", "Pauses that upstreams asked for")?,
             limited_upstreams,
+            unread_bytes,
             pause_refusals: counter(
                 "mothvale_pause_refusals_total",
                 "Requests refused because all their upstreams had asked for a pause",
--- a/lib/src/response_body.rs
+++ b/lib/src/response_body.rs
@@ -8,9 +8,8 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::Full;
 use thiserror::Error as ThisError;
-use tokio::sync::mpsc;
 
-use crate::prelude::*;
+use crate::{prelude::*, unread::Receiver};
 
 /// Error of a response body that was cut off. It closes the connection to the caller, who
 /// would otherwise take the response for complete.
@@ -24,7 +23,7 @@
     /// The complete body.
     Buffered(Full<Bytes>),
     /// Chunks as they arrive.
-    Stream(mpsc::Receiver<Result<Bytes, Truncated>>),
+    Stream(Receiver<Result<Bytes, Truncated>>),
 }
 
 impl HttpBody for Body {
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -4,10 +4,7 @@
 
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use tokio::{
-    sync::mpsc,
-    time::{Instant as TokioInstant, timeout_at},
-};
+use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use crate::{
     cache_index::Plan,
@@ -22,12 +19,11 @@
     sse::Decoder,
     stream_origin::Attempt,
     stream_resumption::Destination,
+    unread::Sender,
 };
 
 /// Time after which the caller of a stream that cannot go on may begin it anew.
 pub(crate) const BEGIN_ANEW_WAIT: Duration = Duration::from_millis(20);
-/// Chunks of one or more events that are buffered for a slow caller.
-const BUFFERED_CHUNKS: usize = 32;
 
 impl<C> Forwarder<C>
 where
@@ -92,7 +88,7 @@
 
     /// Returns a streamed response and forwards its events in a separate task.
     pub(crate) fn forward_stream(self, upstream_response: UpstreamResponse<C>) -> Response<Body> {
-        let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
+        let (sender, receiver) = self.gateway.unread.channel();
         let response = self.build_response(&upstream_response.head, Body::Stream(receiver));
         tokio::spawn(self.forward_events(upstream_response, sender));
         response
@@ -103,7 +99,7 @@
     async fn forward_events(
         mut self,
         mut upstream_response: UpstreamResponse<C>,
-        chunks: mpsc::Sender<Result<Bytes, Truncated>>,
+        chunks: Sender<Result<Bytes, Truncated>>,
     ) {
         let _active = self.gateway.track_request();
         let _running =
@@ -136,7 +132,7 @@
         self.gateway.metrics.count_outcome("stream_cut");
         // Sending fails only if the caller has disconnected and needs no error. To one that reads nothing
         // the response must not look complete later, so this waits for as long as it is connected.
-        let _ = chunks.send(Err(Truncated)).await;
+        let _ = chunks.send(Err(Truncated), 0).await;
     }
 
     /// Forwards the events of one run, except those that the caller already has, and returns how
@@ -144,7 +140,7 @@
     async fn forward_run(
         &mut self,
         upstream_response: UpstreamResponse<C>,
-        chunks: &mpsc::Sender<Result<Bytes, Truncated>>,
+        chunks: &Sender<Result<Bytes, Truncated>>,
         last_event_id: &mut Option<u64>,
     ) -> RunEnd {
         let UpstreamResponse { attempt, connection, head, mut body, started, head_at, .. } =
@@ -202,7 +198,8 @@
                 }
             }
             // A caller that stops reading holds the upstream no longer than the request may take.
-            match timeout_at(self.job.deadline, chunks.send(Ok(events))).await {
+            let bytes = events.len();
+            match timeout_at(self.job.deadline, chunks.send(Ok(events), bytes)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return RunEnd::CallerLeft,
                 Err(_) => return RunEnd::TimedOut,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -30,5 +30,6 @@
 mod test_stream_origin;
 mod test_streams;
 mod test_tls;
+mod test_unread;
 mod test_upstream_choice;
 mod test_zone_leader;
--- a/lib/testutils/src/gateway.rs
+++ b/lib/testutils/src/gateway.rs
@@ -32,6 +32,7 @@
         readiness_address: address,
         peer_ports: (7260, 7275),
         processor_millis: 250,
+        memory_bytes: 260 << 20,
         store_address: address,
         heartbeat: Duration::from_millis(1200),
         bounds: Bounds {
