stream_ledger: builds and origins of streams outlive all hosts

After a start of all hosts nobody knew which builds a service had had, nor which of them began a stream. A stream whose build had left went on at another one (ORDER), and all others were refused (LOST).

The row store now holds, for each service, the builds of the last 30 s; a row is written on change only, on condition of its version. A host that has just started reads both, the streams only when a caller resumes one that nobody knows, and goes on at the only build of a service only if it or another host knows all builds. Otherwise the stream is refused.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -27,6 +27,7 @@
     fleet::{Choice, Denial, Fleet, Outcome, Query},
     holdover::Holdover,
     host_settings::HostSettings,
+    ledger_sync::LedgerLink,
     metric::Metrics,
     obstacle::Obstacle,
     pinned_tls::Pins,
@@ -83,6 +84,7 @@
     store_era: Mutex<Sighting>,
     pub(crate) stream_origins: Mutex<Origins>,
     pub(crate) origin_questions: OriginQuestions,
+    pub(crate) stream_ledger: LedgerLink,
     active_requests: AtomicU32,
     /// Callers' connections on which a request was read, until they end.
     unfinished_connections: AtomicU32,
@@ -143,6 +145,7 @@
             store_era: Mutex::default(),
             stream_origins: Mutex::default(),
             origin_questions: OriginQuestions::default(),
+            stream_ledger: LedgerLink::default(),
             active_requests: AtomicU32::new(0),
             unfinished_connections: AtomicU32::new(0),
             body_usage: Arc::default(),
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -399,7 +399,9 @@
         // Leaders tell each other what the hosts of their zones have told them.
         let relays = self.is_large_mesh() && !self.is_delegated() && !gossip.zone;
         let source = if relays { Source::Relayed } else { Source::Told };
-        gateway.apply_stream_news(&gossip.origins, source);
+        let is_of_zone = |it: &HostRow| it.zone == gateway.host_settings.zone.as_str();
+        let is_saved_here = !gossip.zone && self.host_rows().get(host).is_some_and(is_of_zone);
+        gateway.apply_stream_news(&gossip.origins, source, is_saved_here);
         for it in &gossip.targets {
             let age = it.age_ms.map(Duration::from_millis);
             gateway.follow_target_weights(host, Model::new(it.model.clone()), it.version, age);
@@ -713,18 +715,23 @@
                 calls.spawn(async move { call(&connection, body).await });
             }
             tokio::spawn(async move {
-                let mut mixed = false;
+                let (mut mixed, mut knows_builds) = (false, false);
                 while let Some(bytes) = calls.join_next().await {
                     let Ok(Some(bytes)) = bytes else { continue };
                     let Ok(origin) = peer::OriginAnswer::decode(bytes) else { continue };
                     mixed |= origin.mixed;
+                    knows_builds |= origin.knows_builds;
                     if origin.build.is_some() {
                         // The request may have been given up meanwhile.
                         let _ = answer.send(origin);
                         return;
                     }
                 }
-                let _ = answer.send(peer::OriginAnswer { mixed, ..peer::OriginAnswer::default() });
+                let _ = answer.send(peer::OriginAnswer {
+                    mixed,
+                    knows_builds,
+                    ..peer::OriginAnswer::default()
+                });
             });
         }
     }
--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -22,6 +22,10 @@
     Hosts,
     /// Leases that gateway hosts hold.
     Leases,
+    /// The builds that each service has had lately.
+    Builds,
+    /// The builds at which streams began.
+    Streams,
 }
 
 impl Table {
@@ -32,6 +36,8 @@
             Table::Upstreams => "upstreams",
             Table::Hosts => "hosts",
             Table::Leases => "leases",
+            Table::Builds => "builds",
+            Table::Streams => "streams",
         }
     }
 }
--- a/lib/src/stream_origin.rs
+++ b/lib/src/stream_origin.rs
@@ -13,7 +13,7 @@
 use crate::{generated::peer, prelude::*};
 
 /// How long a stream is remembered after its first event; longer than streams last.
-const RETENTION: Duration = Duration::from_secs(30);
+pub const RETENTION: Duration = Duration::from_secs(30);
 /// How long a build counts after an upstream was last seen with it: as long as a stream may go on.
 const BUILD_RETENTION: Duration = RETENTION;
 /// Largest number of streams that are remembered; beyond it, the oldest is forgotten.
@@ -59,6 +59,8 @@
     running: bool,
     /// How often it is still to be told.
     sends: u8,
+    /// Whether this host has seen to it that the row store holds it.
+    saved: bool,
 }
 
 /// The streams that this host knows.
@@ -69,6 +71,8 @@
     order: VecDeque<(Instant, Attempt)>,
     /// Streams that are still to be told, in that order.
     untold: Vec<Attempt>,
+    /// Streams of this host's zone that the row store is still to hold, in that order.
+    unsaved: VecDeque<Attempt>,
     /// Places of streams, shared by them.
     places: Vec<Arc<Place>>,
 }
@@ -84,7 +88,7 @@
             return;
         }
         let place = self.share(place);
-        self.streams.insert(attempt, Stream { place, running, sends });
+        self.streams.insert(attempt, Stream { place, running, sends, saved: false });
         self.order.push_back((now, attempt));
         if sends > 0 {
             self.untold.push(attempt);
@@ -139,6 +143,39 @@
         news.into_iter().map(|it| it.1).collect()
     }
 
+    /// Marks a stream that this host knows as one that the row store is to hold.
+    pub fn save(&mut self, attempt: Attempt) {
+        if let Some(stream) = self.streams.get_mut(&attempt)
+            && !std::mem::replace(&mut stream.saved, true)
+        {
+            self.unsaved.push_back(attempt);
+        }
+    }
+
+    /// Returns the streams that the row store is to hold now, at most `max`: those of services of which
+    /// `is_mixed` says that they have several builds.
+    pub fn take_unsaved<F>(&mut self, max: usize, is_mixed: F) -> Vec<(Arc<Place>, Attempt)>
+    where
+        F: Fn(&Service) -> bool,
+    {
+        let mut taken = Vec::new();
+        let streams = &self.streams;
+        self.unsaved.retain(|attempt| {
+            let Some(stream) = streams.get(attempt) else { return false };
+            if taken.len() >= max || !is_mixed(&stream.place.service) {
+                return true;
+            }
+            taken.push((stream.place.clone(), *attempt));
+            false
+        });
+        taken
+    }
+
+    /// Forgets which streams the row store is to hold: another host sees to that.
+    pub fn drop_unsaved(&mut self) {
+        self.unsaved.clear();
+    }
+
     /// Tells the streams that go through this host once more: to a host that may not know them.
     pub fn tell_running_again(&mut self) {
         for (attempt, stream) in self.streams.iter_mut().filter(|it| it.1.running) {
@@ -159,6 +196,7 @@
         }
         let streams = &self.streams;
         self.untold.retain(|it| streams.contains_key(it));
+        self.unsaved.retain(|it| streams.contains_key(it));
         self.places.retain(|it| Arc::strong_count(it) > 1);
     }
 
@@ -196,10 +234,20 @@
         }
     }
 
+    /// Returns the builds at which streams of a service may have begun.
+    pub fn recent(&self, now: Instant, service: &Service) -> impl Iterator<Item = &Build> {
+        let builds = self.by_service.get(service).into_iter().flatten();
+        builds.filter(move |it| now.since(it.1) < BUILD_RETENTION).map(|it| &it.0)
+    }
+
+    /// Returns the services that have had builds lately.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.by_service.keys()
+    }
+
     /// Returns whether streams of a service may have begun at several builds.
     pub fn is_mixed(&self, now: Instant, service: &Service) -> bool {
-        let builds = self.by_service.get(service).into_iter().flatten();
-        builds.filter(|it| now.since(it.1) < BUILD_RETENTION).nth(1).is_some()
+        self.recent(now, service).nth(1).is_some()
     }
 
     /// Returns whether streams of any service may have begun at several builds.
@@ -209,8 +257,7 @@
 
     /// Returns the build at which all streams of a service began, if there is only one.
     pub fn only(&self, now: Instant, service: &Service) -> Option<&Build> {
-        let builds = self.by_service.get(service).into_iter().flatten();
-        let mut recent = builds.filter(|it| now.since(it.1) < BUILD_RETENTION).map(|it| &it.0);
+        let mut recent = self.recent(now, service);
         recent.next().filter(|_| recent.next().is_none())
     }
 
--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -67,7 +67,9 @@
     /// Records that the first event of a stream has arrived from an upstream of a build.
     pub fn record_stream(&self, attempt: Attempt, service: &Service, build: &Build) {
         let place = Place { service: service.clone(), build: build.clone() };
-        lock(&self.stream_origins).record(self.now(), attempt, &place, Source::Own);
+        let mut origins = lock(&self.stream_origins);
+        origins.record(self.now(), attempt, &place, Source::Own);
+        origins.save(attempt);
     }
 
     /// Records that the events of a stream do not go through this host any more.
@@ -82,7 +84,13 @@
         service: &Service,
         attempt: Option<Attempt>,
     ) -> Destination {
-        let Some(attempt) = attempt else { return self.only_destination(service) };
+        let Some(attempt) = attempt else {
+            self.wait_for_builds().await;
+            return match self.knows_builds(service) {
+                true => self.only_destination(service),
+                false => Destination::Unknown,
+            };
+        };
         if let Some(destination) = self.known_destination(attempt) {
             return destination;
         }
@@ -96,11 +104,17 @@
             lock(&self.stream_origins).record(self.now(), attempt, &place, Source::Told);
         }
         // It may also have been told meanwhile.
-        match self.known_destination(attempt) {
-            Some(destination) => destination,
-            None if answer.mixed => Destination::Unknown,
-            None => self.only_destination(service),
+        if let Some(destination) = self.known_destination(attempt) {
+            return destination;
+        }
+        self.wait_for_builds().await;
+        let destination = self.only_destination(service);
+        let knows_builds = self.knows_builds(service) || answer.knows_builds;
+        if knows_builds && !answer.mixed && destination != Destination::Unknown {
+            return destination;
         }
+        self.wait_for_streams().await;
+        self.known_destination(attempt).unwrap_or(Destination::Unknown)
     }
 
     /// Returns where a stream can go on whose beginning is not known.
@@ -143,6 +157,7 @@
             service: place.as_ref().map(|it| FastStr::new(it.service.as_str())),
             build: place.as_ref().map(|it| FastStr::new(it.build.as_str())),
             mixed: self.fleet().builds.is_mixed(self.now(), &service),
+            knows_builds: self.knows_builds(&service),
         }
     }
 
@@ -161,15 +176,26 @@
         lock(&self.stream_origins).tell_running_again();
     }
 
-    /// Records streams that another host has told of.
-    pub(crate) fn apply_stream_news(&self, news: &[peer::StreamOrigins], source: Source) {
+    /// Records streams that another host has told of. `is_saved_here` is whether this host sees to it that
+    /// the row store holds them.
+    pub(crate) fn apply_stream_news(
+        &self,
+        news: &[peer::StreamOrigins],
+        source: Source,
+        is_saved_here: bool,
+    ) {
         let now = self.now();
-        let mut origins = lock(&self.stream_origins);
         for it in news {
             let (service, build) = (Service::new(it.service.clone()), Build::new(it.build.clone()));
+            // An upstream may come and go between two reads of the table.
+            self.fleet().builds.see(now, &service, &build);
             let place = Place { service, build };
-            for attempt in &it.attempts {
-                origins.record(now, Attempt(*attempt), &place, source);
+            let mut origins = lock(&self.stream_origins);
+            for attempt in it.attempts.iter().map(|it| Attempt(*it)) {
+                origins.record(now, attempt, &place, source);
+                if is_saved_here {
+                    origins.save(attempt);
+                }
             }
         }
     }
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -14,6 +14,7 @@
 use crate::{
     codec::Codec,
     gateway::Gateway,
+    ledger_sync,
     prelude::*,
     rendezvous,
     replica::{Replica, Revision, Row},
@@ -173,6 +174,7 @@
             self.sync_table(Table::Hosts, HOSTS_POLL_PAUSE),
             self.sync_table(Table::Upstreams, upstreams_interval),
             self.purge_expired(),
+            ledger_sync::run(&self.gateway, &self.row_store, &self.replicas),
         );
     }
 
@@ -185,7 +187,9 @@
             Table::Operators if !self.replicas.is_delegated(self.gateway.now()) => {
                 LONG_POLL_WAIT.min(self.gateway.host_settings.bounds.max_staleness)
             }
-            Table::Operators | Table::Hosts | Table::Leases => LONG_POLL_WAIT,
+            Table::Operators | Table::Hosts | Table::Leases | Table::Builds | Table::Streams => {
+                LONG_POLL_WAIT
+            }
         }
     }
 
@@ -289,7 +293,7 @@
             Table::Upstreams => true,
             // Without any row, this host does not know whom to pull from.
             Table::Hosts => !self.replicas.table(table).is_unknown(),
-            Table::Operators | Table::Leases => false,
+            Table::Operators | Table::Leases | Table::Builds | Table::Streams => false,
         }
     }
 
@@ -348,7 +352,7 @@
                 self.gateway.cache_index().set_host_count(hosts.len());
                 self.gateway.fleet().set_hosts(self.gateway.now(), hosts);
             }
-            Table::Hosts | Table::Leases => {}
+            Table::Hosts | Table::Leases | Table::Builds | Table::Streams => {}
         }
     }
 
