--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -53,6 +53,8 @@
 /// Multiple of an engine's KV cache that requests may need at most; beyond it, runs would only
 /// preempt each other. The load of all engines together is limited by `admission`.
 const MAX_FILL: f64 = 1.6;
+/// The same for a stream that goes on at one of several builds: upstreams of other builds cannot take it.
+const BOUND_MAX_FILL: f64 = 4.0;
 /// How long an upstream gets no requests after the holder of the rollout lease has announced that
 /// the upstream loads new weights. The announcement is repeated several times within this time.
 const LOADING_BACKOFF: Duration = Duration::from_millis(350);
@@ -641,7 +643,12 @@
         let min_version =
             query.model.map(|it| (it, self.target_weights.min_version(now, query.max_wait, it)));
         let part = self.refusal_limits.room(now, query.service);
-        let max_fill = part.map_or(MAX_FILL, |it| it * LIMITED_MAX_FILL);
+        let is_bound = query.build.is_some() && self.builds.is_mixed(now, query.service);
+        let max_fill = match part {
+            Some(part) => part * LIMITED_MAX_FILL,
+            None if is_bound => BOUND_MAX_FILL,
+            None => MAX_FILL,
+        };
         let max_tokens = service
             .engine
             .as_ref()
