--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -113,11 +113,12 @@
     Weights,
     Limits,
     Builds,
+    Outage,
 }
 
 /// Families that were added later. They are drawn by themselves, so that the faults of the others stay the
 /// same for a seed.
-const LATER_FAMILIES: [Family; 2] = [Family::Limits, Family::Builds];
+const LATER_FAMILIES: [Family; 3] = [Family::Limits, Family::Builds, Family::Outage];
 
 const FAMILIES: [Family; 10] = [
     Family::Suspension,
@@ -198,10 +199,18 @@
         let (start_time, end) =
             (Duration::from_millis(start), Duration::from_millis(start + length));
         faults.push(Fault { start: start_time, end, action });
+        if family == Family::Outage && action == Action::Interrupt(host, Interruption::Kill) {
+            // All hosts are killed at the same moment.
+            let others = (0..size.hosts).filter(|it| *it != host);
+            let kill = |it| Action::Interrupt(it, Interruption::Kill);
+            faults.extend(others.map(|it| Fault { start: start_time, end, action: kill(it) }));
+        }
         turn += 1;
         start += match family {
             // Their bounds are some seconds.
-            Family::Operator | Family::Fleet | Family::Limits => random.random_range(800..6000),
+            Family::Operator | Family::Fleet | Family::Limits | Family::Outage => {
+                random.random_range(800..6000)
+            }
             _ => random.random_range(SERIES_GAP_MS),
         };
     }
@@ -276,6 +285,12 @@
             // Its callers resume their streams.
             _ => (Action::Interrupt(host, Interruption::Kill), length),
         },
+        Family::Outage => match random.random_range(0..4) {
+            0 => (Action::NewBuild, 0),
+            1 => (Action::Crash(random.random_range(0..size.engines), true), length),
+            2 => (Action::Drain(random.random_range(0..size.engines)), length + 2000),
+            _ => (Action::Interrupt(host, Interruption::Kill), length),
+        },
         Family::Weights => match random.random_range(0..2) {
             0 => (Action::NewWeights, 0),
             _ => {
--- a/lib/tests/test_stream_origin.rs
+++ b/lib/tests/test_stream_origin.rs
@@ -104,12 +104,21 @@
 }
 
 fn choose(fleet: &mut Fleet, now: Instant, build: Option<&Build>) -> Result<Choice, Denial> {
+    choose_tokens(fleet, now, build, 100)
+}
+
+fn choose_tokens(
+    fleet: &mut Fleet,
+    now: Instant,
+    build: Option<&Build>,
+    tokens: u32,
+) -> Result<Choice, Denial> {
     let query = Query {
         service: &Service::new(ENGINES),
         model: Some(&Model::new("demo")),
         session: Some(1),
         cached: None,
-        tokens: 100,
+        tokens,
         admitted: build.is_some(),
         priority: 0,
         request_hash: 1,
@@ -144,6 +153,27 @@
     assert_eq!(fleet.builds.only(at(60_000), &Service::new(ENGINES)), Some(&Build::new("v2")));
 }
 
+/// Load pattern: all hosts have started at once, new requests have filled the engines of both builds, and
+/// callers resume the streams of one of them.
+#[test]
+fn streams_of_one_of_several_builds_find_engines_that_are_full_for_others() {
+    let mut admitted = Vec::new();
+    for names in [["v1", "v1"], ["v1", "v2"]] {
+        let mut fleet = fleet(0);
+        for (index, name) in names.into_iter().enumerate() {
+            fleet.upsert(at(0), with_build(index as u64, name));
+        }
+        let engine = configuration().services[&Service::new(ENGINES)].engine.clone().unwrap();
+        let tokens = u32::try_from(engine.cache_tokens / 10).unwrap();
+        let build = Build::new("v1");
+        let mut send = || choose_tokens(&mut fleet, at(10), Some(&build), tokens);
+        admitted.push((0..200).take_while(|_| send().is_ok()).count());
+        assert!(matches!(send(), Err(Denial::Full(_))));
+    }
+    // Two engines of the same build take less each than one that is the only one of its build.
+    assert!(admitted[1] > admitted[0], "{admitted:?}");
+}
+
 proptest! {
     /// Hosts that record, tell, lose single messages and forget never differ about a stream.
     #[test]
