--- /dev/null
+++ b/lib/tests/test_build_evidence.rs
@@ -0,0 +1,1 @@
+//! Tests of the evidence on a new build.
--- /dev/null
+++ b/lib/tests/test_build_trial.rs
@@ -0,0 +1,1 @@
+//! Tests of the trial of a new build.
