--- a/lib/src/build_evidence.rs
+++ b/lib/src/build_evidence.rs
@@ -92,6 +92,17 @@
         }
     }
 
+    /// Returns what is in this tally and not in an earlier one.
+    fn less(&self, earlier: &Tally) -> Tally {
+        let mut news = self.clone();
+        news.answers = news.answers.saturating_sub(earlier.answers);
+        news.bad = news.bad.saturating_sub(earlier.bad);
+        for (it, earlier) in news.latencies.iter_mut().zip(earlier.latencies) {
+            *it = it.saturating_sub(earlier);
+        }
+        news
+    }
+
     fn record(&mut self, sample: Sample) {
         self.answers += 1;
         match sample {
@@ -206,13 +217,14 @@
 }
 
 /// What one host has reported of its last seconds.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Reporter {
     /// Its latest second of which counts came.
     newest: u32,
     /// The pool's seconds less the host's; the least that was seen, as news are late at times.
     offset: i64,
-    open: BTreeMap<u32, Slice>,
+    /// Its seconds of which news are still taken, with the number that they have in the pool.
+    open: BTreeMap<u32, (u32, Slice)>,
 }
 
 /// The counts of all hosts, by the seconds of this one.
@@ -220,23 +232,23 @@
 pub struct Pool {
     started: Instant,
     reporters: HashMap<Host, Reporter>,
-    /// Number of the first second in `closed`.
+    /// Number of the first second in `sums`.
     first: u32,
-    /// Sums of seconds of which no more news are taken.
-    closed: VecDeque<Slice>,
+    sums: VecDeque<Slice>,
 }
 
 impl Pool {
     /// Creates an empty pool at a host that sees the order at `started`.
     pub fn new(started: Instant) -> Self {
-        Pool { started, reporters: HashMap::new(), first: 0, closed: VecDeque::new() }
+        Pool { started, reporters: HashMap::new(), first: 0, sums: VecDeque::new() }
     }
 
     /// Takes the newest counts of a host, also this one's own. Older counts of the same seconds, and counts
     /// of seconds that are closed for this host, change nothing.
     pub fn apply(&mut self, now: Instant, host: &Host, counts: Vec<Count>) {
         let Some(newest) = counts.iter().map(|it| it.slice).max() else { return };
-        let offset = i64::from(self.slice_at(now)) - i64::from(newest);
+        let present = self.slice_at(now);
+        let offset = i64::from(present) - i64::from(newest);
         if !self.reporters.contains_key(host) && self.reporters.len() >= MAX_HOSTS {
             return;
         }
@@ -248,19 +260,22 @@
         reporter.newest = reporter.newest.max(newest);
         reporter.offset = reporter.offset.min(offset);
         let oldest_open = reporter.newest.saturating_sub(OPEN_SLICES - 1);
+        reporter.open = reporter.open.split_off(&oldest_open);
         for count in counts.iter().filter(|it| it.slice >= oldest_open) {
-            let slice = reporter.open.entry(count.slice).or_default();
-            let tally = entry(slice, count.route).side(count.side);
-            if count.answers > tally.answers {
-                *tally = Tally::from(count);
-            }
-        }
-        let still_open = reporter.open.split_off(&oldest_open);
-        let closed = std::mem::replace(&mut reporter.open, still_open);
-        let offset = reporter.offset;
-        for (slice, routes) in closed {
-            if let Ok(slice) = u32::try_from(i64::from(slice) + offset) {
-                add_slice(&mut self.closed, &mut self.first, slice, &routes);
+            let Ok(number) = u32::try_from(i64::from(count.slice) + reporter.offset) else {
+                continue;
+            };
+            let (number, slice) =
+                reporter.open.entry(count.slice).or_insert((number.min(present), Slice::new()));
+            let known = entry(slice, count.route).side(count.side);
+            let tally = Tally::from(count);
+            if tally.answers > known.answers {
+                let news = tally.less(known);
+                *known = tally;
+                let sums = slice_of(&mut self.sums, &mut self.first, *number);
+                if let Some(sums) = sums {
+                    entry(sums, count.route).side(count.side).add(&news);
+                }
             }
         }
     }
@@ -268,7 +283,7 @@
     /// Returns the number of answers of a side so far, and how many of them were bad.
     pub fn totals(&self, side: Side) -> (u64, u64) {
         let (mut answers, mut bad) = (0, 0);
-        for pair in self.slices().1.iter().flat_map(BTreeMap::values) {
+        for pair in self.sums.iter().flat_map(BTreeMap::values) {
             let tally = if side == Side::Old { &pair.old } else { &pair.new };
             answers += u64::from(tally.answers);
             bad += u64::from(tally.bad);
@@ -277,37 +292,34 @@
     }
 
     /// Returns this host's number of the second of a time.
-    pub(crate) fn slice_at(&self, now: Instant) -> u32 {
+    fn slice_at(&self, now: Instant) -> u32 {
         whole_seconds(now.since(self.started))
     }
 
-    /// Returns the number of the first second, and the sums over all hosts of it and those after it.
-    pub(crate) fn slices(&self) -> (u32, VecDeque<Slice>) {
-        let (mut first, mut sums) = (self.first, self.closed.clone());
-        for reporter in self.reporters.values() {
-            for (slice, routes) in &reporter.open {
-                if let Ok(slice) = u32::try_from(i64::from(*slice) + reporter.offset) {
-                    add_slice(&mut sums, &mut first, slice, routes);
-                }
-            }
-        }
-        (first, sums)
+    /// Returns the place in [`sums`](Self::sums) of the second of a time.
+    pub(crate) fn index_at(&self, now: Instant) -> usize {
+        self.slice_at(now).saturating_sub(self.first) as usize
+    }
+
+    /// Returns the sums over all hosts by second, the oldest first.
+    pub(crate) fn sums(&self) -> &VecDeque<Slice> {
+        &self.sums
     }
 }
 
-/// Adds counts to those of a second. The oldest seconds are forgotten when there are too many.
-fn add_slice(sums: &mut VecDeque<Slice>, first: &mut u32, slice: u32, routes: &Slice) {
-    let Some(index) = slice.checked_sub(*first) else { return };
-    let excess = (index as usize + 1).saturating_sub(MAX_SLICES);
+/// Returns the sums of a second. The oldest seconds are forgotten when there are too many.
+fn slice_of<'a>(
+    sums: &'a mut VecDeque<Slice>,
+    first: &mut u32,
+    number: u32,
+) -> Option<&'a mut Slice> {
+    let index = number.checked_sub(*first)? as usize;
+    let excess = (index + 1).saturating_sub(MAX_SLICES);
     sums.drain(..excess.min(sums.len()));
     *first = first.saturating_add(u32::try_from(excess).unwrap_or(u32::MAX));
-    let index = index as usize - excess;
+    let index = index - excess;
     while sums.len() <= index {
         sums.push_back(Slice::new());
     }
-    for (route, pair) in routes {
-        let sum = entry(&mut sums[index], *route);
-        sum.old.add(&pair.old);
-        sum.new.add(&pair.new);
-    }
+    sums.get_mut(index)
 }
--- a/lib/src/build_trial.rs
+++ b/lib/src/build_trial.rs
@@ -26,16 +26,20 @@
 
 /// Shares on the way to all requests.
 const STEPS: [f64; 2] = [0.25, 0.5];
+/// The share while the rate of requests is not known yet.
+const FIRST_SHARE: f64 = 0.04;
 /// Shares at which a build is tried first, by how many requests there are.
-const SMALL_SHARES: [f64; 3] = [0.04, 0.08, 0.16];
+const SMALL_SHARES: [f64; 6] = [0.01, 0.02, 0.04, 0.08, 0.12, 0.16];
 /// Part of the requests that a bad build may get that is spent on the first share.
-const FIRST_PART: f64 = 0.4;
+const FIRST_PART: f64 = 0.5;
 /// Part of the bounds that is used.
 const CAUTION: f64 = 0.9;
 /// Part of the present rate of requests that will certainly go on.
 const CERTAIN: f64 = 0.8;
 /// Time from which on a rate of requests is known, in seconds.
 const LEAST_SPAN: f64 = 1.0;
+/// Part of the time in which the first share stays, as some builds turn bad later.
+const FIRST_RISE: f64 = 0.4;
 /// How long a share above the first is held at least.
 const LEAST_STAY: Duration = Duration::from_millis(1500);
 /// How long a bad build is borne at a higher share until it is detected and all hosts know.
@@ -98,7 +102,9 @@
 /// The trial of one build.
 #[derive(Clone, Debug)]
 pub struct Trial {
+    /// When the present step began.
     raised: Instant,
+    share: f64,
     bad: Option<Reason>,
     odds: f64,
 }
@@ -106,14 +112,17 @@
 impl Trial {
     /// Starts a trial at `started`, when the order is seen.
     pub fn new(started: Instant) -> Self {
-        Trial { raised: started, bad: None, odds: 1.0 }
+        Trial { raised: started, share: 0.0, bad: None, odds: 1.0 }
     }
 
-    /// Records that the share of requests was raised: a good verdict then needs evidence at that share, as
-    /// some builds are bad under load only.
-    pub fn raise(&mut self, now: Instant) {
-        self.raised = now;
-        self.odds = 1.0;
+    /// Records that the share of requests has changed. After a step up a good verdict needs evidence at the
+    /// new share, as some builds are bad under load only.
+    pub fn set_share(&mut self, now: Instant, share: f64) {
+        if share > self.share && share >= STEPS[0] {
+            self.raised = now;
+            self.odds = 1.0;
+        }
+        self.share = share;
     }
 
     /// Takes another host's verdict that the build is bad.
@@ -131,9 +140,8 @@
         if let Some(reason) = self.bad {
             return Verdict::Bad(reason);
         }
-        let (first, slices) = pool.slices();
-        let raised = pool.slice_at(self.raised).saturating_sub(first) as usize;
-        let case = Case::new(&slices);
+        let raised = pool.index_at(self.raised);
+        let case = Case::new(pool.sums());
         let (mut ratio, mut odds) = (0.0, 0.0);
         let mut strongest: Option<(f64, Cause, Option<RouteKey>)> = None;
         for (indicator, scope, weight) in case.hypotheses() {
@@ -202,7 +210,7 @@
     }
 
     /// Returns the share of requests for the new build from now on; 0 if it is bad. Call it some times a
-    /// second; when the share differs from the present one, [`Trial::raise`] is due.
+    /// second; when the share differs from the present one, [`Trial::set_share`] is due.
     pub fn share(&self, progress: &Progress) -> f64 {
         match progress.verdict {
             Verdict::Bad(_) => return 0.0,
@@ -210,22 +218,27 @@
             _ => {}
         }
         let forecast = Forecast::new(&self.bounds, progress);
+        let elapsed = progress.now.since(progress.ordered);
         let is_good = progress.verdict == Verdict::Good;
         let has_stayed = progress.now.since(progress.since) >= LEAST_STAY;
         if forecast.bears_rest() && progress.odds <= UNSUSPICIOUS {
             return 1.0;
         }
-        let small = forecast.small_share();
         if progress.share < STEPS[0] {
-            let may_rise = is_good && forecast.bears(STEPS[0], DETECTION);
-            return if may_rise { STEPS[0] } else { small.max(progress.share) };
+            let may_rise = is_good
+                && elapsed >= progress.deadline.mul_f64(FIRST_RISE)
+                && forecast.bears(STEPS[0], DETECTION);
+            return match may_rise {
+                true => STEPS[0],
+                false if elapsed.as_secs_f64() < LEAST_SPAN => FIRST_SHARE,
+                false => forecast.small_share(progress.share),
+            };
         }
         if is_good && has_stayed {
-            let next = STEPS.into_iter().find(|it| *it > progress.share).unwrap_or(1.0);
-            return next;
+            return STEPS.into_iter().find(|it| *it > progress.share).unwrap_or(1.0);
         }
         let must_retreat = has_stayed && !is_good && !forecast.bears(progress.share, REACTION);
-        if must_retreat { small } else { progress.share }
+        if must_retreat { forecast.small_share(0.0) } else { progress.share }
     }
 }
 
@@ -240,7 +253,6 @@
     exposed: f64,
     /// Requests that a bad build may get in all.
     bound: f64,
-    expected: f64,
 }
 
 impl Forecast {
@@ -251,7 +263,7 @@
         let rate = progress.requests as f64 / elapsed.max(LEAST_SPAN);
         let expected = progress.requests as f64 + CERTAIN * rate * left;
         let bound = bounds.exposure_share * expected + f64::from(bounds.exposure_slack);
-        Forecast { rate, left, span, exposed: progress.exposed as f64, bound, expected }
+        Forecast { rate, left, span, exposed: progress.exposed as f64, bound }
     }
 
     /// Whether a share stays within the bounds for a time.
@@ -265,10 +277,16 @@
             && self.exposed + self.rate * (self.left + REST_MARGIN) <= CAUTION * self.bound
     }
 
-    /// The share at which a build is tried first: a part of what it may get in all.
-    fn small_share(&self) -> f64 {
-        let target = FIRST_PART * self.bound / self.expected.max(1.0);
-        let fits = |it: &f64| *it <= target;
-        SMALL_SHARES.into_iter().rev().find(fits).unwrap_or(SMALL_SHARES[0])
+    /// The share at which a build is tried first: one that spends a part of what it may get in all, or a
+    /// present one that may stay until the deadline.
+    fn small_share(&self, present: f64) -> f64 {
+        let left = (FIRST_PART * self.bound - self.exposed) / (self.rate * self.left).max(1.0);
+        let fits = |it: &f64| *it <= left;
+        let first = SMALL_SHARES.into_iter().rev().find(fits).unwrap_or(0.0);
+        let present = SMALL_SHARES
+            .into_iter()
+            .rev()
+            .find(|it| *it <= present && self.bears(*it, Duration::from_secs_f64(self.left)));
+        first.max(present.unwrap_or(0.0))
     }
 }
