--- a/lib/src/build_case.rs
+++ b/lib/src/build_case.rs
@@ -8,18 +8,18 @@
 use std::collections::VecDeque;
 
 use crate::{
-    build_evidence::{BINS, RouteKey, Slice, Tally},
+    build_evidence::{BINS, OCTAVE_BINS, RouteKey, Slice, Tally},
     build_trial::{Cause, Reason},
     prelude::*,
 };
 
 /// Parts of the answers that a bad build may fail or delay.
 const PARTS: [f64; 7] = [0.02, 0.035, 0.06, 0.1, 0.18, 0.3, 0.5];
-/// How likely each of [`PARTS`] is, for the odds.
-const PART_ODDS: [f64; 7] = [0.025, 0.04, 0.07, 0.115, 0.2, 0.3, 0.25];
 /// Least part of slow answers that makes a build count as slow in the odds.
 const LEAST_SLOW_PART: f64 = 0.1;
-/// Seconds over which a fault may begin, with the same probability each.
+/// How likely a fault begins in the first second.
+const AT_ONCE: f64 = 0.4;
+/// Seconds over which a fault may begin later, with the same probability each.
 const ONSETS: f64 = 32.0;
 /// The most that one second's failed answers add to the logarithm of the likelihood ratio.
 const MAX_ERRORS_GAIN: f64 = 9.0;
@@ -28,7 +28,7 @@
 /// Answers for which the mean rate of failures stands in that of one second.
 const PRIOR_ANSWERS: f64 = 20.0;
 /// Rate of failures that is not held against a build while the old ones give no answers.
-const UNCOMPARED_RATE: f64 = 0.1;
+const UNCOMPARED_RATE: f64 = 0.3;
 /// Old answers that a comparison of latencies needs.
 const MIN_OLD: u32 = 20;
 /// Part of the old builds' answers over the threshold for the body of the latencies.
@@ -36,9 +36,9 @@
 /// Part of the old builds' answers over the threshold for the tail of the latencies.
 const TAIL: f64 = 0.03;
 /// Latency bins by which a build may be slower.
-const TOLERANCE_BINS: usize = 1;
+const TOLERANCE_BINS: usize = OCTAVE_BINS / 2;
 /// Latency bins by which a build may be slower while its upstreams are cold.
-const COLD_TOLERANCE_BINS: usize = 4;
+const COLD_TOLERANCE_BINS: usize = OCTAVE_BINS * 3 / 2;
 /// How long a new build's upstreams are cold after its first answer on a route, in seconds.
 const COLD_SECONDS: usize = 3;
 /// Least part of the old builds' answers of a route that is judged by itself.
@@ -97,9 +97,9 @@
 
 /// Mixes the likelihood ratios over the parts of answers and the seconds in which the fault may begin.
 pub(crate) fn likelihood_ratio(gains: &[Gains], max_gain: f64) -> f64 {
-    let onset = 1.0 / ONSETS;
     let begun = |part: usize| {
-        gains.iter().fold((0.0, 1.0), |(begun, to_come), gain| {
+        gains.iter().enumerate().fold((0.0, 1.0), |(begun, to_come), (index, gain)| {
+            let onset: f64 = if index == 0 { AT_ONCE } else { (1.0 - AT_ONCE) / ONSETS };
             let begins = onset.min(to_come);
             ((begun + begins) * gain[part].min(max_gain).exp(), to_come - begins)
         })
@@ -113,8 +113,8 @@
     let counts = |part: &usize| indicator == Indicator::Errors || PARTS[*part] >= LEAST_SLOW_PART;
     let (mut odds, mut sum) = (0.0, 0.0);
     for part in (0..PARTS.len()).filter(counts) {
-        odds += PART_ODDS[part] * gains.iter().map(|it| it[part]).sum::<f64>().exp();
-        sum += PART_ODDS[part];
+        odds += gains.iter().map(|it| it[part]).sum::<f64>().exp();
+        sum += 1.0;
     }
     odds / sum
 }
@@ -225,11 +225,24 @@
         let old = self.reference(route, index)?;
         let tolerance = if is_cold { COLD_TOLERANCE_BINS } else { TOLERANCE_BINS };
         let (threshold, rate) = threshold(&old, level);
-        let first_hit = threshold + tolerance;
-        let hits = new.latencies.get(first_hit..)?.iter().sum();
+        let rate = self.slow_rate(route, index, threshold, rate);
+        let hits = new.latencies.get(threshold + tolerance..)?.iter().sum();
         Some(Sampled { hits, answers: new.latencies.iter().sum(), rate })
     }
 
+    /// Returns the rate of answers from a latency bin on that a good build has at most in a second: a mean
+    /// rate of the old builds, or that of this second and those beside it if it is higher.
+    fn slow_rate(&self, route: usize, index: usize, threshold: usize, mean: f64) -> f64 {
+        let key = self.routes[route];
+        let near = index.saturating_sub(1)..(index + 2).min(self.slices.len());
+        let rates = self.slices.range(near).filter_map(|it| it.get(&key)).map(|it| {
+            let latencies = &it.old.latencies;
+            let hits = latencies[threshold..].iter().sum();
+            shrunken_rate(hits, latencies.iter().sum(), mean)
+        });
+        rates.fold(mean, f64::max)
+    }
+
     /// Returns the rate of failures that a good build has at most in a second: the old builds' over all
     /// seconds, or that of this second and those beside it if it is higher.
     fn error_rate(&self, route: usize, index: usize) -> f64 {
--- a/lib/src/build_evidence.rs
+++ b/lib/src/build_evidence.rs
@@ -21,10 +21,12 @@
 const MAX_HOSTS: usize = 1024;
 /// Routes that are told apart; answers on others count for the last one.
 const MAX_ROUTES: usize = 8;
-/// Latency bins, of half a power of 2 each from [`FIRST_BIN_MILLIS`] on.
-pub const BINS: usize = 28;
+/// Latency bins, from [`FIRST_BIN_MILLIS`] on.
+pub const BINS: usize = 48;
+/// Latency bins in which latencies double.
+pub(crate) const OCTAVE_BINS: usize = 4;
 /// Upper end of the lowest latency bin, in milliseconds.
-const FIRST_BIN_MILLIS: f64 = 4.0;
+const FIRST_BIN_MILLIS: f64 = 8.0;
 
 /// Which builds an answer comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -145,7 +147,7 @@
 /// Returns the latency bin of an answer.
 fn bin(latency: Duration) -> usize {
     let octaves = (latency.as_secs_f64() * 1000.0 / FIRST_BIN_MILLIS).max(1.0).log2();
-    ((octaves * 2.0).ceil() as usize).min(BINS - 1)
+    ((octaves * OCTAVE_BINS as f64).ceil() as usize).min(BINS - 1)
 }
 
 /// Returns the entry of a route; the last one stands for all others when there are too many.
--- a/lib/src/build_trial.rs
+++ b/lib/src/build_trial.rs
@@ -14,22 +14,24 @@
 use std::fmt;
 
 use crate::{
-    build_case::{Case, fault_odds, likelihood_ratio},
+    build_case::{Case, Gains, Indicator, fault_odds, likelihood_ratio},
     build_evidence::{Pool, RouteKey},
     prelude::*,
 };
 
 /// Likelihood ratio at which a build is bad.
-const CONVICTION: f64 = 1000.0;
+const CONVICTION: f64 = 300.0;
 /// Odds that a build is bad at or under which it is good enough at its share.
 const ACQUITTAL: f64 = 1.0 / 250.0;
 
+/// How likely a fault of a bad build shows under the load of the present step only.
+const LOAD_ODDS: f64 = 0.3;
 /// Shares on the way to all requests.
 const STEPS: [f64; 2] = [0.25, 0.5];
 /// The share while the rate of requests is not known yet.
 const FIRST_SHARE: f64 = 0.04;
 /// Shares at which a build is tried first, by how many requests there are.
-const SMALL_SHARES: [f64; 6] = [0.01, 0.02, 0.04, 0.08, 0.12, 0.16];
+const SMALL_SHARES: [f64; 7] = [0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.12];
 /// Part of the requests that a bad build may get that is spent on the first share.
 const FIRST_PART: f64 = 0.5;
 /// Part of the bounds that is used.
@@ -39,9 +41,13 @@
 /// Time from which on a rate of requests is known, in seconds.
 const LEAST_SPAN: f64 = 1.0;
 /// Part of the time in which the first share stays, as some builds turn bad later.
-const FIRST_RISE: f64 = 0.4;
+const FIRST_RISE: f64 = 0.3;
 /// How long a share above the first is held at least.
 const LEAST_STAY: Duration = Duration::from_millis(1500);
+/// How long a share above the first is held over the bounds at most without a good verdict.
+const LONGEST_STAY: Duration = Duration::from_millis(2000);
+/// Odds at which a build may get a share that the bounds bear until it is detected.
+const LIKELY: f64 = 0.1;
 /// How long a bad build is borne at a higher share until it is detected and all hosts know.
 const DETECTION: Duration = Duration::from_millis(2500);
 /// How long a lower share takes to reach all hosts.
@@ -148,9 +154,7 @@
             let gains = case.gains(indicator, scope);
             let share = weight * likelihood_ratio(&gains, indicator.max_gain());
             ratio += share;
-            odds += weight
-                * (0.7 * fault_odds(indicator, &gains)
-                    + 0.3 * fault_odds(indicator, gains.get(raised..).unwrap_or_default()));
+            odds += weight * odds_since(indicator, scope, &gains, raised);
             if strongest.is_none_or(|(most, ..)| share > most) {
                 strongest = Some((share, indicator.cause(), scope.map(|it| case.routes[it])));
             }
@@ -165,6 +169,15 @@
     }
 }
 
+/// Returns the odds of a fault that is there from the start, or from the present step on on all routes.
+fn odds_since(indicator: Indicator, scope: Option<usize>, gains: &[Gains], raised: usize) -> f64 {
+    let always = fault_odds(indicator, gains);
+    match (scope, gains.get(raised..)) {
+        (None, Some(step)) => (1.0 - LOAD_ODDS) * always + LOAD_ODDS * fault_odds(indicator, step),
+        _ => always,
+    }
+}
+
 /// Bounds on the requests that a bad build may get.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -220,24 +233,25 @@
         let forecast = Forecast::new(&self.bounds, progress);
         let elapsed = progress.now.since(progress.ordered);
         let is_good = progress.verdict == Verdict::Good;
-        let has_stayed = progress.now.since(progress.since) >= LEAST_STAY;
         if forecast.bears_rest() && progress.odds <= UNSUSPICIOUS {
             return 1.0;
         }
+        let next = STEPS.into_iter().find(|it| *it > progress.share).unwrap_or(1.0);
+        let may_rise = is_good || progress.odds <= LIKELY && forecast.bears(next, DETECTION);
         if progress.share < STEPS[0] {
-            let may_rise = is_good
-                && elapsed >= progress.deadline.mul_f64(FIRST_RISE)
-                && forecast.bears(STEPS[0], DETECTION);
+            let is_time = elapsed >= progress.deadline.mul_f64(FIRST_RISE);
             return match may_rise {
-                true => STEPS[0],
-                false if elapsed.as_secs_f64() < LEAST_SPAN => FIRST_SHARE,
-                false => forecast.small_share(progress.share),
+                true if is_time => next,
+                _ if elapsed.as_secs_f64() < LEAST_SPAN => FIRST_SHARE,
+                _ => forecast.small_share(progress.share),
             };
         }
-        if is_good && has_stayed {
-            return STEPS.into_iter().find(|it| *it > progress.share).unwrap_or(1.0);
+        let stay = progress.now.since(progress.since);
+        if may_rise && stay >= LEAST_STAY {
+            return next;
         }
-        let must_retreat = has_stayed && !is_good && !forecast.bears(progress.share, REACTION);
+        let must_retreat =
+            !is_good && stay >= LONGEST_STAY && !forecast.bears(progress.share, REACTION);
         if must_retreat { forecast.small_share(0.0) } else { progress.share }
     }
 }
@@ -273,8 +287,9 @@
 
     /// Whether the new build may get all requests until the deadline, even if it is bad.
     fn bears_rest(&self) -> bool {
+        let rest = self.rate * (self.left + REST_MARGIN);
         self.left <= REST * self.span
-            && self.exposed + self.rate * (self.left + REST_MARGIN) <= CAUTION * self.bound
+            && self.exposed + rest + 2.0 * rest.sqrt() <= CAUTION * self.bound
     }
 
     /// The share at which a build is tried first: one that spends a part of what it may get in all, or a
--- a/lib/tests/test_build_trial.rs
+++ b/lib/tests/test_build_trial.rs
@@ -14,6 +14,9 @@
 /// Requests after its 50th bad answer that a bad build may get.
 const ROLLBACK_MILLIS: u64 = 5_000;
 
+/// How long after the new build has all requests the roll-out is complete, and the old builds are stopped.
+const COMPLETION_MILLIS: u64 = 2_000;
+
 /// Pseudo-random numbers (splitmix64).
 struct Random(u64);
 
@@ -254,7 +257,8 @@
             for (host, counts) in std::mem::take(&mut news[tick]) {
                 pool.apply(at(now), &hosts[host], counts);
             }
-            if tick % 10 != 0 || outcome.convicted.is_some() {
+            let is_complete = outcome.whole.is_some_and(|it| now > it + COMPLETION_MILLIS);
+            if tick % 10 != 0 || outcome.convicted.is_some() || is_complete {
                 continue;
             }
             let verdict = trial.judge(at(now), &pool);
@@ -300,13 +304,13 @@
         } else if outcome.whole.is_none() {
             unfinished += 1;
             println!(
-                "unfinished rate {:.0} deadline {} old {:.3} {outcome:?}",
+                "unfinished seed {seed} rate {:.0} deadline {} old {:.3} {outcome:?}",
                 fleet.rate, fleet.deadline_millis, fleet.old_failing
             );
         } else if outcome.whole.is_some_and(|it| it * 10 > fleet.deadline_millis * 7) {
             late += 1;
             println!(
-                "LATEWHOLE rate {:.0} deadline {} old {:.3} {outcome:?}",
+                "LATEWHOLE seed {seed} rate {:.0} deadline {} old {:.3} {outcome:?}",
                 fleet.rate, fleet.deadline_millis, fleet.old_failing
             );
         }
@@ -332,7 +336,7 @@
         }
         if outcome.is_over() || outcome.is_late() {
             println!(
-                "OVER {} LATE {} rate {:.0} deadline {} routes {} old {:.3} {:?} {outcome:?}",
+                "seed {seed} OVER {} LATE {} rate {:.0} deadline {} routes {} old {:.3} {:?} {outcome:?}",
                 outcome.is_over(),
                 outcome.is_late(),
                 fleet.rate,
