--- a/lib/src/build_case.rs
+++ b/lib/src/build_case.rs
@@ -25,8 +25,8 @@
 const MAX_ERRORS_GAIN: f64 = 9.0;
 /// The most that one second's slow answers add to the logarithm of the likelihood ratio.
 const MAX_SLOW_GAIN: f64 = 6.0;
-/// Answers for which the mean rate of failures stands in that of one second.
-const PRIOR_ANSWERS: f64 = 20.0;
+/// Standard deviations over the mean at which a second's rate isn't chance.
+const SURPRISE: f64 = 2.0;
 /// Rate of failures that is not held against a build while the old ones give no answers.
 const UNCOMPARED_RATE: f64 = 0.3;
 /// Old answers that a comparison of latencies needs.
@@ -40,11 +40,11 @@
 /// Latency bins by which a build may be slower while its upstreams are cold.
 const COLD_TOLERANCE_BINS: usize = OCTAVE_BINS * 3 / 2;
 /// How long a new build's upstreams are cold after its first answer on a route, in seconds.
-const COLD_SECONDS: usize = 3;
+const COLD_SECONDS: usize = 2;
+/// How long after a fall of the share the new build's answers are those that take long, in seconds.
+const LINGERING_SECONDS: usize = 6;
 /// Least part of the old builds' answers of a route that is judged by itself.
 const LEAST_ROUTE: f64 = 0.03;
-/// How many times the mean rate of failures a second has if something ails all builds.
-const ELEVATED: f64 = 2.0;
 /// Seconds before and after, one after the other, over which old answers are gathered until they are enough.
 const REFERENCE_REACHES: [usize; 3] = [1, 5, 64];
 /// Seconds before and after without old answers that leave latencies uncompared.
@@ -127,10 +127,14 @@
     totals: Vec<(Tally, Tally)>,
     /// Sums over all routes by second: answers of the old builds, and bad ones of them.
     seconds: Vec<(u32, u32)>,
+    /// Answers of the old builds by route, and bad ones of them, in the seconds in which nothing ails all.
+    calm: Vec<(u32, u32)>,
+    /// Seconds in which the share of requests fell.
+    falls: SmallVec<[usize; 4]>,
 }
 
 impl<'a> Case<'a> {
-    pub(crate) fn new(slices: &'a VecDeque<Slice>) -> Self {
+    pub(crate) fn new(slices: &'a VecDeque<Slice>, falls: SmallVec<[usize; 4]>) -> Self {
         let mut sums: BTreeMap<RouteKey, (Tally, Tally)> = BTreeMap::new();
         for (route, pair) in slices.iter().flatten() {
             let sum = sums.entry(*route).or_default();
@@ -142,7 +146,32 @@
         };
         let seconds = slices.iter().map(second).collect();
         let (routes, totals) = sums.into_iter().unzip();
-        Case { slices, routes, totals, seconds }
+        let mut case = Case { slices, routes, totals, seconds, calm: Vec::new(), falls };
+        case.calm = case.calm_rates();
+        case
+    }
+
+    /// Returns the old builds' answers and bad ones by route, without the seconds that stand out.
+    fn calm_rates(&self) -> Vec<(u32, u32)> {
+        let mean = self.mean_rate();
+        let mut calm = vec![(0, 0); self.routes.len()];
+        for (slice, (answers, bad)) in self.slices.iter().zip(&self.seconds) {
+            if second_rate(*bad, *answers, mean) > mean {
+                continue;
+            }
+            for (sum, key) in calm.iter_mut().zip(&self.routes) {
+                if let Some(pair) = slice.get(key) {
+                    *sum = (sum.0 + pair.old.answers, sum.1 + pair.old.bad);
+                }
+            }
+        }
+        calm
+    }
+
+    /// Returns the old builds' rate of failures over all routes and seconds.
+    fn mean_rate(&self) -> f64 {
+        let sum = self.seconds.iter().fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        upper_rate(sum.1, sum.0)
     }
 
     /// Returns the hypotheses: what is bad, the route or `None` for all, and how much it weighs. Routes on
@@ -155,9 +184,9 @@
         let used: Vec<usize> = (0..self.routes.len()).filter(is_used).collect();
         let mut hypotheses = Vec::new();
         for (indicator, weight) in Indicator::ALL {
-            hypotheses.push((indicator, None, weight * 0.5));
+            hypotheses.push((indicator, None, weight * 0.75));
             for route in &used {
-                hypotheses.push((indicator, Some(*route), weight * 0.5 / used.len() as f64));
+                hypotheses.push((indicator, Some(*route), weight * 0.25 / used.len() as f64));
             }
         }
         hypotheses
@@ -222,6 +251,9 @@
             Indicator::Body => BODY,
             Indicator::Tail => TAIL,
         };
+        if self.falls.iter().any(|it| (*it..*it + LINGERING_SECONDS).contains(&index)) {
+            return None;
+        }
         let old = self.reference(route, index)?;
         let tolerance = if is_cold { COLD_TOLERANCE_BINS } else { TOLERANCE_BINS };
         let (threshold, rate) = threshold(&old, level);
@@ -238,7 +270,7 @@
         let rates = self.slices.range(near).filter_map(|it| it.get(&key)).map(|it| {
             let latencies = &it.old.latencies;
             let hits = latencies[threshold..].iter().sum();
-            shrunken_rate(hits, latencies.iter().sum(), mean)
+            second_rate(hits, latencies.iter().sum(), mean)
         });
         rates.fold(mean, f64::max)
     }
@@ -246,11 +278,10 @@
     /// Returns the rate of failures that a good build has at most in a second: the old builds' over all
     /// seconds, or that of this second and those beside it if it is higher.
     fn error_rate(&self, route: usize, index: usize) -> f64 {
-        let old = &self.totals[route].0;
-        let mean = upper_rate(old.bad, old.answers);
-        let (all, all_bad) =
-            self.seconds.iter().fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
-        let all_mean = upper_rate(all_bad, all);
+        let (answers, bad) = self.calm[route];
+        let mean = upper_rate(bad, answers);
+        let (answers, bad) = self.calm.iter().fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        let all_mean = upper_rate(bad, answers);
         let key = self.routes[route];
         let mut rate = mean;
         let mut compared = 0;
@@ -258,12 +289,11 @@
             let tally = self.slices[near].get(&key).map(|it| (it.old.answers, it.old.bad));
             let (answers, bad) = tally.unwrap_or_default();
             compared += answers;
-            rate = rate.max(shrunken_rate(bad, answers, mean));
+            rate = rate.max(second_rate(bad, answers, mean));
             // A second that is bad on all routes tells of a route with few answers.
             let (answers, bad) = self.seconds[near];
-            let second = shrunken_rate(bad, answers, all_mean);
-            if second > ELEVATED * all_mean {
-                rate = rate.max(second);
+            if second_rate(bad, answers, all_mean) > all_mean {
+                rate = rate.max(second_rate(bad, answers, all_mean));
             }
         }
         if compared == 0 { rate.max(UNCOMPARED_RATE) } else { rate }
@@ -296,9 +326,15 @@
     ((hits + 1.0 + 0.5 * hits.sqrt()) / (f64::from(answers) + 2.0)).min(1.0)
 }
 
-/// Returns the rate of a second, in which a mean rate stands for some answers.
-fn shrunken_rate(hits: u32, answers: u32, mean: f64) -> f64 {
-    (f64::from(hits) + PRIOR_ANSWERS * mean) / (f64::from(answers) + PRIOR_ANSWERS)
+/// Returns the rate of a second: a mean rate, or its own with a margin if that is higher by more than chance.
+fn second_rate(hits: u32, answers: u32, mean: f64) -> f64 {
+    let expected = mean * f64::from(answers);
+    let chance = SURPRISE * (expected * (1.0 - mean)).sqrt() + 1.0;
+    let hits = f64::from(hits);
+    if hits <= expected + chance {
+        return mean;
+    }
+    ((hits + hits.sqrt() + 1.0) / (f64::from(answers) + 2.0)).min(1.0)
 }
 
 /// Returns the first latency bin of which at most a part of the answers lies at or above, and that part with
