build_trial, build_evidence: tests over simulated fleets and of news that go wrong

Cause: a roll-out needs to know whether the new build is bad before it has got too many requests.

Measured in a simulation (rates 3 to 900 a second, 2 to 5 routes, deadlines 10 to 30 s; bad builds fail 2 to 50 in 100, spread evenly over the logarithm, or take 2 to 8 times as long, at once, later, from a share on or on one route; old builds fail up to 8 in 100, bursts, grey upstreams, cold starts).

Where requests are few, the bounds allow fewer answers than a fault of 2 in 100 needs to show.

--- a/lib/src/build_case.rs
+++ b/lib/src/build_case.rs
@@ -43,6 +43,8 @@
 const COLD_SECONDS: usize = 2;
 /// How long after a fall of the share the new build's answers are those that take long, in seconds.
 const LINGERING_SECONDS: usize = 6;
+/// How likely a fault is on one route only.
+const ONE_ROUTE: f64 = 0.25;
 /// Least part of the old builds' answers of a route that is judged by itself.
 const LEAST_ROUTE: f64 = 0.03;
 /// Seconds before and after, one after the other, over which old answers are gathered until they are enough.
@@ -179,40 +181,37 @@
         upper_rate(sum.1, sum.0)
     }
 
-    /// Returns the hypotheses: what is bad, the route or `None` for all, and how much it weighs. Routes on
+    /// Returns where a fault may be, on a route or on all for `None`, and how much each weighs. Routes on
     /// which the old builds have few of the answers are left to the one for all.
-    pub(crate) fn hypotheses(&self) -> Vec<(Indicator, Option<usize>, f64)> {
+    pub(crate) fn scopes(&self) -> Vec<(Option<usize>, f64)> {
         let old: u32 = self.totals.iter().map(|it| it.0.answers).sum();
         let is_used = |it: &usize| {
             f64::from(self.totals[*it].0.answers) >= LEAST_ROUTE * f64::from(old.max(1))
         };
         let used: Vec<usize> = (0..self.routes.len()).filter(is_used).collect();
-        let mut hypotheses = Vec::new();
-        for (indicator, weight) in Indicator::ALL {
-            hypotheses.push((indicator, None, weight * 0.75));
-            for route in &used {
-                hypotheses.push((indicator, Some(*route), weight * 0.25 / used.len() as f64));
-            }
-        }
-        hypotheses
+        let weight = ONE_ROUTE / used.len().max(1) as f64;
+        let routes = used.into_iter().map(|it| (Some(it), weight));
+        std::iter::once((None, 1.0 - ONE_ROUTE)).chain(routes).collect()
     }
 
-    /// Returns the gains of each second for a route, or for all together.
-    pub(crate) fn gains(&self, indicator: Indicator, scope: Option<usize>) -> Vec<Gains> {
-        let routes = scope.map_or(0..self.routes.len(), |it| it..it + 1);
-        let mut gains = vec![Gains::default(); self.slices.len()];
-        for route in routes {
+    /// Returns the gains of each second for each route, and for all routes together.
+    pub(crate) fn gains(&self, indicator: Indicator) -> (Vec<Vec<Gains>>, Vec<Gains>) {
+        let mut all = vec![Gains::default(); self.slices.len()];
+        let mut by_route = vec![all.clone(); self.routes.len()];
+        for (route, gains) in by_route.iter_mut().enumerate() {
             let first = self.first_new(route);
-            for (index, gain) in gains.iter_mut().enumerate().skip(first) {
+            for index in first..self.slices.len() {
                 let is_cold = index - first < COLD_SECONDS;
-                if let Some(sampled) = self.sampled(indicator, route, index, is_cold) {
-                    for (sum, part) in gain.iter_mut().zip(PARTS) {
-                        *sum += sampled.gain(part);
-                    }
+                let Some(sampled) = self.sampled(indicator, route, index, is_cold) else {
+                    continue;
+                };
+                for (part, sum) in all[index].iter_mut().enumerate() {
+                    gains[index][part] = sampled.gain(PARTS[part]);
+                    *sum += gains[index][part];
                 }
             }
         }
-        gains
+        (by_route, all)
     }
 
     /// Returns the evidence for the log line.
--- a/lib/src/build_trial.rs
+++ b/lib/src/build_trial.rs
@@ -22,7 +22,7 @@
 /// Likelihood ratio at which a build is bad.
 const CONVICTION: f64 = 300.0;
 /// Odds that a build is bad at or under which it is good enough at its share.
-const ACQUITTAL: f64 = 1.0 / 150.0;
+const ACQUITTAL: f64 = 1.0 / 500.0;
 
 /// How likely a fault of a bad build shows under the load of the present step only.
 const LOAD_ODDS: f64 = 0.3;
@@ -158,13 +158,18 @@
         let case = Case::new(pool.sums(), falls);
         let (mut ratio, mut odds) = (0.0, 0.0);
         let mut strongest: Option<(f64, Cause, Option<RouteKey>)> = None;
-        for (indicator, scope, weight) in case.hypotheses() {
-            let gains = case.gains(indicator, scope);
-            let share = weight * likelihood_ratio(indicator, &gains);
-            ratio += share;
-            odds += weight * odds_since(indicator, scope, &gains, raised);
-            if strongest.is_none_or(|(most, ..)| share > most) {
-                strongest = Some((share, indicator.cause(), scope.map(|it| case.routes[it])));
+        for (indicator, indicator_weight) in Indicator::ALL {
+            let (by_route, all) = case.gains(indicator);
+            for (scope, scope_weight) in case.scopes() {
+                let gains = scope.map_or(&all, |it| &by_route[it]);
+                let weight = indicator_weight * scope_weight;
+                let share = weight * likelihood_ratio(indicator, gains);
+                ratio += share;
+                odds += weight * odds_since(indicator, scope, gains, raised);
+                if strongest.is_none_or(|(most, ..)| share > most) {
+                    let route = scope.map(|it| case.routes[it]);
+                    strongest = Some((share, indicator.cause(), route));
+                }
             }
         }
         self.odds = odds;
--- a/lib/tests/test_build_trial.rs
+++ b/lib/tests/test_build_trial.rs
@@ -4,7 +4,7 @@
 
 use mothvale_lib::{
     build_evidence::{Count, Evidence, Pool, RouteKey, Sample, Side},
-    build_trial::{Bounds, Progress, Schedule, Trial, Verdict},
+    build_trial::{Bounds, Cause, Progress, Reason, Schedule, Trial, Verdict},
     prelude::*,
 };
 use mothvale_testutils::gateway::at;
@@ -78,6 +78,8 @@
     cold: (f64, u64),
     warm: f64,
     fault: Fault,
+    /// When half of the hosts restart.
+    restart_millis: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -88,7 +90,7 @@
     whole: Option<u64>,
     fiftieth_bad: Option<u64>,
     last_new: u64,
-    reason: Option<mothvale_lib::build_trial::Reason>,
+    reason: Option<Reason>,
 }
 
 impl Outcome {
@@ -155,6 +157,7 @@
             cold: (random.between(1.0, 3.0), random.between(0.0, 2500.0) as u64),
             warm: random.between(1.0, 1.25),
             fault,
+            restart_millis: None,
         }
     }
 
@@ -220,6 +223,11 @@
         for tick in 0..ticks {
             let now = tick as u64 * TICK_MILLIS;
             share = orders[tick].unwrap_or(share);
+            if self.restart_millis == Some(now) {
+                for host in (0..self.hosts).step_by(2) {
+                    evidence[host] = Evidence::new(at(now), 1000 * host as u32 + 100);
+                }
+            }
             let arrivals = self.rate * TICK_MILLIS as f64 / 1000.0;
             let arrivals = arrivals as usize + usize::from(random.chance(arrivals.fract()));
             for _ in 0..arrivals {
@@ -290,67 +298,224 @@
     }
 }
 
-const BUILDS: u64 = 1000;
+/// Plays builds on some threads.
+fn play_all(seeds: std::ops::Range<u64>, is_bad: bool) -> Vec<(Fleet, Outcome)> {
+    let threads = 3;
+    std::thread::scope(|scope| {
+        let play = |thread: u64| {
+            let seeds = seeds.clone().filter(move |it| it % threads == thread);
+            scope.spawn(move || {
+                seeds
+                    .map(|seed| Fleet::new(seed, is_bad))
+                    .map(|fleet| (fleet.clone(), fleet.play()))
+                    .collect::<Vec<_>>()
+            })
+        };
+        let threads: Vec<_> = (0..threads).map(play).collect();
+        threads.into_iter().flat_map(|it| it.join().expect("a thread panicked")).collect()
+    })
+}
 
 #[test]
-fn trial_good() {
-    let (mut condemned, mut unfinished, mut late) = (0, 0, 0);
-    for seed in 0..BUILDS {
-        let fleet = Fleet::new(seed, false);
-        let outcome = fleet.play();
-        if outcome.convicted.is_some() {
-            condemned += 1;
-            println!("condemned {fleet:?} {outcome:?}");
-        } else if outcome.whole.is_none() {
-            unfinished += 1;
-            println!(
-                "unfinished seed {seed} rate {:.0} deadline {} old {:.3} {outcome:?}",
-                fleet.rate, fleet.deadline_millis, fleet.old_failing
-            );
-        } else if outcome.whole.is_some_and(|it| it * 10 > fleet.deadline_millis * 7) {
-            late += 1;
-            println!(
-                "LATEWHOLE seed {seed} rate {:.0} deadline {} old {:.3} {outcome:?}",
-                fleet.rate, fleet.deadline_millis, fleet.old_failing
-            );
-        }
+fn under_5_of_1000_good_builds_are_condemned() {
+    let played = play_all(0..1000, false);
+    let condemned: Vec<_> = played.iter().filter(|it| it.1.convicted.is_some()).collect();
+    assert!(condemned.len() < 5, "{condemned:#?}");
+    let whole = played.iter().filter(|it| it.1.whole.is_some()).count();
+    println!("condemned {} whole {whole} of {}", condemned.len(), played.len());
+}
+
+#[test]
+fn no_bad_build_of_1000_gets_too_many_requests() {
+    let played = play_all(0..1000, true);
+    let over: Vec<_> = played.iter().filter(|it| it.1.is_over() || it.1.is_late()).collect();
+    assert!(over.is_empty(), "{over:#?}");
+    let condemned = played.iter().filter(|it| it.1.convicted.is_some()).count();
+    println!("condemned {condemned} of {}", played.len());
+}
+
+/// A fleet without trouble.
+fn quiet_fleet(seed: u64) -> Fleet {
+    Fleet {
+        seed,
+        rate: 600.0,
+        hosts: 9,
+        deadline_millis: 20_000,
+        routes: vec![0.4, 0.35, 0.25],
+        median: 80.0,
+        spread: 0.4,
+        old_failing: 0.0,
+        burst: (0, 0, 0.0, 1.0),
+        grey: [(0, 0, 0.0); 2],
+        cold: (2.0, 2000),
+        warm: 1.1,
+        fault: Fault::default(),
+        restart_millis: None,
     }
-    println!("condemned {condemned} unfinished {unfinished} late {late}");
 }
 
 #[test]
-fn trial_bad() {
-    let (mut over, mut late, mut caught, mut whole) = (0, 0, 0, 0);
-    let mut delays = Vec::new();
-    let mut most: f64 = 0.0;
-    for seed in 0..BUILDS {
-        let fleet = Fleet::new(seed, true);
-        let outcome = fleet.play();
-        over += u32::from(outcome.is_over());
-        late += u32::from(outcome.is_late());
-        caught += u32::from(outcome.convicted.is_some());
-        whole += u32::from(outcome.whole.is_some() && outcome.convicted.is_none());
-        most = most.max(outcome.exposed as f64 / (0.1 * outcome.requests as f64 + 50.0));
-        if let Some(it) = outcome.convicted {
-            delays.push(it.saturating_sub(fleet.fault.from_millis));
-        }
-        if outcome.is_over() || outcome.is_late() {
-            println!(
-                "seed {seed} OVER {} LATE {} rate {:.0} deadline {} routes {} old {:.3} {:?} {outcome:?}",
-                outcome.is_over(),
-                outcome.is_late(),
-                fleet.rate,
-                fleet.deadline_millis,
-                fleet.routes.len(),
-                fleet.old_failing,
-                fleet.fault
-            );
+fn a_good_build_gets_all_requests_well_before_the_deadline() {
+    for seed in 0..20 {
+        let outcome = quiet_fleet(seed).play();
+        assert!(outcome.whole.is_some_and(|it| it <= 14_000), "{seed} {outcome:?}");
+    }
+}
+
+/// Every host has other hosts' numbers for its seconds from the middle on, as after a restart.
+#[test]
+fn half_of_the_hosts_restart_in_the_middle() {
+    for seed in 0..20 {
+        let good = Fleet { restart_millis: Some(6_000), ..quiet_fleet(seed) };
+        let outcome = good.play();
+        assert_eq!(outcome.convicted, None, "{seed} {outcome:?}");
+        let fault = Fault { failing: 0.1, from_millis: 5_000, ..Fault::default() };
+        let outcome = Fleet { fault, ..good }.play();
+        assert!(outcome.convicted.is_some(), "{seed} {outcome:?}");
+        assert!(!outcome.is_over() && !outcome.is_late(), "{seed} {outcome:?}");
+    }
+}
+
+const ROUTE: RouteKey = RouteKey(1);
+
+/// Counts answers of a second: how many, how many of them bad, and the latency of the others.
+fn answer(
+    evidence: &mut Evidence,
+    second: u64,
+    side: Side,
+    route: RouteKey,
+    counts: (u32, u32, u64),
+) {
+    let (answers, bad, latency) = counts;
+    for number in 0..answers {
+        let now = at(second * 1000 + u64::from(number * 900 / answers));
+        let latency = Duration::from_millis(latency + u64::from(number % 10) * latency / 20);
+        let sample = if number < bad { Sample::Bad } else { Sample::Good { latency } };
+        evidence.record(now, side, route, sample);
+    }
+}
+
+/// Judges one host's counts after each of some seconds.
+fn judge<F>(seconds: u64, mut count: F) -> (Trial, Verdict)
+where
+    F: FnMut(&mut Evidence, u64),
+{
+    let mut evidence = Evidence::new(at(0), 0);
+    let mut pool = Pool::new(at(0));
+    let mut trial = Trial::new(at(0));
+    let mut verdict = Verdict::Undecided;
+    for second in 0..seconds {
+        count(&mut evidence, second);
+        let now = at(second * 1000 + 950);
+        pool.apply(now, &Host::new("h1"), evidence.counts());
+        verdict = trial.judge(now, &pool);
+    }
+    (trial, verdict)
+}
+
+#[test]
+fn a_build_that_fails_a_tenth_is_bad() {
+    let (mut trial, verdict) = judge(5, |evidence, second| {
+        answer(evidence, second, Side::Old, ROUTE, (200, 0, 80));
+        answer(evidence, second, Side::New, ROUTE, (20, 2, 80));
+    });
+    let Verdict::Bad(reason) = verdict else { panic!("{verdict:?}") };
+    assert_eq!((reason.cause, reason.old_bad), (Cause::Errors, 0));
+    // The verdict stays, whatever is counted later.
+    assert_eq!(trial.judge(at(9000), &Pool::new(at(0))), verdict);
+}
+
+#[test]
+fn a_build_that_takes_twice_as_long_is_slow() {
+    let (_, verdict) = judge(8, |evidence, second| {
+        answer(evidence, second, Side::Old, ROUTE, (200, 0, 80));
+        answer(evidence, second, Side::New, ROUTE, (20, 0, 165));
+    });
+    assert!(matches!(verdict, Verdict::Bad(it) if it.cause == Cause::Slow), "{verdict:?}");
+}
+
+#[test]
+fn a_build_that_is_a_little_slower_is_good() {
+    let (_, verdict) = judge(20, |evidence, second| {
+        answer(evidence, second, Side::Old, ROUTE, (200, 0, 80));
+        answer(evidence, second, Side::New, ROUTE, (20, 0, 104));
+    });
+    assert_eq!(verdict, Verdict::Good);
+}
+
+#[test]
+fn what_ails_both_sides_is_no_evidence() {
+    let (_, verdict) = judge(20, |evidence, second| {
+        let (part, latency) = if (5..8).contains(&second) { (2, 320) } else { (200, 80) };
+        answer(evidence, second, Side::Old, ROUTE, (200, 200 / part, latency));
+        answer(evidence, second, Side::New, ROUTE, (20, 20 / part, latency));
+    });
+    assert!(!matches!(verdict, Verdict::Bad(_)), "{verdict:?}");
+}
+
+/// Without the old builds' answers there is nothing to compare latencies with.
+#[test]
+fn the_old_side_crashes() {
+    let slow = |failing: u32| {
+        judge(20, move |evidence, second| {
+            if second < 4 {
+                answer(evidence, second, Side::Old, ROUTE, (200, 0, 80));
+                answer(evidence, second, Side::New, ROUTE, (20, 0, 80));
+            } else if second > 9 {
+                answer(evidence, second, Side::New, ROUTE, (60, failing, 400));
+            }
+        })
+    };
+    let (_, verdict) = slow(0);
+    assert!(!matches!(verdict, Verdict::Bad(_)), "{verdict:?}");
+    let (_, verdict) = slow(6);
+    assert!(!matches!(verdict, Verdict::Bad(_)), "{verdict:?}");
+    let (_, verdict) = slow(45);
+    assert!(matches!(verdict, Verdict::Bad(it) if it.cause == Cause::Errors), "{verdict:?}");
+}
+
+#[test]
+fn a_route_without_traffic_does_not_hold_up_the_others() {
+    let (_, verdict) = judge(40, |evidence, second| {
+        if second == 0 {
+            answer(evidence, second, Side::Old, RouteKey(2), (3, 0, 80));
         }
+        answer(evidence, second, Side::Old, ROUTE, (200, 0, 80));
+        answer(evidence, second, Side::New, ROUTE, (20, 0, 80));
+    });
+    assert_eq!(verdict, Verdict::Good);
+}
+
+/// After a step up a good verdict needs answers at the new share.
+#[test]
+fn a_step_up_needs_evidence_again() {
+    let count = |evidence: &mut Evidence, second| {
+        answer(evidence, second, Side::Old, ROUTE, (200, 0, 80));
+        answer(evidence, second, Side::New, ROUTE, (30, 0, 80));
+    };
+    let (mut trial, verdict) = judge(20, count);
+    assert_eq!(verdict, Verdict::Good);
+    let mut pool = Pool::new(at(0));
+    let mut evidence = Evidence::new(at(0), 0);
+    for second in 0..20 {
+        count(&mut evidence, second);
+        pool.apply(at(second * 1000 + 950), &Host::new("h1"), evidence.counts());
     }
-    delays.sort_unstable();
-    println!(
-        "over {over} late {late} caught {caught} whole {whole} most {most:.2} median delay {:?} {:?}",
-        delays.get(delays.len() / 2),
-        delays.get(delays.len() * 9 / 10)
-    );
+    trial.set_share(at(20_000), 0.25);
+    assert_eq!(trial.judge(at(20_000), &pool), Verdict::Undecided);
+}
+
+#[test]
+fn another_hosts_verdict_is_believed() {
+    let reason = Reason {
+        cause: Cause::Errors,
+        route: None,
+        old_answers: 900,
+        old_bad: 0,
+        new_answers: 40,
+        new_bad: 9,
+    };
+    let mut trial = Trial::new(at(0));
+    trial.convict(reason);
+    assert_eq!(trial.judge(at(0), &Pool::new(at(0))), Verdict::Bad(reason));
 }
