--- a/lib/src/build_case.rs
+++ b/lib/src/build_case.rs
@@ -136,6 +136,8 @@
     seconds: Vec<(u32, u32)>,
     /// Answers of the old builds by route, and bad ones of them, in the seconds in which nothing ails all.
     calm: Vec<(u32, u32)>,
+    /// The old builds' latencies that those of each second are compared with, by route.
+    references: Vec<Vec<Option<Tally>>>,
     /// Seconds in which the share of requests fell.
     falls: SmallVec<[usize; 4]>,
 }
@@ -153,8 +155,24 @@
         };
         let seconds = slices.iter().map(second).collect();
         let (routes, totals) = sums.into_iter().unzip();
-        let mut case = Case { slices, routes, totals, seconds, calm: Vec::new(), falls };
+        let mut case = Case {
+            slices,
+            routes,
+            totals,
+            seconds,
+            calm: Vec::new(),
+            references: Vec::new(),
+            falls,
+        };
         case.calm = case.calm_rates();
+        let references = |route| {
+            let has_new = |it: &usize| {
+                slices[*it].get(&case.routes[route]).is_some_and(|it| it.new.answers > it.new.bad)
+            };
+            let reference = |it| Some(it).filter(has_new).and_then(|it| case.reference(route, it));
+            (0..slices.len()).map(reference).collect()
+        };
+        case.references = (0..case.routes.len()).map(references).collect();
         case
     }
 
@@ -258,9 +276,9 @@
         if self.falls.iter().any(|it| (*it..*it + LINGERING_SECONDS).contains(&index)) {
             return None;
         }
-        let old = self.reference(route, index)?;
+        let old = self.references[route][index].as_ref()?;
         let tolerance = if is_cold { COLD_TOLERANCE_BINS } else { TOLERANCE_BINS };
-        let (threshold, rate) = threshold(&old, level);
+        let (threshold, rate) = threshold(old, level);
         let rate = self.slow_rate(route, index, threshold, rate);
         let hits = new.latencies.get(threshold + tolerance..)?.iter().sum();
         Some(Sampled { hits, answers: new.latencies.iter().sum(), rate })
