--- a/lib/src/build_evidence.rs
+++ b/lib/src/build_evidence.rs
@@ -89,8 +89,10 @@
     pub(crate) fn add(&mut self, other: &Tally) {
         self.answers = self.answers.saturating_add(other.answers);
         self.bad = self.bad.saturating_add(other.bad);
-        for (sum, it) in self.latencies.iter_mut().zip(other.latencies) {
-            *sum = sum.saturating_add(it);
+        if other.answers > other.bad {
+            for (sum, it) in self.latencies.iter_mut().zip(&other.latencies) {
+                *sum = sum.saturating_add(*it);
+            }
         }
     }
 
@@ -99,8 +101,8 @@
         let mut news = self.clone();
         news.answers = news.answers.saturating_sub(earlier.answers);
         news.bad = news.bad.saturating_sub(earlier.bad);
-        for (it, earlier) in news.latencies.iter_mut().zip(earlier.latencies) {
-            *it = it.saturating_sub(earlier);
+        for (it, earlier) in news.latencies.iter_mut().zip(&earlier.latencies) {
+            *it = it.saturating_sub(*earlier);
         }
         news
     }
--- a/lib/tests/test_build_trial.rs
+++ b/lib/tests/test_build_trial.rs
@@ -58,6 +58,10 @@
     route: Option<u32>,
 }
 
+/// An answer that is due: host, side, route, answer, and whether it is bad for the fault's sake.
+type Due = (usize, Side, u32, Sample, bool);
+
+/// A service's hosts, upstreams and callers while a build is on trial.
 #[derive(Clone, Debug)]
 struct Fleet {
     seed: u64,
@@ -214,7 +218,7 @@
         let mut trial = Trial::new(at(0));
         let schedule = Schedule::new(BOUNDS);
         let ticks = (self.deadline_millis / TICK_MILLIS) as usize;
-        let mut answers: Vec<Vec<(usize, Side, u32, Sample, bool)>> = vec![Vec::new(); ticks];
+        let mut answers: Vec<Vec<Due>> = vec![Vec::new(); ticks];
         let mut news: Vec<Vec<(usize, Vec<Count>)>> = vec![Vec::new(); ticks];
         let mut orders: Vec<Option<f64>> = vec![None; ticks + 8];
         let (mut share, mut decided, mut since) = (0.0, 0.0, 0);
