--- a/lib/tests/test_build_trial.rs
+++ b/lib/tests/test_build_trial.rs
@@ -366,7 +366,25 @@
     }
 }
 
-/// Every host has other hosts' numbers for its seconds from the middle on, as after a restart.
+/// Each of 300 hosts sees some answers of the new build in ten seconds.
+#[test]
+fn many_hosts_decide_together() {
+    let good = Fleet { hosts: 300, rate: 900.0, ..quiet_fleet(1) };
+    let outcome = good.play();
+    assert!(outcome.convicted.is_none() && outcome.whole.is_some(), "{outcome:?}");
+    for fault in [
+        Fault { failing: 0.05, ..Fault::default() },
+        Fault { failing: 0.1, route: Some(2), ..Fault::default() },
+        Fault { slowdown: 2.5, ..Fault::default() },
+        Fault { slowdown: 4.0, from_share: 0.2, ..Fault::default() },
+    ] {
+        let outcome = Fleet { fault, ..good.clone() }.play();
+        assert!(outcome.convicted.is_some(), "{fault:?} {outcome:?}");
+        assert!(!outcome.is_over() && !outcome.is_late(), "{fault:?} {outcome:?}");
+    }
+}
+
+/// Half of the hosts begin to count anew, and their seconds have other numbers.
 #[test]
 fn half_of_the_hosts_restart_in_the_middle() {
     for seed in 0..20 {
