build_share: shares of builds while a service moves from one to another

Nothing read the operators' orders to move a service to a build: upstreams of the new build got as much as any other as soon as they registered. Each host now divides requests by a hash of the session, so that all have the same share, and bounds what it sends to a build on trial by a count of its own. The adapter reads orders and writes and reads their status. Without an order row nothing changes.

--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, StatusCode};
 
 use crate::{
+    build_share::Status,
     cache_gc::Listing,
     cache_index::{Changes, Plan},
     configuration::Configuration,
@@ -136,6 +137,13 @@
         /// The target version.
         version: u32,
     },
+    /// A service is to move to a build, or no longer.
+    BuildRollout {
+        /// The service.
+        service: Service,
+        /// The build and the time in which the move should be completed; `None` if the order was withdrawn.
+        to: Option<(Build, Duration)>,
+    },
     /// A row of a kind that this version does not know.
     Unknown,
 }
@@ -227,6 +235,25 @@
         value: Option<&[u8]>,
     ) -> Result<OperatorUpdate, Self::Error>;
 
+    /// Returns the key of the row that tells operators how far a service's move to a build is.
+    fn status_key(&self, service: &Service) -> FastStr;
+
+    /// Encodes that row.
+    fn status_row(&self, status: &Status) -> Bytes;
+
+    /// Decodes a row of [`Table::Status`]. Returns `None` for a row of another kind.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names what cannot be decoded.
+    ///
+    /// [`Table::Status`]: crate::row_store::Table::Status
+    fn parse_status_row(
+        &self,
+        key: &str,
+        value: &[u8],
+    ) -> Result<Option<(Service, Status)>, Self::Error>;
+
     /// Decodes the row with which an upstream registers.
     ///
     /// # Errors
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     admission::{Pressure, Waits},
+    build_share::Shares,
     configuration::{Configuration, EngineEntry, ServiceEntry},
     departure::Departures,
     obstacle::Obstacle,
@@ -114,6 +115,8 @@
     pub reach: Reach,
     /// The services whose upstreams bear few refusals.
     pub refusal_limits: RefusalLimits,
+    /// The shares of builds in the traffic of services that move to another build.
+    pub build_shares: Shares,
 }
 
 impl Fleet {
@@ -138,6 +141,7 @@
             builds: Builds::default(),
             reach: Reach::default(),
             refusal_limits: RefusalLimits::default(),
+            build_shares: Shares::new(host_settings.bounds.exposure),
         }
     }
 
@@ -422,7 +426,8 @@
             let admitted = pressure.admit(query.request_hash);
             admitted.map_err(|retry| Denial::Shed(retry, pressure))?;
         }
-        let usable = self.usable(now, &service, query);
+        let mut usable = self.usable(now, &service, query);
+        self.retain_allowed_builds(query, &mut usable);
         if usable.is_empty() {
             return Err(self.denial(now, query));
         }
@@ -432,6 +437,7 @@
         state.in_flight += 1;
         state.tokens += u64::from(query.tokens);
         state.sent.push(now);
+        self.build_shares.count(query.service, &state.row.build, !query.admitted);
         let weight_version = query.model.and_then(|model| state.weight_version(model));
         Ok(Choice {
             within_limit: self.limits.take(now, &state.row),
@@ -467,6 +473,7 @@
             () if self.departures.contains(row) => Some(Obstacle::Leaving),
             () if self.pauses.until(now, row).is_some() => Some(Obstacle::Paused),
             () if self.evacuated.contains(&row.zone) => Some(Obstacle::Evacuated),
+            () if self.build_shares.is_stopped(&row.service, &row.build) => Some(Obstacle::Stopped),
             () if !choice.within_limit && self.limits.is_limited(row) => Some(Obstacle::Limited),
             () if choice.weight_version.is_some_and(|it| it < min_version) => {
                 Some(Obstacle::OutdatedWeights)
@@ -697,6 +704,32 @@
         usable
     }
 
+    /// Keeps those of the usable upstreams whose build the request may go to, and of these the builds that
+    /// it should go to if there are any.
+    fn retain_allowed_builds(&self, query: &Query<'_>, usable: &mut Vec<Upstream>) {
+        let key = query.session.unwrap_or(query.request_hash);
+        let has_other =
+            |builds: &[Build]| self.live(query.service).any(|it| !builds.contains(&it.row.build));
+        let hosts = self.hosts.len();
+        let gate = self.build_shares.gate(query.service, key, query.build, hosts, has_other);
+        let Some(gate) = gate else { return };
+        let rank = |id: &Upstream| gate.rank(&self.states.get(id)?.row.build);
+        let best = usable.iter().filter_map(rank).min();
+        usable.retain(|it| best.is_some() && rank(it) == best);
+    }
+
+    /// Returns the builds of a service's upstreams.
+    pub fn builds_of(&self, service: &Service) -> Vec<Build> {
+        let mut builds: Vec<Build> = Vec::new();
+        let ids = self.by_service.get(service).into_iter().flatten();
+        for state in ids.filter_map(|it| self.states.get(it)) {
+            if !builds.contains(&state.row.build) {
+                builds.push(state.row.build.clone());
+            }
+        }
+        builds
+    }
+
     /// Returns why no upstream is usable, with the time until one may be.
     fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
         let mut has_other_builds = false;
@@ -833,8 +866,12 @@
         let weight_version = self.states.get(chosen)?.weight_version(model);
         let states = self.by_service.get(query.service)?.iter();
         let states = states.filter_map(|id| self.states.get(id));
+        // An old build's upstreams stop as soon as the new one has taken over.
+        let same_build = self.build_shares.divides(query.service);
+        let build = &self.states.get(chosen)?.row.build;
         let alike = states.filter(|it| {
             it.weight_version(model) == weight_version
+                && (!same_build || it.row.build == *build)
                 && it.ejected_until <= now
                 && self.may_call(now, &it.row)
         });
@@ -864,6 +901,9 @@
         }
         self.pauses.purge(now);
         let states = &self.states;
+        self.build_shares.purge(now, |service, build| {
+            states.values().any(|it| it.row.service == *service && it.row.build == *build)
+        });
         let is_listed = |id: &Upstream, incarnation| {
             states.get(id).is_some_and(|it| it.row.incarnation().may_be(incarnation))
         };
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     body_buffer::Usage,
+    build_share::Order,
     cache_index::Index,
     clock::Clock,
     codec::{Codec, OperatorUpdate},
@@ -59,6 +60,8 @@
     pub ending: CancellationToken,
     /// Notified when upstreams may need to load newer weights.
     pub rollout_needed: Notify,
+    /// Notified when operators have ordered that a service moves to a build, or no longer.
+    pub build_orders: Notify,
     /// Certificates of the other hosts.
     pub pins: Pins,
     clock: Clock,
@@ -126,6 +129,7 @@
             closing: CancellationToken::new(),
             ending: CancellationToken::new(),
             rollout_needed: Notify::new(),
+            build_orders: Notify::new(),
             pins: Pins::default(),
             clock: Clock::start(),
             configuration: ArcSwapOption::empty(),
@@ -275,10 +279,36 @@
                 self.set_target_weights(model, version, row_version);
                 self.rollout_needed.notify_one();
             }
+            OperatorUpdate::BuildRollout { service, to } => {
+                self.set_build_order(service, to, row_version);
+            }
             OperatorUpdate::Unknown => {}
         }
     }
 
+    /// Sets the order to move a service to a build, or withdraws it.
+    fn set_build_order(&self, service: Service, to: Option<(Build, Duration)>, row_version: u64) {
+        let now = self.now();
+        let (to, deadline) = match to {
+            Some((to, deadline)) => (to, deadline),
+            None => {
+                if self.fleet().build_shares.withdraw(now, &service) {
+                    log::warn!(service = service.as_str(), row = row_version;
+                        "order to move a service to a build was withdrawn");
+                }
+                self.build_orders.notify_one();
+                return;
+            }
+        };
+        let order = Order { service, to, deadline, version: row_version };
+        if self.fleet().build_shares.set_order(now, order.clone()) {
+            log::info!(service = order.service.as_str(), build = order.to.as_str(),
+                deadline_ms = order.deadline.as_millis() as u64, row = row_version;
+                "service is to move to a build");
+            self.build_orders.notify_one();
+        }
+    }
+
     /// Locks what this host remembers of past versions of the row store.
     pub fn store_history(&self) -> MutexGuard<'_, History> {
         lock(&self.store_history)
--- a/lib/src/host_settings.rs
+++ b/lib/src/host_settings.rs
@@ -54,4 +54,17 @@
     pub rollout: Duration,
     /// How long a host may rely on the state it has while it receives no updates.
     pub max_staleness: Duration,
+    /// What a bad build of a service may get while the service moves to it; `None` if that is not set.
+    pub exposure: Option<Exposure>,
+}
+
+/// What a bad build of a service may get, from all hosts together, while the service moves to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Exposure {
+    /// Part of all requests to the service, 0 to 1.
+    pub share: f64,
+    /// Requests beyond that part.
+    pub slack: f64,
+    /// Time after the build is known to be bad in which it must get no requests any more.
+    pub rollback: Duration,
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 mod attempt_connection;
 pub mod backend;
 mod body_buffer;
+pub mod build_share;
 pub mod cache_gc;
 pub mod cache_index;
 pub mod cache_watch;
--- a/lib/src/obstacle.rs
+++ b/lib/src/obstacle.rs
@@ -17,6 +17,8 @@
     Paused,
     /// The upstream's zone was evacuated.
     Evacuated,
+    /// The upstream's build was found to be bad, or was replaced.
+    Stopped,
     /// The upstream has named a limit on its requests.
     Limited,
     /// The upstream's weights are too old for a request to start on them.
@@ -33,6 +35,7 @@
             Obstacle::Leaving => "not_sent_leaving",
             Obstacle::Paused => "not_sent_paused",
             Obstacle::Evacuated => "not_sent_evacuated",
+            Obstacle::Stopped => "not_sent_stopped",
             Obstacle::Limited => "not_sent_limited",
             Obstacle::OutdatedWeights => "not_sent_outdated_weights",
         }
--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -22,6 +22,8 @@
     Hosts,
     /// Leases that gateway hosts hold.
     Leases,
+    /// What gateway hosts tell operators of their orders.
+    Status,
 }
 
 impl Table {
@@ -32,6 +34,7 @@
             Table::Upstreams => "upstreams",
             Table::Hosts => "hosts",
             Table::Leases => "leases",
+            Table::Status => "status",
         }
     }
 }
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -185,7 +185,7 @@
             Table::Operators if !self.replicas.is_delegated(self.gateway.now()) => {
                 LONG_POLL_WAIT.min(self.gateway.host_settings.bounds.max_staleness)
             }
-            Table::Operators | Table::Hosts | Table::Leases => LONG_POLL_WAIT,
+            Table::Operators | Table::Hosts | Table::Leases | Table::Status => LONG_POLL_WAIT,
         }
     }
 
@@ -289,7 +289,7 @@
             Table::Upstreams => true,
             // Without any row, this host does not know whom to pull from.
             Table::Hosts => !self.replicas.table(table).is_unknown(),
-            Table::Operators | Table::Leases => false,
+            Table::Operators | Table::Leases | Table::Status => false,
         }
     }
 
@@ -348,7 +348,7 @@
                 self.gateway.cache_index().set_host_count(hosts.len());
                 self.gateway.fleet().set_hosts(self.gateway.now(), hosts);
             }
-            Table::Hosts | Table::Leases => {}
+            Table::Hosts | Table::Leases | Table::Status => {}
         }
     }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_admission;
 mod test_answer;
 mod test_bad_input;
+mod test_build_share;
 mod test_cache_gc;
 mod test_cache_index;
 mod test_claim;
--- a/lib/testutils/src/gateway.rs
+++ b/lib/testutils/src/gateway.rs
@@ -46,6 +46,7 @@
             lease_takeover_delay: Duration::from_secs(3),
             rollout: Duration::from_secs(15),
             max_staleness: Duration::from_secs(3),
+            exposure: None,
         },
     }
 }
