--- a/lib/src/build_share.rs
+++ b/lib/src/build_share.rs
@@ -6,8 +6,8 @@
 //! to it at all hosts, and a count of the host's own requests bounds it also while one session brings
 //! most of them.
 //!
-//! What is known of an order only grows: the step rises, and "bad" and "completed" stay. So messages may
-//! come late, twice or in any order. Does no I/O.
+//! What is known of an order only grows: steps are numbered, and the newest one counts; "bad" and
+//! "completed" stay. So messages may come late, twice or in any order. Does no I/O.
 
 use std::collections::HashMap;
 
@@ -16,6 +16,12 @@
 /// Part of the allowed exposure that the new build gets in the first steps, while it may be bad. The rest is
 /// a margin for what is under way when it is found to be bad.
 const CAP_FRACTION: f64 = 0.85;
+/// Shares below this one are capped: they serve to find out whether the build is bad.
+const UNCAPPED_SHARE: f64 = 0.25;
+/// Share of the new build while no step is known.
+const FIRST_SHARE: f64 = 0.04;
+/// The same as a part of the allowed exposure, at most.
+const FIRST_FRACTION: f64 = 0.4;
 /// Part of the requests that are allowed beyond the exposure share, divided among the hosts.
 const SLACK_FRACTION: f64 = 0.5;
 /// Exposure if the platform sets no bound.
@@ -26,31 +32,36 @@
 /// Most builds that are kept for a service as retired or barred; beyond it, the oldest is forgotten.
 const MAX_BUILDS: usize = 8;
 
-/// How much of a service's traffic goes to the new build in one step.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Level {
-    /// This part of the allowed exposure, and never more than the exposure allows.
-    Capped(f64),
-    /// This part of all requests.
-    Open(f64),
-    /// All requests; the old builds get nothing any more, so that what is under way there can end.
-    Sealed,
+/// How much of a service's traffic goes to the new build.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Level {
+    /// Part of the requests that the new build gets, in thousandths.
+    pub permille: u32,
+    /// Whether the old builds get nothing any more, not even what the new one has no room for, so that what
+    /// is under way there can end.
+    pub sealed: bool,
 }
 
-/// The levels of all steps, in order.
-pub const LEVELS: [Level; 6] = [
-    Level::Capped(0.3),
-    Level::Capped(0.8),
-    Level::Open(0.25),
-    Level::Open(0.5),
-    Level::Open(1.0),
-    Level::Sealed,
-];
-
-/// Returns the level of a step.
-pub fn level(step: u32) -> Level {
-    let index = usize::try_from(step).unwrap_or(usize::MAX);
-    LEVELS.get(index).copied().unwrap_or(Level::Sealed)
+impl Level {
+    /// The new build gets all requests, and the old ones what it has no room for.
+    pub const FULL: Level = Level { permille: 1000, sealed: false };
+    /// The old builds get nothing any more.
+    pub const SEALED: Level = Level { permille: 1000, sealed: true };
+
+    /// Creates the level at which the new build gets this part of the requests, 0 to 1.
+    pub fn new(share: f64) -> Self {
+        Level { permille: (share.clamp(0.0, 1.0) * 1000.0).round() as u32, sealed: false }
+    }
+
+    /// Returns the level of a service whose order was seen a moment ago.
+    pub fn first(exposure: Exposure) -> Self {
+        Level::new(FIRST_SHARE.min(exposure.share * FIRST_FRACTION))
+    }
+
+    /// Returns the part of the requests that the new build gets, 0 to 1.
+    pub fn share(self) -> f64 {
+        f64::from(self.permille) / 1000.0
+    }
 }
 
 /// An operators' order to move a service to a build.
@@ -79,7 +90,7 @@
 }
 
 /// What the row store keeps of an order's progress.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Status {
     /// How far it is.
     pub phase: Phase,
@@ -87,8 +98,10 @@
     pub to: FastStr,
     /// Version of the order's row.
     pub order: u64,
-    /// The step that was reached.
+    /// Number of the step that was reached; each step has a level.
     pub step: u32,
+    /// The level of that step.
+    pub level: Level,
     /// When the order was first seen, in milliseconds of the row store's clock.
     pub since_ms: u64,
     /// The host that takes the next step.
@@ -112,8 +125,10 @@
     pub to: Build,
     /// Version of the order's row.
     pub order: u64,
-    /// The step that was reached.
+    /// Number of the step that was reached.
     pub step: u32,
+    /// The level of that step.
+    pub level: Level,
     /// Whether the old builds have no traffic any more.
     pub completed: bool,
     /// Whether the new build was found to be bad, or the order was withdrawn.
@@ -140,8 +155,10 @@
 pub struct Progress {
     /// The order; `None` if it was withdrawn.
     pub order: Option<Order>,
-    /// The step that was reached.
+    /// Number of the step that was reached, 0 for the first one.
     pub step: u32,
+    /// The level of that step.
+    pub level: Level,
     /// Whether the step is known from the row store or another host, and not only assumed to be the first.
     pub confirmed: bool,
     /// Whether the old builds have no traffic any more.
@@ -162,10 +179,11 @@
 }
 
 impl Progress {
-    fn new(now: Instant) -> Self {
+    fn new(now: Instant, level: Level) -> Self {
         Progress {
             order: None,
             step: 0,
+            level,
             confirmed: false,
             completed: false,
             stopped: false,
@@ -194,29 +212,28 @@
     }
 
     /// Starts a new order. The new build of a former one that was not completed is barred.
-    fn start(&mut self, now: Instant, order: Order) {
+    fn start(&mut self, now: Instant, order: Order, level: Level) {
         let former = self.order.take().filter(|_| !self.completed).map(|it| it.to);
         let mut barred = std::mem::take(&mut self.barred);
         former.into_iter().for_each(|it| add(&mut barred, it));
         barred.retain(|it| *it != order.to);
         let salt = rendezvous::hash_parts(&["build", order.service.as_str(), order.to.as_str()]);
-        *self = Progress { order: Some(order), barred, salt, ..Progress::new(now) };
+        *self = Progress { order: Some(order), barred, salt, ..Progress::new(now, level) };
     }
 
     /// Returns the part of all requests that the new build gets.
-    pub fn share(&self, exposure: Exposure) -> f64 {
-        match (self.phase(), level(self.step)) {
-            (Phase::RolledBack, _) => 0.0,
-            (Phase::Completed, _) | (_, Level::Sealed) => 1.0,
-            (Phase::Running, Level::Capped(part)) => part * exposure.share,
-            (Phase::Running, Level::Open(share)) => share,
+    pub fn share(&self) -> f64 {
+        match self.phase() {
+            Phase::RolledBack => 0.0,
+            Phase::Completed => 1.0,
+            Phase::Running => self.level.share(),
         }
     }
 
     /// Returns whether one more request may be sent to the new build without more exposure than this host
     /// may cause.
     fn has_room(&self, exposure: Exposure, hosts: usize) -> bool {
-        if !matches!(level(self.step), Level::Capped(_)) {
+        if self.level.share() >= UNCAPPED_SHARE {
             return true;
         }
         let slack = exposure.slack * SLACK_FRACTION / hosts.max(1) as f64;
@@ -258,7 +275,7 @@
             };
         };
         let is_new = *build == order.to;
-        let is_sealed = level(progress.step) == Level::Sealed;
+        let is_sealed = progress.level.sealed;
         match progress.phase() {
             Phase::Completed if is_new => Some(0),
             Phase::Completed if progress.retired.contains(build) => None,
@@ -304,13 +321,14 @@
 
     /// Sets the order for a service. Returns whether it is a new one.
     pub fn set_order(&mut self, now: Instant, order: Order) -> bool {
-        let new = || Progress::new(now);
+        let level = Level::first(self.exposure);
+        let new = || Progress::new(now, level);
         let progress = self.by_service.entry(order.service.clone()).or_insert_with(new);
         let known = progress.order.as_ref();
         if known.is_some_and(|it| it.version == order.version && it.to == order.to) {
             return false;
         }
-        progress.start(now, order);
+        progress.start(now, order, level);
         true
     }
 
@@ -366,6 +384,7 @@
             to: order.to,
             order: order.version,
             step: status.step,
+            level: status.level,
             completed: status.phase == Phase::Completed,
             stopped: status.phase == Phase::RolledBack,
         };
@@ -383,7 +402,9 @@
         progress.confirmed = true;
         let to = order.to.clone();
         let (step, phase) = (progress.step, progress.phase());
-        progress.step = step.max(news.step);
+        if news.step > step {
+            (progress.step, progress.level) = (news.step, news.level);
+        }
         progress.completed |= news.completed;
         progress.stopped |= news.stopped;
         match progress.phase() {
@@ -408,6 +429,7 @@
                 to: order.to.clone(),
                 order: order.version,
                 step: it.step,
+                level: it.level,
                 completed: it.completed,
                 stopped: it.stopped,
             })
@@ -438,7 +460,7 @@
         };
         let place = (rendezvous::mix64(key ^ progress.salt) >> 11) as f64 / (1_u64 << 53) as f64;
         let is_new = progress.running_to().is_some()
-            && place < progress.share(self.exposure)
+            && place < progress.share()
             && progress.has_room(self.exposure, hosts);
         Some(Gate { progress, pinned, is_new, opens_up })
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 mod build_case;
 pub mod build_evidence;
 pub mod build_share;
+pub mod build_steps;
 pub mod build_trial;
 pub mod cache_gc;
 pub mod cache_index;
--- a/lib/tests/test_build_share.rs
+++ b/lib/tests/test_build_share.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use mothvale_lib::{
-    build_share::{Change, LEVELS, Level, News, Order, Phase, Shares, Status, level},
+    build_share::{Change, Level, News, Order, Phase, Shares, Status},
     fleet::{Choice, Denial, Fleet, Outcome, Query, UpstreamRow},
     host_settings::{Exposure, HostSettings},
     obstacle::Obstacle,
@@ -23,8 +23,42 @@
     Order { service: service(), to: Build::new(to), deadline: Duration::from_secs(12), version }
 }
 
+/// The levels of the steps of these tests.
+const LEVELS: [Level; 6] = [
+    Level { permille: 40, sealed: false },
+    Level { permille: 80, sealed: false },
+    Level { permille: 250, sealed: false },
+    Level { permille: 500, sealed: false },
+    Level::FULL,
+    Level::SEALED,
+];
+
+fn status(to: &'static str, order: u64) -> Status {
+    Status {
+        phase: Phase::Running,
+        to: to.into(),
+        order,
+        step: 0,
+        level: LEVELS[0],
+        since_ms: 0,
+        holder: "host0".into(),
+        boot: 1,
+        until_ms: 0,
+        retired: Vec::new(),
+        barred: Vec::new(),
+    }
+}
+
 fn news(to: &'static str, order: u64, step: u32) -> News {
-    News { service: service(), to: Build::new(to), order, step, completed: false, stopped: false }
+    News {
+        service: service(),
+        to: Build::new(to),
+        order,
+        step,
+        level: LEVELS[step as usize],
+        completed: false,
+        stopped: false,
+    }
 }
 
 fn row(id: &str, build: &'static str) -> UpstreamRow {
@@ -132,7 +166,7 @@
         assert_eq!(apply(&mut fleet, &news("v2", 5, step)), Change::Step(step));
         let next = sessions(&mut fleet, u64::from(step) * 10_000);
         // The last two levels differ only for the old builds.
-        assert!(next.len() > former.len() || level(step) == Level::Sealed);
+        assert!(next.len() > former.len() || LEVELS[step as usize].sealed);
         let kept = former.iter().filter(|it| next.contains(it)).count();
         assert_eq!(kept, former.len(), "sessions stay with the new build at step {step}");
         former = next;
@@ -140,7 +174,7 @@
     assert_eq!(former.len(), 3000);
     // An earlier step, which is told late, changes nothing.
     assert_eq!(apply(&mut fleet, &news("v2", 5, 1)), Change::None);
-    assert_eq!(level(fleet.build_shares.progress(&service()).unwrap().step), Level::Sealed);
+    assert_eq!(fleet.build_shares.progress(&service()).unwrap().level, Level::SEALED);
 }
 
 #[test]
@@ -304,20 +338,14 @@
 fn status_of_another_order_only_confirms_that_this_one_is_new() {
     let mut shares = Shares::new(Some(EXPOSURE));
     shares.set_order(at(0), order("v3", 9));
-    let status = Status {
-        phase: Phase::RolledBack,
-        to: "v2".into(),
-        order: 5,
-        step: 4,
-        barred: vec!["v0".into()],
-        ..Status::default()
-    };
-    assert_eq!(shares.apply_status(&service(), &status, &[]), Change::None);
+    let former =
+        Status { phase: Phase::RolledBack, step: 4, barred: vec!["v0".into()], ..status("v2", 5) };
+    assert_eq!(shares.apply_status(&service(), &former, &[]), Change::None);
     let progress = shares.progress(&service()).unwrap();
     assert_eq!((progress.step, progress.confirmed), (0, true));
     assert_eq!(progress.barred.as_slice(), [Build::new("v0"), Build::new("v2")]);
     // The status of a later order, whose row this host has still to read, says nothing.
-    let later = Status { order: 12, to: "v4".into(), ..Status::default() };
+    let later = status("v4", 12);
     shares.set_order(at(0), order("v2", 10));
     shares.apply_status(&service(), &later, &[]);
     assert!(!shares.progress(&service()).unwrap().confirmed);
