build_rollout, build_gossip: steps of a move to a build, and the verdict of all hosts on it

Hosts gossip what they count of both builds' answers, and each stops sending to a build that its pooled counts show to be bad.

--- a/lib/src/build_share.rs
+++ b/lib/src/build_share.rs
@@ -11,7 +11,7 @@
 
 use std::collections::HashMap;
 
-use crate::{host_settings::Exposure, prelude::*, rendezvous};
+use crate::{build_evidence::Side, host_settings::Exposure, prelude::*, rendezvous};
 
 /// Part of the allowed exposure that the new build gets in the first steps, while it may be bad. The rest is
 /// a margin for what is under way when it is found to be bad.
@@ -29,6 +29,8 @@
     Exposure { share: 0.1, slack: 0.0, rollback: Duration::from_secs(5) };
 /// How long a build stays barred at least: its upstreams may still be starting.
 const BARRED_RETENTION: Duration = Duration::from_secs(60);
+/// How long hosts tell each other how an order ended. Those that start later read its status.
+const END_NEWS_WINDOW: Duration = Duration::from_secs(30);
 /// Most builds that are kept for a service as retired or barred; beyond it, the oldest is forgotten.
 const MAX_BUILDS: usize = 8;
 
@@ -167,6 +169,8 @@
     pub stopped: bool,
     /// When this host first saw the order, or its withdrawal.
     pub seen_at: Instant,
+    /// When this host last learned something new of it.
+    pub changed_at: Instant,
     /// Builds that the completed order has replaced.
     pub retired: BuildList,
     /// New builds of former orders that were not completed.
@@ -188,6 +192,7 @@
             completed: false,
             stopped: false,
             seen_at: now,
+            changed_at: now,
             retired: SmallVec::new(),
             barred: SmallVec::new(),
             requests: 0,
@@ -359,7 +364,13 @@
     }
 
     /// Learns what the row store keeps of a service's order. `others` are the builds of its upstreams.
-    pub fn apply_status(&mut self, service: &Service, status: &Status, others: &[Build]) -> Change {
+    pub fn apply_status(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        status: &Status,
+        others: &[Build],
+    ) -> Change {
         let Some(progress) = self.by_service.get_mut(service) else { return Change::None };
         let Some(order) = progress.order.clone() else { return Change::None };
         if status.order > order.version {
@@ -388,12 +399,12 @@
             completed: status.phase == Phase::Completed,
             stopped: status.phase == Phase::RolledBack,
         };
-        self.apply_news(&news, others)
+        self.apply_news(now, &news, others)
     }
 
     /// Learns what another host, or this one itself, knows of an order. `others` are the builds of the
     /// service's upstreams: those that are replaced when the order is completed.
-    pub fn apply_news(&mut self, news: &News, others: &[Build]) -> Change {
+    pub fn apply_news(&mut self, now: Instant, news: &News, others: &[Build]) -> Change {
         let Some(progress) = self.by_service.get_mut(&news.service) else { return Change::None };
         let Some(order) = &progress.order else { return Change::None };
         if order.version != news.order || order.to != news.to {
@@ -407,6 +418,9 @@
         }
         progress.completed |= news.completed;
         progress.stopped |= news.stopped;
+        if progress.step > step || progress.phase() != phase {
+            progress.changed_at = now;
+        }
         match progress.phase() {
             Phase::Completed if phase != Phase::Completed => {
                 let others = others.iter().filter(|it| **it != to).cloned();
@@ -419,9 +433,13 @@
         }
     }
 
-    /// Returns what this host tells the others.
-    pub fn news(&self) -> Vec<News> {
-        let known = self.by_service.values().filter(|it| it.confirmed || it.stopped);
+    /// Returns what this host tells the others: how far running orders are, and for a while how others
+    /// ended.
+    pub fn news(&self, now: Instant) -> Vec<News> {
+        let known = self.by_service.values().filter(|it| {
+            it.confirmed
+                && (it.running_to().is_some() || now.since(it.changed_at) < END_NEWS_WINDOW)
+        });
         let news = |it: &Progress| {
             let order = it.order.as_ref()?;
             Some(News {
@@ -483,6 +501,16 @@
         }
     }
 
+    /// Returns on which side of a running order a build is, or `None` if it is on none.
+    pub fn side(&self, service: &Service, build: &Build) -> Option<Side> {
+        let progress = self.by_service.get(service)?;
+        let to = progress.running_to()?;
+        match to == build {
+            true => Some(Side::New),
+            false => (!progress.barred.contains(build)).then_some(Side::Old),
+        }
+    }
+
     /// Returns whether requests to a service are divided between builds now.
     pub fn divides(&self, service: &Service) -> bool {
         self.by_service.get(service).is_some_and(|it| it.running_to().is_some())
--- a/lib/src/build_steps.rs
+++ b/lib/src/build_steps.rs
@@ -22,6 +22,8 @@
 const RENEW_BEFORE_END: Duration = Duration::from_millis(900);
 /// How long the new build gets all requests before the old ones are sealed.
 const FULL_STAY: Duration = Duration::from_millis(1500);
+/// The old builds are sealed once the new one has one in this many of their number of upstreams.
+const UPSTREAMS_FOR_ALL: usize = 2;
 /// How long no host may have had anything under way at the old builds before the move is complete.
 const QUIET_STAY: Duration = Duration::from_millis(600);
 /// How old a host's report may be that counts.
@@ -62,6 +64,8 @@
     pub stored: &'a StoredStatus,
     /// Builds of the service's upstreams, other than the new one.
     pub old_builds: &'a [Build],
+    /// Upstreams of the new build that are not cold, and all of the old builds.
+    pub upstreams: (usize, usize),
     /// Whether the move can be completed: every host has left the old builds.
     pub has_left_old: bool,
     /// Answers to requests of the service since the order, and those of them of the new build.
@@ -196,15 +200,22 @@
                 step = progress.step, permille = progress.level.permille,
                 sealed = progress.level.sealed, verdict = verdict_name(verdict),
                 odds = trial.odds(), answers = situation.answers.0,
-                answers_new = situation.answers.1;
+                answers_new = situation.answers.1, upstreams_new = situation.upstreams.0,
+                upstreams_old = situation.upstreams.1;
                 "service has not moved to a build by its deadline");
         }
         let level = progress.level;
+        let (new, old) = situation.upstreams;
         if level.sealed {
             return situation.has_left_old.then_some(Next::Complete);
         }
         if level == Level::FULL {
-            return (now.since(since) >= FULL_STAY).then_some(Next::Level(Level::SEALED));
+            let bears_all = new > 0 && new * UPSTREAMS_FOR_ALL >= old;
+            let is_due = bears_all && now.since(since) >= FULL_STAY;
+            return is_due.then_some(Next::Level(Level::SEALED));
+        }
+        if new == 0 {
+            return None;
         }
         let (requests, exposed) = situation.answers;
         let share = self.schedule.share(&build_trial::Progress {
--- a/lib/src/configuration.rs
+++ b/lib/src/configuration.rs
@@ -193,6 +193,11 @@
         Configuration { version, routes: by_host, services, stores, keys, requires_key, limits }
     }
 
+    /// Returns all routes, in no order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> + Clone {
+        self.routes.values().flatten()
+    }
+
     /// Returns the route for a request, given its host name without port and its path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -718,6 +718,25 @@
         usable.retain(|it| best.is_some() && rank(it) == best);
     }
 
+    /// Returns the hosts, this one included.
+    pub fn hosts(&self) -> &[Host] {
+        &self.hosts
+    }
+
+    /// Returns the requests in flight from this host at upstreams of a service that have another build.
+    pub fn in_flight_beside(&self, service: &Service, build: &Build) -> u32 {
+        let states = self.by_service.get(service).into_iter().flatten();
+        let states = states.filter_map(|it| self.states.get(it));
+        states.filter(|it| it.row.build != *build).map(|it| it.in_flight).sum()
+    }
+
+    /// Returns the number of a service's upstreams with a build that are warm, and of those with others.
+    pub fn count_builds(&self, now: Instant, service: &Service, build: &Build) -> (usize, usize) {
+        let (new, others): (Vec<_>, Vec<_>) =
+            self.live(service).partition(|it| it.row.build == *build);
+        (new.iter().filter(|it| it.cold_until <= now).count(), others.len())
+    }
+
     /// Returns the builds of a service's upstreams.
     pub fn builds_of(&self, service: &Service) -> Vec<Build> {
         let mut builds: Vec<Build> = Vec::new();
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -148,6 +148,8 @@
     }
 
     fn report(&self, outcome: Outcome) {
+        let (service, route) = (&self.job.service, &self.job.route.name);
+        self.gateway.record_build_outcome(service, route, &self.choice.build, outcome);
         self.gateway.record_outcome(
             &self.job.configuration,
             &self.job.service,
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     body_buffer::Usage,
+    build_gossip::BuildTrials,
     build_share::Order,
     cache_index::Index,
     clock::Clock,
@@ -95,6 +96,8 @@
     mesh_joined: AtomicBool,
     /// When bytes of an upstream last arrived, in milliseconds of the clock.
     heard_ms: AtomicU64,
+    /// The trials of new builds.
+    pub(crate) build_trials: Mutex<BuildTrials>,
     detours: Mutex<Detours>,
     detour_link: OnceLock<Arc<Link>>,
 }
@@ -152,6 +155,7 @@
             body_usage: Arc::default(),
             mesh_joined: AtomicBool::new(false),
             heard_ms: AtomicU64::new(0),
+            build_trials: Mutex::default(),
             detours: Mutex::default(),
             detour_link: OnceLock::new(),
         })
@@ -305,6 +309,7 @@
             log::info!(service = order.service.as_str(), build = order.to.as_str(),
                 deadline_ms = order.deadline.as_millis() as u64, row = row_version;
                 "service is to move to a build");
+            self.start_build_trial(now, &order);
             self.build_orders.notify_one();
         }
     }
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    cache_gc, cache_watch,
+    build_rollout, cache_gc, cache_watch,
     codec::Codec,
     detour_link::Link,
     era_watch::Watched,
@@ -206,8 +206,9 @@
     };
     tokio::join!(
         table_sync.clone().run(),
-        cache_watch::run(gateway.clone(), replicas),
+        cache_watch::run(gateway.clone(), replicas.clone()),
         rollout::run(gateway.clone(), row_store.clone()),
+        build_rollout::run(gateway.clone(), replicas.clone(), row_store.clone()),
         cache_gc::run(gateway.clone()),
         run_mesh(&gateway, table_sync, identity, detour_address),
     );
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,8 @@
 mod body_buffer;
 mod build_case;
 pub mod build_evidence;
+pub mod build_gossip;
+pub mod build_rollout;
 pub mod build_share;
 pub mod build_steps;
 pub mod build_trial;
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -48,7 +48,7 @@
 const GOSSIP_PERIOD: Duration = Duration::from_millis(50);
 /// Largest number of other hosts up to which every host gossips with every other one. In a larger
 /// mesh, hosts gossip with the leader of their zone, and leaders with each other.
-const FULL_MESH_PEERS: usize = 16;
+pub(crate) const FULL_MESH_PEERS: usize = 16;
 /// Hosts that a host of a large mesh is connected to besides the leader of its zone, as sources
 /// of rows when the row store cannot be read.
 const FANOUT: usize = 3;
@@ -400,6 +400,7 @@
         let relays = self.is_large_mesh() && !self.is_delegated() && !gossip.zone;
         let source = if relays { Source::Relayed } else { Source::Told };
         gateway.apply_stream_news(&gossip.origins, source);
+        gateway.apply_build_news(host, &gossip);
         for it in &gossip.targets {
             let age = it.age_ms.map(Duration::from_millis);
             gateway.follow_target_weights(host, Model::new(it.model.clone()), it.version, age);
@@ -425,6 +426,8 @@
             causes: Vec::new(),
             limits: Vec::new(),
             origins: Vec::new(),
+            build_reports: Vec::new(),
+            build_states: Vec::new(),
             ..gossip
         };
         let mut recent = self.recent_gossip();
@@ -432,9 +435,9 @@
         recent.push(RecentGossip { received_at, known_to_leaders, gossip });
     }
 
-    /// Returns gossip about this host's own requests and observations. Each break is returned
-    /// once. Also backs off from the upstreams that this host's rollout is loading.
-    fn take_own_gossip(&self) -> Gossip {
+    /// Returns gossip about this host's own requests and observations, and for a leader (`zone`) what hosts
+    /// of its zone have counted of builds. Each break is returned once. Also backs off from the upstreams that this host's rollout is loading.
+    fn take_own_gossip(&self, zone: bool) -> Gossip {
         let gateway = &self.table_sync.gateway;
         let rollout = gateway.rollout().clone();
         let loading = rollout.loading.iter();
@@ -465,6 +468,8 @@
             departures,
             limits,
             origins,
+            build_reports: gateway.take_build_reports(zone),
+            build_states: gateway.build_states(),
             ..Gossip::default()
         };
         crash_gossip::write(gateway, &mut gossip);
@@ -543,7 +548,7 @@
             let rows = self.host_rows();
             if rows.len() <= FULL_MESH_PEERS + 1 {
                 let connected: Vec<_> = self.connections().keys().cloned().collect();
-                self.send_to(&connected, &self.take_own_gossip());
+                self.send_to(&connected, &self.take_own_gossip(false));
                 continue;
             }
             if self.is_delegated() {
@@ -551,7 +556,7 @@
             }
             let zone = gateway.host_settings.zone.as_str();
             let in_zone = |host: &Host| rows.get(host).is_some_and(|it| it.zone == zone);
-            let mut gossip = self.take_own_gossip();
+            let mut gossip = self.take_own_gossip(true);
             // Loads from other zones would arrive later than a first token. Hosts of all zones would
             // then choose the same engines, which seemed idle a moment ago.
             gossip.loads = Vec::new();
@@ -764,7 +769,7 @@
             upstreams: known_upstreams.version,
             upstreams_era: known_upstreams.era,
             stores: cursors.into_iter().map(mark).collect(),
-            own: self.is_large_mesh().then(|| self.take_own_gossip()),
+            own: self.is_large_mesh().then(|| self.take_own_gossip(false)),
             hosts: known_hosts.version,
             hosts_era: known_hosts.era,
         };
@@ -839,6 +844,7 @@
                 targets,
                 departures,
                 limits: gateway.limit_news(),
+                build_states: gateway.build_states(),
                 ..Gossip::default()
             };
             crash_gossip::write_causes(gateway, &mut others);
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -1,8 +1,8 @@
 //! Metrics of one host, exported in the Prometheus text format.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::invariant::{Invariant, violations};
@@ -41,6 +41,10 @@
     pub pauses: IntCounter,
     /// Upstreams that name a limit on their requests, as far as this host knows.
     pub limited_upstreams: IntGauge,
+    /// Part of a service's requests that a new build gets, by service and build.
+    pub build_shares: GaugeVec,
+    /// Answers while a service moves to another build, by service, side and whether they were good.
+    pub build_answers: IntCounterVec,
     /// Requests that were sent over other hosts, by what became of them there.
     pub detours: IntCounterVec,
     /// Services of which this host reaches no upstream, as far as it knows.
@@ -111,7 +115,18 @@
             "Services of which this host reaches no upstream",
         )?;
         registry.register(Box::new(unreachable_services.clone()))?;
+        let build_shares = GaugeVec::new(
+            Opts::new("mothvale_rollout_share", "Part of a service's requests for its new build"),
+            &["service", "build"],
+        )?;
+        registry.register(Box::new(build_shares.clone()))?;
         Ok(Metrics {
+            build_shares,
+            build_answers: counters(
+                "mothvale_rollout_answers_total",
+                "Answers of old and new builds while a service moves to a build",
+                &["service", "side", "outcome"],
+            )?,
             unreachable_services,
             detours: counters(
                 "mothvale_detours_total",
--- a/lib/tests/test_build_share.rs
+++ b/lib/tests/test_build_share.rs
@@ -133,7 +133,7 @@
 
 fn apply(fleet: &mut Fleet, news: &News) -> Change {
     let builds = fleet.builds_of(&news.service);
-    fleet.build_shares.apply_news(news, &builds)
+    fleet.build_shares.apply_news(at(0), news, &builds)
 }
 
 #[test]
@@ -340,14 +340,14 @@
     shares.set_order(at(0), order("v3", 9));
     let former =
         Status { phase: Phase::RolledBack, step: 4, barred: vec!["v0".into()], ..status("v2", 5) };
-    assert_eq!(shares.apply_status(&service(), &former, &[]), Change::None);
+    assert_eq!(shares.apply_status(at(0), &service(), &former, &[]), Change::None);
     let progress = shares.progress(&service()).unwrap();
     assert_eq!((progress.step, progress.confirmed), (0, true));
     assert_eq!(progress.barred.as_slice(), [Build::new("v0"), Build::new("v2")]);
     // The status of a later order, whose row this host has still to read, says nothing.
     let later = status("v4", 12);
     shares.set_order(at(0), order("v2", 10));
-    shares.apply_status(&service(), &later, &[]);
+    shares.apply_status(at(0), &service(), &later, &[]);
     assert!(!shares.progress(&service()).unwrap().confirmed);
 }
 
@@ -397,7 +397,7 @@
     let other = Service::new("plain");
     shares.set_order(at(0), order("v2", 5));
     shares.set_order(at(0), Order { service: other.clone(), ..order("v2", 6) });
-    shares.apply_news(&News { stopped: true, ..news("v2", 5, 1) }, &[]);
+    shares.apply_news(at(0), &News { stopped: true, ..news("v2", 5, 1) }, &[]);
     assert!(!shares.divides(&service()) && shares.divides(&other));
     assert!(shares.is_stopped(&service(), &Build::new("v2")));
     assert!(!shares.is_stopped(&other, &Build::new("v2")));
