--- a/lib/src/build_share.rs
+++ b/lib/src/build_share.rs
@@ -501,6 +501,19 @@
         }
     }
 
+    /// Returns whether upstreams with a build bear most of a service's requests, or any part if no order
+    /// divides them. The others would make the load of the service look smaller than it is.
+    pub fn bears_load(&self, service: &Service, build: &Build) -> bool {
+        let Some(progress) = self.by_service.get(service) else { return true };
+        let Some(order) = &progress.order else { return !progress.barred.contains(build) };
+        let is_new = *build == order.to;
+        match progress.phase() {
+            Phase::Running => is_new == (progress.level.share() >= 0.5),
+            Phase::Completed => is_new || !progress.retired.contains(build),
+            Phase::RolledBack => !is_new,
+        }
+    }
+
     /// Returns on which side of a running order a build is, or `None` if it is on none.
     pub fn side(&self, service: &Service, build: &Build) -> Option<Side> {
         let progress = self.by_service.get(service)?;
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -629,6 +629,7 @@
         let states = states.filter_map(|id| self.states.get(id)).filter(|it| {
             let excluded = self.is_leaving(&it.row) || self.evacuated.contains(&it.row.zone);
             !excluded
+                && self.build_shares.bears_load(query.service, &it.row.build)
                 && it.ejected_until <= now
                 && self.pauses.until(now, &it.row).is_none()
                 && !self.limits.is_limited(&it.row)
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -456,6 +456,8 @@
         let targets = self.unstored_targets();
         let limits = gateway.limit_news();
         let origins = gateway.take_stream_news();
+        let build_reports = gateway.take_build_reports(zone);
+        let build_states = gateway.build_states();
         let mut gossip = Gossip {
             loads: encode_loads(gateway.fleet().loads()),
             operators: operators.version,
@@ -468,8 +470,8 @@
             departures,
             limits,
             origins,
-            build_reports: gateway.take_build_reports(zone),
-            build_states: gateway.build_states(),
+            build_reports,
+            build_states,
             ..Gossip::default()
         };
         crash_gossip::write(gateway, &mut gossip);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_bad_input;
 mod test_build_evidence;
 mod test_build_share;
+mod test_build_steps;
 mod test_build_trial;
 mod test_cache_gc;
 mod test_cache_index;
