build_steps: the schedule knows the order's own deadline

With a deadline brought forward for the last steps it would reckon with less exposure than there can be until the real one (found by reading).

--- a/lib/src/build_steps.rs
+++ b/lib/src/build_steps.rs
@@ -221,7 +221,7 @@
         let share = self.schedule.share(&build_trial::Progress {
             now,
             ordered: now.saturating_sub(age),
-            deadline: order.deadline.saturating_sub(end_time(order.deadline)),
+            deadline: order.deadline,
             share: level.share(),
             since,
             requests,
@@ -240,11 +240,6 @@
     Complete,
 }
 
-/// Returns the part of the time until a deadline that is left for sealing the old builds and leaving them.
-fn end_time(deadline: Duration) -> Duration {
-    (FULL_STAY + QUIET_STAY + REPORT_TTL).min(deadline / 3)
-}
-
 /// Returns the name of a verdict for logs.
 pub fn verdict_name(verdict: Verdict) -> &'static str {
     match verdict {
