--- a/lib/src/build_case.rs
+++ b/lib/src/build_case.rs
@@ -8,27 +8,27 @@
 use std::collections::VecDeque;
 
 use crate::{
-    build_evidence::{BINS, RouteKey, Slice, Tally},
+    build_evidence::{BINS, OCTAVE_BINS, RouteKey, Slice, Tally},
     build_trial::{Cause, Reason},
     prelude::*,
 };
 
 /// Parts of the answers that a bad build may fail or delay.
 const PARTS: [f64; 7] = [0.02, 0.035, 0.06, 0.1, 0.18, 0.3, 0.5];
-/// How likely each of [`PARTS`] is, for the odds.
-const PART_ODDS: [f64; 7] = [0.025, 0.04, 0.07, 0.115, 0.2, 0.3, 0.25];
 /// Least part of slow answers that makes a build count as slow in the odds.
-const LEAST_SLOW_PART: f64 = 0.1;
-/// Seconds over which a fault may begin, with the same probability each.
+const LEAST_SLOW_PART: f64 = 0.18;
+/// How likely a fault begins in the first second.
+const AT_ONCE: f64 = 0.5;
+/// Seconds over which a fault may begin later, with the same probability each.
 const ONSETS: f64 = 32.0;
 /// The most that one second's failed answers add to the logarithm of the likelihood ratio.
 const MAX_ERRORS_GAIN: f64 = 9.0;
 /// The most that one second's slow answers add to the logarithm of the likelihood ratio.
 const MAX_SLOW_GAIN: f64 = 6.0;
-/// Answers for which the mean rate of failures stands in that of one second.
-const PRIOR_ANSWERS: f64 = 20.0;
+/// Standard deviations over the mean at which a second's rate isn't chance.
+const SURPRISE: f64 = 2.0;
 /// Rate of failures that is not held against a build while the old ones give no answers.
-const UNCOMPARED_RATE: f64 = 0.1;
+const UNCOMPARED_RATE: f64 = 0.3;
 /// Old answers that a comparison of latencies needs.
 const MIN_OLD: u32 = 20;
 /// Part of the old builds' answers over the threshold for the body of the latencies.
@@ -36,15 +36,15 @@
 /// Part of the old builds' answers over the threshold for the tail of the latencies.
 const TAIL: f64 = 0.03;
 /// Latency bins by which a build may be slower.
-const TOLERANCE_BINS: usize = 1;
+const TOLERANCE_BINS: usize = OCTAVE_BINS / 2;
 /// Latency bins by which a build may be slower while its upstreams are cold.
-const COLD_TOLERANCE_BINS: usize = 4;
+const COLD_TOLERANCE_BINS: usize = OCTAVE_BINS * 3 / 2;
 /// How long a new build's upstreams are cold after its first answer on a route, in seconds.
-const COLD_SECONDS: usize = 3;
+const COLD_SECONDS: usize = 2;
+/// How long after a fall of the share the new build's answers are those that take long, in seconds.
+const LINGERING_SECONDS: usize = 6;
 /// Least part of the old builds' answers of a route that is judged by itself.
 const LEAST_ROUTE: f64 = 0.03;
-/// How many times the mean rate of failures a second has if something ails all builds.
-const ELEVATED: f64 = 2.0;
 /// Seconds before and after, one after the other, over which old answers are gathered until they are enough.
 const REFERENCE_REACHES: [usize; 3] = [1, 5, 64];
 /// Seconds before and after without old answers that leave latencies uncompared.
@@ -69,7 +69,7 @@
         if self == Indicator::Errors { Cause::Errors } else { Cause::Slow }
     }
 
-    pub(crate) fn max_gain(self) -> f64 {
+    fn max_gain(self) -> f64 {
         if self == Indicator::Errors { MAX_ERRORS_GAIN } else { MAX_SLOW_GAIN }
     }
 }
@@ -95,28 +95,33 @@
     }
 }
 
+/// Returns the places in [`PARTS`] that a fault may have.
+fn parts(indicator: Indicator) -> std::ops::Range<usize> {
+    let least = if indicator == Indicator::Body { LEAST_SLOW_PART } else { 0.0 };
+    PARTS.iter().position(|it| *it >= least).unwrap_or_default()..PARTS.len()
+}
+
 /// Mixes the likelihood ratios over the parts of answers and the seconds in which the fault may begin.
-pub(crate) fn likelihood_ratio(gains: &[Gains], max_gain: f64) -> f64 {
-    let onset = 1.0 / ONSETS;
+pub(crate) fn likelihood_ratio(indicator: Indicator, gains: &[Gains]) -> f64 {
     let begun = |part: usize| {
-        gains.iter().fold((0.0, 1.0), |(begun, to_come), gain| {
+        gains.iter().enumerate().fold((0.0, 1.0), |(begun, to_come), (index, gain)| {
+            let onset: f64 = if index == 0 { AT_ONCE } else { (1.0 - AT_ONCE) / ONSETS };
             let begins = onset.min(to_come);
-            ((begun + begins) * gain[part].min(max_gain).exp(), to_come - begins)
+            let gain = gain[part].min(indicator.max_gain()).exp();
+            ((begun + begins) * gain, to_come - begins)
         })
     };
-    let sum: f64 = (0..PARTS.len()).map(begun).map(|(begun, to_come)| begun + to_come).sum();
-    sum / PARTS.len() as f64
+    let parts = parts(indicator);
+    let count = parts.len() as f64;
+    parts.map(begun).map(|(begun, to_come)| begun + to_come).sum::<f64>() / count
 }
 
 /// Returns the odds of a fault that has been there in all of some seconds.
 pub(crate) fn fault_odds(indicator: Indicator, gains: &[Gains]) -> f64 {
-    let counts = |part: &usize| indicator == Indicator::Errors || PARTS[*part] >= LEAST_SLOW_PART;
-    let (mut odds, mut sum) = (0.0, 0.0);
-    for part in (0..PARTS.len()).filter(counts) {
-        odds += PART_ODDS[part] * gains.iter().map(|it| it[part]).sum::<f64>().exp();
-        sum += PART_ODDS[part];
-    }
-    odds / sum
+    let slow = parts(Indicator::Body);
+    let parts = if indicator == Indicator::Errors { parts(indicator) } else { slow };
+    let count = parts.len() as f64;
+    parts.map(|part| gains.iter().map(|it| it[part]).sum::<f64>().exp()).sum::<f64>() / count
 }
 
 /// The counts of all seconds by route, and what they tell.
@@ -127,10 +132,14 @@
     totals: Vec<(Tally, Tally)>,
     /// Sums over all routes by second: answers of the old builds, and bad ones of them.
     seconds: Vec<(u32, u32)>,
+    /// Answers of the old builds by route, and bad ones of them, in the seconds in which nothing ails all.
+    calm: Vec<(u32, u32)>,
+    /// Seconds in which the share of requests fell.
+    falls: SmallVec<[usize; 4]>,
 }
 
 impl<'a> Case<'a> {
-    pub(crate) fn new(slices: &'a VecDeque<Slice>) -> Self {
+    pub(crate) fn new(slices: &'a VecDeque<Slice>, falls: SmallVec<[usize; 4]>) -> Self {
         let mut sums: BTreeMap<RouteKey, (Tally, Tally)> = BTreeMap::new();
         for (route, pair) in slices.iter().flatten() {
             let sum = sums.entry(*route).or_default();
@@ -142,7 +151,32 @@
         };
         let seconds = slices.iter().map(second).collect();
         let (routes, totals) = sums.into_iter().unzip();
-        Case { slices, routes, totals, seconds }
+        let mut case = Case { slices, routes, totals, seconds, calm: Vec::new(), falls };
+        case.calm = case.calm_rates();
+        case
+    }
+
+    /// Returns the old builds' answers and bad ones by route, without the seconds that stand out.
+    fn calm_rates(&self) -> Vec<(u32, u32)> {
+        let mean = self.mean_rate();
+        let mut calm = vec![(0, 0); self.routes.len()];
+        for (slice, (answers, bad)) in self.slices.iter().zip(&self.seconds) {
+            if second_rate(*bad, *answers, mean) > mean {
+                continue;
+            }
+            for (sum, key) in calm.iter_mut().zip(&self.routes) {
+                if let Some(pair) = slice.get(key) {
+                    *sum = (sum.0 + pair.old.answers, sum.1 + pair.old.bad);
+                }
+            }
+        }
+        calm
+    }
+
+    /// Returns the old builds' rate of failures over all routes and seconds.
+    fn mean_rate(&self) -> f64 {
+        let sum = self.seconds.iter().fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        upper_rate(sum.1, sum.0)
     }
 
     /// Returns the hypotheses: what is bad, the route or `None` for all, and how much it weighs. Routes on
@@ -155,9 +189,9 @@
         let used: Vec<usize> = (0..self.routes.len()).filter(is_used).collect();
         let mut hypotheses = Vec::new();
         for (indicator, weight) in Indicator::ALL {
-            hypotheses.push((indicator, None, weight * 0.5));
+            hypotheses.push((indicator, None, weight * 0.75));
             for route in &used {
-                hypotheses.push((indicator, Some(*route), weight * 0.5 / used.len() as f64));
+                hypotheses.push((indicator, Some(*route), weight * 0.25 / used.len() as f64));
             }
         }
         hypotheses
@@ -222,22 +256,37 @@
             Indicator::Body => BODY,
             Indicator::Tail => TAIL,
         };
+        if self.falls.iter().any(|it| (*it..*it + LINGERING_SECONDS).contains(&index)) {
+            return None;
+        }
         let old = self.reference(route, index)?;
         let tolerance = if is_cold { COLD_TOLERANCE_BINS } else { TOLERANCE_BINS };
         let (threshold, rate) = threshold(&old, level);
-        let first_hit = threshold + tolerance;
-        let hits = new.latencies.get(first_hit..)?.iter().sum();
+        let rate = self.slow_rate(route, index, threshold, rate);
+        let hits = new.latencies.get(threshold + tolerance..)?.iter().sum();
         Some(Sampled { hits, answers: new.latencies.iter().sum(), rate })
     }
 
+    /// Returns the rate of answers from a latency bin on that a good build has at most in a second: a mean
+    /// rate of the old builds, or that of this second and those beside it if it is higher.
+    fn slow_rate(&self, route: usize, index: usize, threshold: usize, mean: f64) -> f64 {
+        let key = self.routes[route];
+        let near = index.saturating_sub(1)..(index + 2).min(self.slices.len());
+        let rates = self.slices.range(near).filter_map(|it| it.get(&key)).map(|it| {
+            let latencies = &it.old.latencies;
+            let hits = latencies[threshold..].iter().sum();
+            second_rate(hits, latencies.iter().sum(), mean)
+        });
+        rates.fold(mean, f64::max)
+    }
+
     /// Returns the rate of failures that a good build has at most in a second: the old builds' over all
     /// seconds, or that of this second and those beside it if it is higher.
     fn error_rate(&self, route: usize, index: usize) -> f64 {
-        let old = &self.totals[route].0;
-        let mean = upper_rate(old.bad, old.answers);
-        let (all, all_bad) =
-            self.seconds.iter().fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
-        let all_mean = upper_rate(all_bad, all);
+        let (answers, bad) = self.calm[route];
+        let mean = upper_rate(bad, answers);
+        let (answers, bad) = self.calm.iter().fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        let all_mean = upper_rate(bad, answers);
         let key = self.routes[route];
         let mut rate = mean;
         let mut compared = 0;
@@ -245,12 +294,11 @@
             let tally = self.slices[near].get(&key).map(|it| (it.old.answers, it.old.bad));
             let (answers, bad) = tally.unwrap_or_default();
             compared += answers;
-            rate = rate.max(shrunken_rate(bad, answers, mean));
+            rate = rate.max(second_rate(bad, answers, mean));
             // A second that is bad on all routes tells of a route with few answers.
             let (answers, bad) = self.seconds[near];
-            let second = shrunken_rate(bad, answers, all_mean);
-            if second > ELEVATED * all_mean {
-                rate = rate.max(second);
+            if second_rate(bad, answers, all_mean) > all_mean {
+                rate = rate.max(second_rate(bad, answers, all_mean));
             }
         }
         if compared == 0 { rate.max(UNCOMPARED_RATE) } else { rate }
@@ -283,9 +331,15 @@
     ((hits + 1.0 + 0.5 * hits.sqrt()) / (f64::from(answers) + 2.0)).min(1.0)
 }
 
-/// Returns the rate of a second, in which a mean rate stands for some answers.
-fn shrunken_rate(hits: u32, answers: u32, mean: f64) -> f64 {
-    (f64::from(hits) + PRIOR_ANSWERS * mean) / (f64::from(answers) + PRIOR_ANSWERS)
+/// Returns the rate of a second: a mean rate, or its own with a margin if that is higher by more than chance.
+fn second_rate(hits: u32, answers: u32, mean: f64) -> f64 {
+    let expected = mean * f64::from(answers);
+    let chance = SURPRISE * (expected * (1.0 - mean)).sqrt() + 1.0;
+    let hits = f64::from(hits);
+    if hits <= expected + chance {
+        return mean;
+    }
+    ((hits + hits.sqrt() + 1.0) / (f64::from(answers) + 2.0)).min(1.0)
 }
 
 /// Returns the first latency bin of which at most a part of the answers lies at or above, and that part with
--- a/lib/src/build_trial.rs
+++ b/lib/src/build_trial.rs
@@ -14,30 +14,42 @@
 use std::fmt;
 
 use crate::{
-    build_case::{Case, fault_odds, likelihood_ratio},
+    build_case::{Case, Gains, Indicator, fault_odds, likelihood_ratio},
     build_evidence::{Pool, RouteKey},
     prelude::*,
 };
 
 /// Likelihood ratio at which a build is bad.
-const CONVICTION: f64 = 1000.0;
+const CONVICTION: f64 = 300.0;
 /// Odds that a build is bad at or under which it is good enough at its share.
-const ACQUITTAL: f64 = 1.0 / 250.0;
+const ACQUITTAL: f64 = 1.0 / 150.0;
 
+/// How likely a fault of a bad build shows under the load of the present step only.
+const LOAD_ODDS: f64 = 0.3;
+/// Part of the former share under which a fall leaves mostly answers that take long.
+const DEEP_FALL: f64 = 0.6;
 /// Shares on the way to all requests.
 const STEPS: [f64; 2] = [0.25, 0.5];
+/// The share while the rate of requests is not known yet.
+const FIRST_SHARE: f64 = 0.04;
 /// Shares at which a build is tried first, by how many requests there are.
-const SMALL_SHARES: [f64; 3] = [0.04, 0.08, 0.16];
+const SMALL_SHARES: [f64; 7] = [0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.12];
 /// Part of the requests that a bad build may get that is spent on the first share.
 const FIRST_PART: f64 = 0.4;
 /// Part of the bounds that is used.
 const CAUTION: f64 = 0.9;
 /// Part of the present rate of requests that will certainly go on.
-const CERTAIN: f64 = 0.8;
+const CERTAIN: f64 = 0.9;
 /// Time from which on a rate of requests is known, in seconds.
 const LEAST_SPAN: f64 = 1.0;
+/// Part of the time in which the first share stays, as some builds turn bad later.
+const FIRST_RISE: f64 = 0.3;
 /// How long a share above the first is held at least.
 const LEAST_STAY: Duration = Duration::from_millis(1500);
+/// How long a share above the first is held over the bounds at most without a good verdict.
+const LONGEST_STAY: Duration = Duration::from_millis(2000);
+/// Odds at which a build may get a share that the bounds bear until it is detected.
+const LIKELY: f64 = 0.1;
 /// How long a bad build is borne at a higher share until it is detected and all hosts know.
 const DETECTION: Duration = Duration::from_millis(2500);
 /// How long a lower share takes to reach all hosts.
@@ -98,7 +110,11 @@
 /// The trial of one build.
 #[derive(Clone, Debug)]
 pub struct Trial {
+    /// When the present step began.
     raised: Instant,
+    share: f64,
+    /// When the share fell.
+    falls: SmallVec<[Instant; 4]>,
     bad: Option<Reason>,
     odds: f64,
 }
@@ -106,14 +122,20 @@
 impl Trial {
     /// Starts a trial at `started`, when the order is seen.
     pub fn new(started: Instant) -> Self {
-        Trial { raised: started, bad: None, odds: 1.0 }
+        Trial { raised: started, share: 0.0, falls: SmallVec::new(), bad: None, odds: 1.0 }
     }
 
-    /// Records that the share of requests was raised: a good verdict then needs evidence at that share, as
-    /// some builds are bad under load only.
-    pub fn raise(&mut self, now: Instant) {
-        self.raised = now;
-        self.odds = 1.0;
+    /// Records that the share of requests has changed. After a step up a good verdict needs evidence at the
+    /// new share, as some builds are bad under load only.
+    pub fn set_share(&mut self, now: Instant, share: f64) {
+        if share > self.share && share >= STEPS[0] {
+            self.raised = now;
+            self.odds = 1.0;
+        }
+        if share < self.share * DEEP_FALL {
+            self.falls.push(now);
+        }
+        self.share = share;
     }
 
     /// Takes another host's verdict that the build is bad.
@@ -131,18 +153,16 @@
         if let Some(reason) = self.bad {
             return Verdict::Bad(reason);
         }
-        let (first, slices) = pool.slices();
-        let raised = pool.slice_at(self.raised).saturating_sub(first) as usize;
-        let case = Case::new(&slices);
+        let raised = pool.index_at(self.raised);
+        let falls = self.falls.iter().map(|it| pool.index_at(*it)).collect();
+        let case = Case::new(pool.sums(), falls);
         let (mut ratio, mut odds) = (0.0, 0.0);
         let mut strongest: Option<(f64, Cause, Option<RouteKey>)> = None;
         for (indicator, scope, weight) in case.hypotheses() {
             let gains = case.gains(indicator, scope);
-            let share = weight * likelihood_ratio(&gains, indicator.max_gain());
+            let share = weight * likelihood_ratio(indicator, &gains);
             ratio += share;
-            odds += weight
-                * (0.7 * fault_odds(indicator, &gains)
-                    + 0.3 * fault_odds(indicator, gains.get(raised..).unwrap_or_default()));
+            odds += weight * odds_since(indicator, scope, &gains, raised);
             if strongest.is_none_or(|(most, ..)| share > most) {
                 strongest = Some((share, indicator.cause(), scope.map(|it| case.routes[it])));
             }
@@ -157,6 +177,15 @@
     }
 }
 
+/// Returns the odds of a fault that is there from the start, or from the present step on on all routes.
+fn odds_since(indicator: Indicator, scope: Option<usize>, gains: &[Gains], raised: usize) -> f64 {
+    let always = fault_odds(indicator, gains);
+    match (scope, gains.get(raised..)) {
+        (None, Some(step)) => (1.0 - LOAD_ODDS) * always + LOAD_ODDS * fault_odds(indicator, step),
+        _ => always,
+    }
+}
+
 /// Bounds on the requests that a bad build may get.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -202,7 +231,7 @@
     }
 
     /// Returns the share of requests for the new build from now on; 0 if it is bad. Call it some times a
-    /// second; when the share differs from the present one, [`Trial::raise`] is due.
+    /// second; when the share differs from the present one, [`Trial::set_share`] is due.
     pub fn share(&self, progress: &Progress) -> f64 {
         match progress.verdict {
             Verdict::Bad(_) => return 0.0,
@@ -210,22 +239,28 @@
             _ => {}
         }
         let forecast = Forecast::new(&self.bounds, progress);
+        let elapsed = progress.now.since(progress.ordered);
         let is_good = progress.verdict == Verdict::Good;
-        let has_stayed = progress.now.since(progress.since) >= LEAST_STAY;
         if forecast.bears_rest() && progress.odds <= UNSUSPICIOUS {
             return 1.0;
         }
-        let small = forecast.small_share();
+        let next = STEPS.into_iter().find(|it| *it > progress.share).unwrap_or(1.0);
+        let may_rise = is_good || progress.odds <= LIKELY && forecast.bears(next, DETECTION);
         if progress.share < STEPS[0] {
-            let may_rise = is_good && forecast.bears(STEPS[0], DETECTION);
-            return if may_rise { STEPS[0] } else { small.max(progress.share) };
+            let is_time = elapsed >= progress.deadline.mul_f64(FIRST_RISE);
+            return match may_rise {
+                true if is_time => next,
+                _ if elapsed.as_secs_f64() < LEAST_SPAN => FIRST_SHARE,
+                _ => forecast.small_share(progress.share),
+            };
         }
-        if is_good && has_stayed {
-            let next = STEPS.into_iter().find(|it| *it > progress.share).unwrap_or(1.0);
+        let stay = progress.now.since(progress.since);
+        if may_rise && stay >= LEAST_STAY {
             return next;
         }
-        let must_retreat = has_stayed && !is_good && !forecast.bears(progress.share, REACTION);
-        if must_retreat { small } else { progress.share }
+        let must_retreat =
+            !is_good && stay >= LONGEST_STAY && !forecast.bears(progress.share, REACTION);
+        if must_retreat { forecast.small_share(0.0) } else { progress.share }
     }
 }
 
@@ -240,7 +275,6 @@
     exposed: f64,
     /// Requests that a bad build may get in all.
     bound: f64,
-    expected: f64,
 }
 
 impl Forecast {
@@ -251,7 +285,7 @@
         let rate = progress.requests as f64 / elapsed.max(LEAST_SPAN);
         let expected = progress.requests as f64 + CERTAIN * rate * left;
         let bound = bounds.exposure_share * expected + f64::from(bounds.exposure_slack);
-        Forecast { rate, left, span, exposed: progress.exposed as f64, bound, expected }
+        Forecast { rate, left, span, exposed: progress.exposed as f64, bound }
     }
 
     /// Whether a share stays within the bounds for a time.
@@ -261,14 +295,21 @@
 
     /// Whether the new build may get all requests until the deadline, even if it is bad.
     fn bears_rest(&self) -> bool {
+        let rest = self.rate * (self.left + REST_MARGIN);
         self.left <= REST * self.span
-            && self.exposed + self.rate * (self.left + REST_MARGIN) <= CAUTION * self.bound
+            && self.exposed + rest + 2.0 * rest.sqrt() <= CAUTION * self.bound
     }
 
-    /// The share at which a build is tried first: a part of what it may get in all.
-    fn small_share(&self) -> f64 {
-        let target = FIRST_PART * self.bound / self.expected.max(1.0);
-        let fits = |it: &f64| *it <= target;
-        SMALL_SHARES.into_iter().rev().find(fits).unwrap_or(SMALL_SHARES[0])
+    /// The share at which a build is tried first: one that spends a part of what it may get in all, or a
+    /// present one that may stay until the deadline.
+    fn small_share(&self, present: f64) -> f64 {
+        let left = (FIRST_PART * self.bound - self.exposed) / (self.rate * self.left).max(1.0);
+        let fits = |it: &f64| *it <= left;
+        let first = SMALL_SHARES.into_iter().rev().find(fits).unwrap_or(0.0);
+        let present = SMALL_SHARES
+            .into_iter()
+            .rev()
+            .find(|it| *it <= present && self.bears(*it, Duration::from_secs_f64(self.left)));
+        first.max(present.unwrap_or(0.0))
     }
 }
