--- a/lib/src/build_gossip.rs
+++ b/lib/src/build_gossip.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     build_evidence::{Count, Evidence, Pool, RouteKey, Sample, Side},
-    build_share::{Change, Level, News, Order, Status},
+    build_share::{Change, Level, News, Order, Progress, Status},
     build_steps::Report,
     build_trial::{Reason, Trial, Verdict},
     clock::unix_millis,
@@ -94,7 +94,9 @@
 {
     /// Begins to count for an order.
     pub(crate) fn start_build_trial(&self, now: Instant, order: &Order) {
-        let trial = BuildTrial::new(now, order.clone());
+        let mut trial = BuildTrial::new(now, order.clone());
+        let share = self.fleet().build_shares.progress(&order.service).map(Progress::share);
+        trial.trial.set_share(now, share.unwrap_or_default());
         lock(&self.build_trials).by_service.insert(order.service.clone(), trial);
     }
 
@@ -225,7 +227,7 @@
         if matches!(change, Change::Step(_))
             && let Some(trial) = lock(&self.build_trials).by_service.get_mut(service)
         {
-            trial.trial.raise(self.now());
+            trial.trial.set_share(self.now(), share);
         }
     }
 
--- a/lib/src/build_steps.rs
+++ b/lib/src/build_steps.rs
@@ -87,7 +87,6 @@
     host: FastStr,
     boot: u64,
     schedule: Schedule,
-    exposure: Exposure,
     /// The step that this host acts on, and since when.
     step_since: Option<(u32, Instant)>,
     /// Whether it was logged that the order is not carried out in time.
@@ -105,7 +104,6 @@
             host: FastStr::new(host.as_str()),
             boot,
             schedule: Schedule::new(bounds),
-            exposure,
             step_since: None,
             is_late: false,
         }
@@ -229,7 +227,7 @@
             verdict,
             odds: trial.odds(),
         });
-        let next = Level::new(share.max(Level::first(self.exposure).share()));
+        let next = Level::new(share);
         (next != level).then_some(Next::Level(next))
     }
 }
