--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -26,6 +26,8 @@
     Builds,
     /// The builds at which streams began.
     Streams,
+    /// What gateway hosts tell operators of their orders.
+    Status,
 }
 
 impl Table {
@@ -38,6 +40,7 @@
             Table::Leases => "leases",
             Table::Builds => "builds",
             Table::Streams => "streams",
+            Table::Status => "status",
         }
     }
 }
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -187,9 +187,12 @@
             Table::Operators if !self.replicas.is_delegated(self.gateway.now()) => {
                 LONG_POLL_WAIT.min(self.gateway.host_settings.bounds.max_staleness)
             }
-            Table::Operators | Table::Hosts | Table::Leases | Table::Builds | Table::Streams => {
-                LONG_POLL_WAIT
-            }
+            Table::Operators
+            | Table::Hosts
+            | Table::Leases
+            | Table::Status
+            | Table::Builds
+            | Table::Streams => LONG_POLL_WAIT,
         }
     }
 
@@ -293,7 +296,9 @@
             Table::Upstreams => true,
             // Without any row, this host does not know whom to pull from.
             Table::Hosts => !self.replicas.table(table).is_unknown(),
-            Table::Operators | Table::Leases | Table::Builds | Table::Streams => false,
+            Table::Operators | Table::Leases | Table::Status | Table::Builds | Table::Streams => {
+                false
+            }
         }
     }
 
@@ -352,7 +357,7 @@
                 self.gateway.cache_index().set_host_count(hosts.len());
                 self.gateway.fleet().set_hosts(self.gateway.now(), hosts);
             }
-            Table::Hosts | Table::Leases | Table::Builds | Table::Streams => {}
+            Table::Hosts | Table::Leases | Table::Status | Table::Builds | Table::Streams => {}
         }
     }
 
