build_steps: the last steps are shorter while little time is left

A trial with 22 requests a second (8 s to the deadline, a busy machine) completed about 1 s late: the new build had all requests for 1.5 s and more before the old ones were sealed.

--- a/lib/src/build_steps.rs
+++ b/lib/src/build_steps.rs
@@ -22,6 +22,9 @@
 const RENEW_BEFORE_END: Duration = Duration::from_millis(900);
 /// How long the new build gets all requests before the old ones are sealed.
 const FULL_STAY: Duration = Duration::from_millis(1500);
+/// The same while little time is left: this part of it, and at least the second time.
+const SHORT_FULL_FRACTION: f64 = 0.25;
+const MIN_FULL_STAY: Duration = Duration::from_millis(400);
 /// The old builds are sealed once the new one has one in this many of their number of upstreams.
 const UPSTREAMS_FOR_ALL: usize = 2;
 /// How long no host may have had anything under way at the old builds before the move is complete.
@@ -209,7 +212,9 @@
         }
         if level == Level::FULL {
             let bears_all = new > 0 && new * UPSTREAMS_FOR_ALL >= old;
-            let is_due = bears_all && now.since(since) >= FULL_STAY;
+            let short = order.deadline.saturating_sub(age).mul_f64(SHORT_FULL_FRACTION);
+            let stay = FULL_STAY.min(short.max(MIN_FULL_STAY));
+            let is_due = bears_all && now.since(since) >= stay;
             return is_due.then_some(Next::Level(Level::SEALED));
         }
         if new == 0 {
