--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -285,7 +285,7 @@
             // Its callers resume their streams.
             _ => (Action::Interrupt(host, Interruption::Kill), length),
         },
-        Family::Outage => match random.random_range(0..4) {
+        Family::Outage => match random.random_range(0..6) {
             0 => (Action::NewBuild, 0),
             1 => (Action::Crash(random.random_range(0..size.engines), true), length),
             2 => (Action::Drain(random.random_range(0..size.engines)), length + 2000),
