forward, window: idempotent requests that an upstream fails are tried once elsewhere

Now the budget decides: while less than half of it is used, an idempotent request is tried once more at another upstream, if the time left allows for an attempt as long as the first. The other half stays for requests that got no answer.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -626,9 +626,9 @@
         attempt.complete(if pause_requested { Outcome::Paused } else { Outcome::Failed });
         let other_is_better = pause_requested || self.gateway.fleet().fails_often(&choice.id);
         self.tried.push(choice.id);
-        if other_is_better
-            && self.job.route.retry_policy == RetryPolicy::Idempotent
+        if self.job.route.retry_policy == RetryPolicy::Idempotent
             && self.may_retry()
+            && (other_is_better || self.may_retry_error(started))
         {
             self.failure = Some(response);
             return Ok(None);
@@ -636,6 +636,14 @@
         Ok(Some(response))
     }
 
+    /// Returns whether an idempotent request that an upstream answered with an error may run at another
+    /// one, which may know better: once, and only if the time left allows for as long an attempt.
+    fn may_retry_error(&self, started: TokioInstant) -> bool {
+        self.failure.is_none()
+            && self.job.time_left() > started.elapsed()
+            && self.gateway.has_retry_after_error(&self.job.service)
+    }
+
     /// Builds the request for the upstream, with the headers that the gateway adds.
     fn build_request(
         &mut self,
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -484,12 +484,22 @@
     /// Takes one retry from the budget of the service; returns false if none is left. The fixed
     /// part of the budget is divided among all hosts.
     pub fn try_acquire_retry(&self, service: &Service) -> bool {
-        let now = self.now();
-        let bounds = self.host_settings.bounds;
-        let hosts = self.fleet().host_count() as f64;
-        self.with_retry_budget(service, |budget| {
-            budget.try_retry(now, bounds.retry_ratio, bounds.retry_slack / hosts)
-        })
+        let (now, ratio, slack) =
+            (self.now(), self.host_settings.bounds.retry_ratio, self.retry_slack());
+        self.with_retry_budget(service, |budget| budget.try_retry(now, ratio, slack))
+    }
+
+    /// Returns whether the retry budget of the service has room for the retry of a request that an
+    /// upstream answered with an error.
+    pub fn has_retry_after_error(&self, service: &Service) -> bool {
+        let (now, ratio, slack) =
+            (self.now(), self.host_settings.bounds.retry_ratio, self.retry_slack());
+        self.with_retry_budget(service, |budget| budget.has_room_after_error(now, ratio, slack))
+    }
+
+    /// Returns this host's part of the fixed allowance of retries.
+    fn retry_slack(&self) -> f64 {
+        self.host_settings.bounds.retry_slack / self.fleet().host_count() as f64
     }
 
     fn with_retry_budget<F, R>(&self, service: &Service, f: F) -> R
--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -95,6 +95,9 @@
 /// Fraction of the budget that is used, because hosts may disagree for a moment about the number of
 /// hosts.
 const BUDGET_FRACTION: f64 = 0.8;
+/// Fraction of the retries allowed in a window that may go to requests that an upstream answered with
+/// an error. The rest is kept for requests that got no answer at all.
+const ERROR_FRACTION: f64 = 0.5;
 
 impl RetryBudget {
     /// Creates a budget over a sliding window of length `span`.
@@ -110,11 +113,22 @@
     /// Records a retry and returns true, unless the budget is used up. `ratio` is the number of
     /// retries per request, and `slack` this host's share of the fixed allowance.
     pub fn try_retry(&mut self, now: Instant, ratio: f64, slack: f64) -> bool {
-        let allowed = BUDGET_FRACTION * (ratio * self.requests.count(now) as f64 + slack);
-        if self.retries.count(now) as f64 + 1.0 > allowed {
+        if self.retries.count(now) as f64 + 1.0 > self.allowed(now, ratio, slack) {
             return false;
         }
         self.retries.push(now);
         true
     }
+
+    /// Returns whether there is room for the retry of a request that an upstream answered with an
+    /// error. Parameters as for [`RetryBudget::try_retry`]; takes nothing.
+    pub fn has_room_after_error(&mut self, now: Instant, ratio: f64, slack: f64) -> bool {
+        let allowed = ERROR_FRACTION * self.allowed(now, ratio, slack);
+        self.retries.count(now) as f64 + 1.0 <= allowed
+    }
+
+    /// Returns the number of retries allowed in the window that ends now.
+    fn allowed(&mut self, now: Instant, ratio: f64, slack: f64) -> f64 {
+        BUDGET_FRACTION * (ratio * self.requests.count(now) as f64 + slack)
+    }
 }
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -113,6 +113,22 @@
     assert_eq!((0..100).filter(|_| budget.try_retry(at(12_000), 0.2, 6.0)).count(), 4);
 }
 
+/// A service answers many idempotent requests with errors: their retries leave half of the budget to
+/// requests that got no answer.
+#[test]
+fn retries_after_errors_leave_half_of_the_budget() {
+    let mut budget = RetryBudget::new(Duration::from_secs(10));
+    for step in 0..100 {
+        budget.record_request(at(step * 10));
+    }
+    let retried_errors = (0..100).take_while(|_| {
+        budget.has_room_after_error(at(1000), 0.2, 6.0) && budget.try_retry(at(1000), 0.2, 6.0)
+    });
+    assert_eq!(retried_errors.count(), 10);
+    assert_eq!((0..100).filter(|_| budget.try_retry(at(1000), 0.2, 6.0)).count(), 10);
+    assert!(budget.has_room_after_error(at(11_500), 0.2, 6.0));
+}
+
 #[test]
 fn request_that_crashes_upstreams_is_quarantined_on_all_hosts() {
     let mut quarantine = Quarantine::default();
