--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -88,7 +88,8 @@
     /// Longest mean wait for the first token over this priority and all more urgent ones, as a
     /// fraction of the latency objective.
     pub wait: f64,
-    priority: u8,
+    /// Priority of the request.
+    pub priority: u8,
 }
 
 impl Pressure {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -377,6 +377,10 @@
         match chosen {
             Err(Denial::Paused(_)) => self.metrics.pause_refusals.inc(),
             Err(Denial::Limited(_)) => self.metrics.limit_refusals.inc(),
+            Err(Denial::Shed(_, pressure)) => {
+                let priority = pressure.priority.to_string();
+                self.metrics.shed_requests.with_label_values(&[&priority]).inc();
+            }
             _ => {}
         }
         chosen
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -51,6 +51,8 @@
     pub resumed_streams: IntCounterVec,
     /// Requests that were refused because the limits of all their upstreams were used up.
     pub limit_refusals: IntCounter,
+    /// Requests that were shed by admission control, by priority.
+    pub shed_requests: IntCounterVec,
     /// Attempts that were not sent because the chosen upstream changed meanwhile, by reason.
     pub unsent_attempts: IntCounterVec,
     /// Known causes of crashes: sets of prompt parts that crash upstreams.
@@ -165,6 +167,11 @@
                 "mothvale_limit_refusals_total",
                 "Requests refused because the limits of all their upstreams were used up",
             )?,
+            shed_requests: counters(
+                "mothvale_shed_requests_total",
+                "Requests shed because the engines had too much to do",
+                &["priority"],
+            )?,
             unsent_attempts: counters(
                 "mothvale_unsent_attempts_total",
                 "Attempts not sent because the chosen upstream changed",
