gateway_process: signal handlers are there before keys are generated

Cause: handlers of SIGHUP, SIGTERM and SIGINT were installed once all listeners were to be bound, after the host's keys had been generated.

Change: they are installed as soon as there is a runtime. What comes before the runtime, reading the settings, still has none.

--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -12,7 +12,7 @@
 use tokio::{
     net::TcpListener,
     runtime::{Builder, Runtime},
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{Instant as TokioInstant, sleep, timeout},
 };
 
@@ -132,6 +132,11 @@
         R: Fn() -> Result<HostSettings, String>,
     {
         let traffic = build_runtime()?;
+        // A signal that comes before its handler is there ends the process.
+        let signals = {
+            let _context = traffic.enter();
+            Signals::install()?
+        };
         let control = build_runtime()?;
         let gateway = self.gateway.clone();
         let identity = Arc::new(Identity::generate(&gateway.host_settings.host)?);
@@ -148,7 +153,7 @@
                 start_detours(&self.gateway, &identity, socket);
             }
             tokio::spawn(reach_watch::run(self.gateway.clone()));
-            serve_traffic(self.gateway, reload).await
+            serve_traffic(self.gateway, signals, reload).await
         })
     }
 }
@@ -183,6 +188,24 @@
     }
 }
 
+/// Handlers of the signals that the process heeds.
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers, in the context of a runtime.
+    fn install() -> std::io::Result<Self> {
+        Ok(Signals {
+            hangup: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
 fn build_runtime() -> std::io::Result<Runtime> {
     Builder::new_current_thread().enable_all().build()
 }
@@ -357,14 +380,15 @@
 
 /// Serves callers, readiness and metrics until SIGTERM or SIGINT, then shuts down within the grace
 /// period.
-async fn serve_traffic<C, R>(gateway: Arc<Gateway<C>>, reload: R) -> Result<(), GatewayStartError>
+async fn serve_traffic<C, R>(
+    gateway: Arc<Gateway<C>>,
+    mut signals: Signals,
+    reload: R,
+) -> Result<(), GatewayStartError>
 where
     C: Codec,
     R: Fn() -> Result<HostSettings, String>,
 {
-    let mut sighup = signal(SignalKind::hangup())?;
-    let mut sigterm = signal(SignalKind::terminate())?;
-    let mut sigint = signal(SignalKind::interrupt())?;
     let host_settings = &gateway.host_settings;
     let caller_listener = listen("listen.front", host_settings.listen_address).await?;
     let readiness_listener = listen("listen.ready", host_settings.readiness_address).await?;
@@ -378,9 +402,9 @@
     let mut last_read = host_settings.clone();
     loop {
         tokio::select! {
-            _ = sigterm.recv() => break,
-            _ = sigint.recv() => break,
-            _ = sighup.recv() => check_settings(&mut last_read, &reload, true),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => check_settings(&mut last_read, &reload, true),
             () = sleep(RELOAD_PERIOD) => check_settings(&mut last_read, &reload, false),
         }
     }
