admission: where callers compete for room, routes order the requests of workspaces of one priority

It goes before the routes', so a burst on the least urgent route cost the most urgent one as much: hosts shed both alike, and engines queued both alike.

Change: the priority of the workspace comes first, as before, and then that of the route. This urgency decides whom a host sheds, over a wider span of load and waits and never all of a level, and the order at the engines. It holds only where the platform's settings say that callers press beyond the usual (the contract pressure); elsewhere nothing changes.

Tests without a network: the order, a burst on the least urgent route, nobody starves.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -30,6 +30,22 @@
 const SHED_WAIT_STEP: f64 = 0.02;
 /// How far the wait is above [`SHED_WAIT`] when all requests are shed.
 const SHED_WAIT_RANGE: f64 = 0.7;
+/// Priorities of routes that [`urgency`] tells apart; less urgent ones count as the last.
+const ROUTE_PRIORITIES: u8 = 3;
+/// Least urgent level that is told apart when requests are shed by urgency.
+const LAST_URGENCY: u8 = 8;
+/// Load above which the most urgent requests are shed when requests are shed by urgency: the least urgent
+/// ones have made room before.
+const URGENT_SHED_LOAD: f64 = 1.3;
+/// How much lower [`URGENT_SHED_LOAD`] is for each less urgent level.
+const URGENCY_LOAD_STEP: f64 = 0.0875;
+/// Mean wait, as a fraction of the latency objective, above which the most urgent requests are shed when
+/// requests are shed by urgency.
+const URGENT_SHED_WAIT: f64 = 0.95;
+/// How much lower [`URGENT_SHED_WAIT`] is for each less urgent level.
+const URGENCY_WAIT_STEP: f64 = 0.0875;
+/// Largest fraction that is shed of any level, so that none starves.
+const MAX_SHED_BY_URGENCY: f64 = 0.9;
 /// Cap of one sample of the wait, as a fraction of the latency objective, so that one request does
 /// not outweigh many.
 const WAIT_SAMPLE_MAX: f64 = 4.0;
@@ -88,8 +104,9 @@
     /// Longest mean wait for the first token over this priority and all more urgent ones, as a
     /// fraction of the latency objective.
     pub wait: f64,
-    /// Priority of the request.
+    /// Priority of the request, or its urgency if requests are shed by that.
     pub priority: u8,
+    is_by_urgency: bool,
 }
 
 impl Pressure {
@@ -116,7 +133,13 @@
             sum_tokens as f64 / (engine.cache_tokens.max(1) as f64 * FULL_LOAD_MEMORY * engines);
         let requests = sum_requests as f64 / (f64::from(engine.slots.max(1)) * engines);
         let wait = waits.map_or(0.0, |it| it.longest(now, priority));
-        Pressure { load: tokens.max(requests), wait, priority }
+        Pressure { load: tokens.max(requests), wait, priority, is_by_urgency: false }
+    }
+
+    /// Makes the least urgent requests give up their room before the others; the priority is then an
+    /// [`urgency`].
+    pub fn by_urgency(self) -> Self {
+        Pressure { is_by_urgency: true, ..self }
     }
 
     /// Decides whether to admit a request; `request_hash` serves as its random sample.
@@ -125,16 +148,35 @@
     ///
     /// Returns the time after which the caller of a shed request should retry.
     pub fn admit(self, request_hash: u64) -> Result<(), Duration> {
-        let steps = priority_index(self.priority).min(FIRST_EQUAL_PRIORITY) as f64;
-        let load = (self.load - SHED_LOAD + SHED_LOAD_STEP * steps) / SHED_LOAD_RANGE;
-        let wait = (self.wait - SHED_WAIT + SHED_WAIT_STEP * steps) / SHED_WAIT_RANGE;
-        let shed_fraction = load.max(wait).clamp(0.0, 1.0);
+        let (shed_load, shed_wait, max_shed) = self.limits();
+        let load = (self.load - shed_load) / SHED_LOAD_RANGE;
+        let wait = (self.wait - shed_wait) / SHED_WAIT_RANGE;
+        let shed_fraction = load.max(wait).clamp(0.0, max_shed);
         let sample = (rendezvous::mix64(request_hash) >> 11) as f64 / (1_u64 << 53) as f64;
         if sample >= shed_fraction {
             return Ok(());
         }
         Err(RETRY_AFTER_MIN + (RETRY_AFTER_MAX - RETRY_AFTER_MIN).mul_f64(shed_fraction))
     }
+
+    /// Returns load and wait above which requests are shed, and the largest fraction of them that is.
+    fn limits(self) -> (f64, f64, f64) {
+        if self.is_by_urgency {
+            let level = f64::from(self.priority.min(LAST_URGENCY));
+            let load = URGENT_SHED_LOAD - URGENCY_LOAD_STEP * level;
+            let wait = URGENT_SHED_WAIT - URGENCY_WAIT_STEP * level;
+            return (load, wait, MAX_SHED_BY_URGENCY);
+        }
+        let steps = priority_index(self.priority).min(FIRST_EQUAL_PRIORITY) as f64;
+        (SHED_LOAD - SHED_LOAD_STEP * steps, SHED_WAIT - SHED_WAIT_STEP * steps, 1.0)
+    }
+}
+
+/// Returns how urgent a request is: by the priority of its workspace or, without one, of its route, and
+/// then by that of its route. 0 is the most urgent.
+pub fn urgency(priority: u8, route_priority: u8) -> u8 {
+    let level = priority.saturating_mul(ROUTE_PRIORITIES);
+    level.saturating_add(route_priority.min(ROUTE_PRIORITIES - 1)).min(LAST_URGENCY)
 }
 
 /// Returns the index of a priority in [`Waits`].
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -87,6 +87,8 @@
     me: Host,
     /// This host's availability zone.
     zone: Zone,
+    /// Whether urgent requests come first when callers want more than the engines have room for.
+    callers_compete: bool,
     /// Factor on [`ServiceEntry::cold_rate`] in the cold rate limit.
     cold_overshoot: f64,
     /// Requests per second that the cold rate limit allows in addition.
@@ -127,6 +129,7 @@
         Fleet {
             me: host_settings.host.clone(),
             zone: host_settings.zone.clone(),
+            callers_compete: host_settings.callers_compete,
             cold_overshoot: host_settings.bounds.cold_overshoot,
             cold_slack: host_settings.bounds.cold_slack,
             peer_loads: HashMap::new(),
@@ -637,7 +640,9 @@
                 && !self.limits.is_limited(&it.row)
         });
         let loads = states.map(|it| (it.total_tokens(), it.total_requests()));
-        Pressure::new(now, engine, loads, self.waits.get(query.service), query.priority)
+        let waits = self.waits.get(query.service);
+        let pressure = Pressure::new(now, engine, loads, waits, query.priority);
+        if self.callers_compete { pressure.by_urgency() } else { pressure }
     }
 
     /// Returns the upstreams that can take the request now.
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use crate::{
-    admission::Pressure,
+    admission::{self, Pressure},
     attempt_connection::MAX_CONNECT_FAILURES,
     body_buffer::{Buffer, ReadError},
     cache_index::{Plan, Prompt, Source},
@@ -77,9 +77,9 @@
     }
 
     /// Returns the priority to send to the upstream; only requests for a model have one.
-    fn upstream_priority(&self) -> Option<u8> {
+    fn upstream_priority(&self, callers_compete: bool) -> Option<u8> {
         self.metadata.model.as_ref()?;
-        Some(self.priority())
+        Some(self.admission_rank(callers_compete))
     }
 
     /// Returns the priority of the key holder, or else of the route.
@@ -88,6 +88,15 @@
         key_priority.unwrap_or(self.route.priority)
     }
 
+    /// Returns the order in which requests of the service are served when there is too little room: the
+    /// priority or, where callers compete for room, the urgency.
+    fn admission_rank(&self, callers_compete: bool) -> u8 {
+        match callers_compete {
+            true => admission::urgency(self.priority(), self.route.priority),
+            false => self.priority(),
+        }
+    }
+
     /// Returns the cache salt, which limits the request to cached parts of the same model and
     /// weights, and of the same workspace if that is isolated.
     fn salt(&self, weight_version: Option<u32>) -> Option<String> {
@@ -290,7 +299,8 @@
         let (job, now) = (&self.job, self.gateway.now());
         let waited = job.received.elapsed();
         let mut fleet = self.gateway.fleet();
-        fleet.record_wait(now, &job.service, job.priority(), waited, job.route.latency_objective);
+        let rank = job.admission_rank(self.gateway.host_settings.callers_compete);
+        fleet.record_wait(now, &job.service, rank, waited, job.route.latency_objective);
     }
 
     /// Sends the request, with retries, and returns the response for the caller.
@@ -385,7 +395,7 @@
             tokens: job.metadata.prompt_tokens.saturating_add(job.metadata.max_answer_tokens),
             // What the caller has of a resumed stream would be lost.
             admitted: self.placed || self.build.is_some(),
-            priority: job.priority(),
+            priority: job.admission_rank(self.gateway.host_settings.callers_compete),
             request_hash: crate::rendezvous::hash_parts(&["admission", &job.metadata.id]),
             max_wait: job.max_wait(),
             build: self.build.as_ref(),
@@ -658,7 +668,7 @@
             time_left: self.job.time_left(),
             upstream: choice.id.as_str(),
             workspace: self.job.key_holder.as_ref().map(|it| it.workspace.as_str()),
-            priority: self.job.upstream_priority(),
+            priority: self.job.upstream_priority(self.gateway.host_settings.callers_compete),
             salt: salt.as_deref(),
             cache_plan: self.cache_plan.as_ref(),
             weight_version: choice.weight_version,
--- a/lib/src/host_settings.rs
+++ b/lib/src/host_settings.rs
@@ -26,6 +26,8 @@
     pub store_address: SocketAddr,
     /// How often upstreams renew their rows.
     pub heartbeat: Duration,
+    /// Whether callers at times want more than the upstreams have room for, and urgent ones come first then.
+    pub callers_compete: bool,
     /// Limits that the platform sets for the behaviour of its hosts.
     pub bounds: Bounds,
 }
--- a/lib/tests/test_admission.rs
+++ b/lib/tests/test_admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mothvale_lib::{
-    admission::{Pressure, Waits},
+    admission::{Pressure, Waits, urgency},
     configuration::EngineEntry,
     prelude::*,
 };
@@ -76,3 +76,56 @@
     assert!(retry(140_000) < retry(160_000));
     assert!(retry(900_000) <= Duration::from_secs(2));
 }
+
+/// Returns how many of 1,000 requests are admitted by their urgency: of a workspace's priority and a route's.
+fn admitted_by_urgency(tokens: u64, waits: Option<&Waits>, priority: u8, route: u8) -> usize {
+    let loads = std::iter::repeat_n((tokens, 1), 67);
+    let pressure = Pressure::new(at(1000), &engine(), loads, waits, urgency(priority, route));
+    let pressure = pressure.by_urgency();
+    (0..1000).filter(|it| pressure.admit(*it).is_ok()).count()
+}
+
+#[test]
+fn priority_of_the_workspace_goes_before_that_of_the_route() {
+    assert!(urgency(0, 0) < urgency(0, 1) && urgency(0, 1) < urgency(0, 2));
+    assert!(urgency(0, 2) < urgency(1, 0) && urgency(1, 0) < urgency(1, 2));
+    assert!(urgency(1, 2) < urgency(2, 0));
+    assert_eq!(urgency(0, 2), urgency(0, 200));
+    assert_eq!(urgency(200, 0), urgency(255, 255));
+}
+
+/// A burst on the least urgent route while a quarter of the engines is silent: workspaces share one priority,
+/// and first tokens come late on all routes.
+#[test]
+fn burst_on_the_least_urgent_route_costs_that_route() {
+    let mut waits = Waits::default();
+    for step in 0..100 {
+        for route in 0..3 {
+            waits.record(
+                at(step * 10),
+                urgency(1, route),
+                LATENCY_OBJECTIVE * 7 / 10,
+                LATENCY_OBJECTIVE,
+            );
+        }
+    }
+    let [urgent, normal, least_urgent] =
+        [0, 1, 2].map(|it| admitted_by_urgency(80_000, Some(&waits), 1, it));
+    assert!(urgent >= 900, "{urgent}");
+    assert!(urgent > normal && normal > least_urgent, "{urgent} {normal} {least_urgent}");
+    // Without urgency, all of them are of one priority and shed alike.
+    let mut alike = Waits::default();
+    for step in 0..300 {
+        alike.record(at(step * 3), 1, LATENCY_OBJECTIVE * 7 / 10, LATENCY_OBJECTIVE);
+    }
+    let alike = admitted(80_000, 12, Some(&alike), 1);
+    assert!(alike < 700, "{alike}");
+}
+
+#[test]
+fn nobody_starves_and_nobody_is_shed_under_normal_load() {
+    for (priority, route) in [(0, 0), (0, 2), (1, 0), (1, 2), (9, 9)] {
+        assert!(admitted_by_urgency(600_000, None, priority, route) >= 50);
+        assert_eq!(admitted_by_urgency(70_000, None, priority, route), 1000);
+    }
+}
--- a/lib/testutils/src/gateway.rs
+++ b/lib/testutils/src/gateway.rs
@@ -35,6 +35,7 @@
         memory_bytes: 260 << 20,
         store_address: address,
         heartbeat: Duration::from_millis(1200),
+        callers_compete: false,
         bounds: Bounds {
             drain: Duration::from_secs(2),
             grace: Duration::from_secs(8),
