--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -2,6 +2,7 @@
 //! broken, 0 if it held, 2 if the case could not run.
 
 mod parts;
+mod readers;
 mod store;
 mod town;
 mod uploads;
@@ -14,6 +15,7 @@
     let (case, folder, trouble) = (&args[1], PathBuf::from(&args[2]), args[3] != "0");
     let code = match case.as_str() {
         "uploads" => uploads::run(&folder, trouble),
+        "readers" => readers::run(&folder, trouble),
         _ => 2,
     };
     std::process::exit(code);
