--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -4,10 +4,12 @@
 mod endless;
 mod parts;
 mod readers;
+mod rollout;
 mod store;
 mod town;
 mod uploads;
 mod util;
+mod versions;
 
 use std::path::PathBuf;
 
@@ -30,6 +32,8 @@
         "readers" => readers::run(&folder, trouble),
         "chunks" => endless::run(&folder, trouble.then_some(SMALL_CHUNKS)),
         "interim" => endless::run(&folder, trouble.then_some(INTERIM)),
+        "rollout" => rollout::run(&folder, trouble),
+        "versions" => versions::run(&folder, trouble),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/harness/parts.rs
+++ b/review/harness/parts.rs
@@ -45,6 +45,8 @@
     pub endless: &'static str,
 }
 
+const HEARTBEAT_MS: u64 = 1_200;
+
 pub struct Runner {
     pub id: String,
     pub address: SocketAddr,
@@ -52,8 +54,16 @@
     zone: String,
     slots: usize,
     queue: usize,
-    work: Work,
+    work: Mutex<Work>,
     model: Option<String>,
+    version: String,
+    /// When it last wrote its entry, and how long after the store's return it does so again.
+    pub last_beat_ms: AtomicU64,
+    pub return_ms: AtomicU64,
+    /// Whether it has not begun to write its entry.
+    pub unlisted: AtomicBool,
+    /// Whether the process has ended.
+    stopped: AtomicBool,
     record: Arc<Record>,
     busy: AtomicUsize,
     held: AtomicUsize,
@@ -80,6 +90,7 @@
         (slots, queue): (usize, usize),
         work: Work,
         model: Option<&str>,
+        version: &str,
     ) -> Arc<Runner> {
         let listener = TcpListener::bind((ip, 0)).expect("bind runner");
         let runner = Arc::new(Runner {
@@ -89,8 +100,13 @@
             zone: zone.into(),
             slots,
             queue,
-            work,
+            work: Mutex::new(work),
             model: model.map(Into::into),
+            version: version.trim_end_matches("-later").into(),
+            last_beat_ms: AtomicU64::new(0),
+            return_ms: AtomicU64::new(0),
+            unlisted: AtomicBool::new(version == "v2-later"),
+            stopped: AtomicBool::new(false),
             record: record.clone(),
             busy: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
@@ -101,15 +117,13 @@
             done: Mutex::default(),
         });
         let (shared, beats) = (store.clone(), runner.clone());
-        std::thread::spawn(move || {
-            for sequence in 1.. {
-                shared.put("servers", &beats.id, Some(&beats.row(sequence)));
-                sleep_ms(1200);
-            }
-        });
+        std::thread::spawn(move || beats.beat(&shared));
         let serving = runner.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.stopped.load(Ordering::SeqCst) {
+                    return;
+                }
                 let runner = serving.clone();
                 std::thread::spawn(move || runner.serve(stream));
             }
@@ -117,6 +131,55 @@
         runner
     }
 
+    /// Writes the runner's entry every heartbeat. While the store is down, the entry is removed after three
+    /// intervals of silence.
+    fn beat(&self, store: &Store) {
+        while self.unlisted.load(Ordering::SeqCst) {
+            sleep_ms(5);
+        }
+        for sequence in 1.. {
+            let mut lapsed = false;
+            while store.down.load(Ordering::SeqCst) {
+                let silent = self.record.clock.ms() - self.last_beat_ms.load(Ordering::SeqCst);
+                if silent >= 3 * HEARTBEAT_MS && !lapsed {
+                    lapsed = true;
+                    store.put("servers", &self.id, None);
+                    self.record.line(&format!("the entry of {} is removed", self.id));
+                }
+                sleep_ms(10);
+            }
+            if lapsed {
+                sleep_ms(self.return_ms.load(Ordering::SeqCst));
+                self.record.line(&format!("{} writes its entry again", self.id));
+            }
+            if self.stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            store.put("servers", &self.id, Some(&self.row(sequence)));
+            let now = self.record.clock.ms();
+            self.last_beat_ms.store(now, Ordering::SeqCst);
+            while self.record.clock.ms() < now + HEARTBEAT_MS && !store.down.load(Ordering::SeqCst) {
+                sleep_ms(10);
+            }
+        }
+    }
+
+    /// Ends at once, in the middle of all requests.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Sets what the runner does with further requests.
+    pub fn set_work(&self, work: Work) {
+        *self.work.lock().unwrap() = work;
+    }
+
+    /// Returns the number of requests at work.
+    pub fn at_work(&self) -> usize {
+        self.busy.load(Ordering::SeqCst)
+    }
+
     fn row(&self, sequence: u64) -> String {
         let models = match &self.model {
             Some(name) => format!(
@@ -126,11 +189,12 @@
             None => String::new(),
         };
         format!(
-            "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":{},\
+            "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"{}\",\"slots\":{},\
              \"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":{sequence}{models}}}",
             quote(&self.service),
             self.address,
             quote(&self.zone),
+            self.version,
             self.slots
         )
     }
@@ -142,6 +206,9 @@
         let mut stream = stream;
         while let Some(head) = read_head(&mut reader) {
             let Some(_) = read_body(&mut reader, &head, false) else { return };
+            if self.stopped.load(Ordering::SeqCst) {
+                return;
+            }
             if !self.answer(&mut stream, &head) {
                 return;
             }
@@ -149,6 +216,7 @@
     }
 
     fn answer(&self, stream: &mut TcpStream, head: &Head) -> bool {
+        let head_fields = head;
         let request = head.field("request-id").unwrap_or("").to_string();
         let id = ("Instance-Id", self.id.clone());
         let echo = ("Request-Id", request.clone());
@@ -181,7 +249,8 @@
         }
         let stamp = self.stamps.fetch_add(1, Ordering::SeqCst);
         let stamp = ("Server-Stamp", format!("{}.{stamp}", self.id));
-        let is_written = match self.work {
+        let work = self.work.lock().unwrap().clone();
+        let is_written = match work {
             Work::Whole { ms, bytes } => {
                 sleep_ms(ms);
                 respond(stream, 200, &[stamp, id, echo], &vec![b'x'; bytes])
@@ -195,9 +264,12 @@
                 // A request begins to run with its first token.
                 sleep_ms(first_ms);
                 let mut is_written = stream.write_all(head.as_bytes()).is_ok();
-                for number in 1..=count {
-                    let event = format!("id: {number}\ndata: {}\n\n", "t".repeat(56));
+                let last: u64 =
+                    head_fields.field("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
+                for number in last + 1..=count {
+                    let event = format!("id: {number}\ndata: {} {}\n\n", self.version, "t".repeat(53));
                     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                    is_written &= !self.stopped.load(Ordering::SeqCst);
                     is_written = is_written && stream.write_all(chunk.as_bytes()).is_ok();
                     if !is_written {
                         break;
@@ -241,6 +313,8 @@
     pub internal: (u16, u16),
     pub memory_mb: u64,
     pub store: SocketAddr,
+    /// Whether operators may order that a service moves to another version.
+    pub rollout: bool,
 }
 
 impl Settings {
@@ -253,7 +327,7 @@
              loss-counts=false\nlimits.cpu-share=0.25\nlimits.cores=1\nlimits.memory-mb={memory}\n\
              limits.max-fds=4100\nlimits.link-mbps=1000.0\nlimits.disk-mb=0\ndiscovery=platform\n\
              entry=vip\nheartbeat-ms=1200\n\
-             contracts=base,drain,config,cost,retry,recover,kvcache,stream,engine,tenants,places,platform\n\
+             contracts=base,drain,config,cost,retry,recover,kvcache,stream,engine,tenants,places{more},platform\n\
              fault-tolerance.machines=2\nfault-tolerance.zones=1\nfault-tolerance.regions=0\n\
              bounds.seed-lag-s=3\nbounds.addr-reuse-s=2\nbounds.contact-ms=3000\n\
              bounds.ack-timeout-ms=4000\nbounds.catch-up-s=4\nbounds.drain-ms=2000\nbounds.grace-s=8\n\
@@ -267,7 +341,13 @@
              platform.form=table\nplatform.writes-per-s=400\nplatform.reads-per-s=2000\n\
              platform.tx-ms=5.0\nplatform.part-writes-s=200\nplatform.row-bytes=65536\n\
              platform.across=false\nplatform.history-s=20\nplatform.blob-bytes=8388608\n\
-             platform.blob-ms=25.0\nplatform.blob-mb-s=80.0\n",
+             platform.blob-ms=25.0\nplatform.blob-mb-s=80.0\n{rollout}",
+            rollout = if self.rollout {
+                "bounds.exposure-share=0.1\nbounds.exposure-slack=50\nbounds.rollback-ms=5000\n"
+            } else {
+                ""
+            },
+            more = if self.rollout { ",rollout" } else { "" },
             name = self.name,
             ip = self.ip,
             zone = self.zone,
@@ -370,6 +450,14 @@
         }
     }
 
+    /// Sends a signal to the process, by its number.
+    pub fn signal(&self, signal: &str) {
+        if let Some(child) = self.child.lock().unwrap().as_ref() {
+            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+        }
+        self.record.line(&format!("{} gets SIG{signal}", self.name));
+    }
+
     pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300)) else {
             return false;
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,8 @@
     state: Mutex<State>,
     changed: Condvar,
     start: Instant,
+    /// Whether the store answers all calls with 503.
+    pub down: AtomicBool,
 }
 
 impl Store {
@@ -31,6 +34,7 @@
             state: Mutex::default(),
             changed: Condvar::new(),
             start: Instant::now(),
+            down: AtomicBool::new(false),
         });
         let shared = store.clone();
         std::thread::spawn(move || {
@@ -50,6 +54,19 @@
         self.changed.notify_all();
     }
 
+    /// Sets whether the store answers all calls with 503.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
+    /// Returns the value of a row, as the operator reads it.
+    pub fn get(&self, table: &str, key: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let row = state.rows.get(&(table.to_string(), key.to_string()));
+        row.map(|it| String::from_utf8_lossy(&it.0).into_owned())
+    }
+
     fn now_ms(&self) -> u128 {
         self.start.elapsed().as_millis() + 1000
     }
@@ -61,6 +78,12 @@
         while let Some(head) = read_head(&mut reader) {
             let Some(body) = read_body(&mut reader, &head, false) else { return };
             sleep_ms(4);
+            if self.down.load(Ordering::SeqCst) {
+                if !crate::util::respond(&mut stream, 503, &[], b"") {
+                    return;
+                }
+                continue;
+            }
             let target = head.target().to_string();
             let (path, query) = target.split_once('?').unwrap_or((&target, ""));
             let arg = |name: &str| {
@@ -111,6 +134,9 @@
             let rows: Vec<_> =
                 changes.map(|(ver, table, key, value)| row(table, key, value.as_ref(), *ver)).collect();
             let now = Instant::now();
+            if self.down.load(Ordering::SeqCst) {
+                return (503, String::new());
+            }
             if !rows.is_empty() || now >= end {
                 let text = format!(
                     "{{\"rows\":[{}],\"ver\":{},\"now-ms\":{}}}",
--- a/review/harness/town.rs
+++ b/review/harness/town.rs
@@ -22,6 +22,17 @@
 impl Town {
     /// Starts everything, and waits until all machines are ready. `None` if they are not in time.
     pub fn start(folder: &Path, memory_mb: u64, stream: Work, whole: Work) -> Option<Town> {
+        Town::start_with(folder, memory_mb, stream, whole, &["v1"])
+    }
+
+    /// The same, with writers of these versions in each zone.
+    pub fn start_with(
+        folder: &Path,
+        memory_mb: u64,
+        stream: Work,
+        whole: Work,
+        versions: &[&str],
+    ) -> Option<Town> {
         let record = Record::create(&folder.join("record.txt"));
         let process = std::process::id();
         let scratch = std::env::temp_dir().join(format!("mothvale-review-{process}"));
@@ -34,14 +45,21 @@
             Town { record, store, writers: vec![], desks: vec![], machines: vec![], scratch };
         for (at, zone) in ZONES.iter().enumerate() {
             let (store, record) = (&town.store, &town.record);
-            let (writer, desk) = (format!("i-writer{at}"), format!("i-desk{at}"));
+            if at == 1 {
+                // Runners don't write their entries all at once.
+                sleep_ms(300);
+            }
             let runner_ip = ip(100 + at as u32);
             let model = Some("daka510000");
-            town.writers.push(Runner::start(
-                store, record, &runner_ip, &writer, "huvo11a", zone, (64, 192), stream.clone(), model,
-            ));
+            for version in versions {
+                let id = format!("i-writer{at}-{version}");
+                town.writers.push(Runner::start(
+                    store, record, &runner_ip, &id, "huvo11a", zone, (64, 192), stream.clone(), model, version,
+                ));
+            }
+            let id = format!("i-desk{at}");
             town.desks.push(Runner::start(
-                store, record, &runner_ip, &desk, "kafi81c", zone, (6, 24), whole.clone(), None,
+                store, record, &runner_ip, &id, "kafi81c", zone, (6, 24), whole.clone(), None, "v1",
             ));
         }
         for (at, zone) in ZONES.iter().enumerate() {
@@ -58,6 +76,7 @@
                 internal: (7700, 7715),
                 memory_mb,
                 store: town.store.address,
+                rollout: versions.len() > 1,
                 ip,
             };
             drop(ports);
--- a/review/harness/util.rs
+++ b/review/harness/util.rs
@@ -1,5 +1,7 @@
 //! JSON, base64 and HTTP/1.1 in the small form that the stand-ins need. Standard library only.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
