--- a/review/harness/parts.rs
+++ b/review/harness/parts.rs
@@ -373,6 +373,10 @@
     memory_mb: u64,
     child: Mutex<Option<Child>>,
     stopping: AtomicBool,
+    /// Whether the platform gives it new channels.
+    pub in_rotation: AtomicBool,
+    /// How often the platform has asked whether it is ready.
+    pub probes: AtomicU64,
     /// Times at which the platform killed the process for its memory.
     pub kills: Mutex<Vec<u64>>,
     pub peak_mb: AtomicU64,
@@ -393,6 +397,8 @@
             memory_mb: settings.memory_mb,
             child: Mutex::new(None),
             stopping: AtomicBool::new(false),
+            in_rotation: AtomicBool::new(true),
+            probes: AtomicU64::new(0),
             kills: Mutex::default(),
             peak_mb: AtomicU64::new(0),
             record: record.clone(),
@@ -450,6 +456,27 @@
         }
     }
 
+    /// Asks once per second whether the machine is ready, as the platform does, until the case ends. After
+    /// two misses it is out of rotation.
+    pub fn balance(self: &Arc<Self>) {
+        let machine = self.clone();
+        std::thread::spawn(move || {
+            let mut misses = 0;
+            while !machine.stopping.load(Ordering::SeqCst) {
+                let clock = Clock::start();
+                misses = if machine.is_ready() { 0 } else { misses + 1 };
+                machine.probes.fetch_add(1, Ordering::SeqCst);
+                let in_rotation = misses < 2;
+                if machine.in_rotation.swap(in_rotation, Ordering::SeqCst) != in_rotation {
+                    let text = format!("{} is in rotation: {in_rotation}", machine.name);
+                    machine.record.line(&text);
+                }
+                // No response within nine tenths of the second is a miss.
+                sleep_ms(1_000_u64.saturating_sub(clock.ms()));
+            }
+        });
+    }
+
     /// Sends a signal to the process, by its number.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = self.child.lock().unwrap().as_ref() {
--- a/review/harness/town.rs
+++ b/review/harness/town.rs
@@ -17,7 +17,7 @@
     scratch: PathBuf,
 }
 
-const ZONES: [&str; 3] = ["nbo-westlands", "nbo-industrial", "nbo-karen"];
+pub const ZONES: [&str; 3] = ["nbo-westlands", "nbo-industrial", "nbo-karen"];
 
 impl Town {
     /// Starts everything, and waits until all machines are ready. `None` if they are not in time.
@@ -32,6 +32,18 @@
         stream: Work,
         whole: Work,
         versions: &[&str],
+    ) -> Option<Town> {
+        Town::start_at(folder, memory_mb, stream, whole, versions, &ZONES)
+    }
+
+    /// The same, with machines in these zones.
+    pub fn start_at(
+        folder: &Path,
+        memory_mb: u64,
+        stream: Work,
+        whole: Work,
+        versions: &[&str],
+        places: &[&str],
     ) -> Option<Town> {
         let record = Record::create(&folder.join("record.txt"));
         let process = std::process::id();
@@ -62,12 +74,13 @@
                 store, record, &runner_ip, &id, "kafi81c", zone, (6, 24), whole.clone(), None, "v1",
             ));
         }
-        for (at, zone) in ZONES.iter().enumerate() {
+        for (at, zone) in places.iter().enumerate() {
             let ip = ip(10 + at as u32);
+            let number = 1 + places[..at].iter().filter(|it| *it == zone).count();
             let ports: Vec<_> = (0..3).map(|_| TcpListener::bind((ip.as_str(), 0)).ok()).collect();
             let port = |at: usize| ports[at].as_ref().unwrap().local_addr().unwrap().port();
             let settings = Settings {
-                name: format!("front-{zone}-1"),
+                name: format!("front-{zone}-{number}"),
                 zone: zone.to_string(),
                 zones: ZONES.iter().map(|it| it.to_string()).collect(),
                 front: port(0),
--- a/review/harness/versions.rs
+++ b/review/harness/versions.rs
@@ -6,24 +6,32 @@
 use std::sync::Arc;
 
 use crate::parts::*;
-use crate::town::Town;
+use crate::town::{Town, ZONES};
 use crate::util::*;
 
 const MEMORY_MB: u64 = 110;
 const DEADLINE_MS: u64 = 12_000;
-const GAP_MS: u64 = 25;
+const GAP_MS: u64 = 50;
 const EVENTS: u64 = 14;
 /// From then on the machines know where all running streams began.
 const FREEZE_AT_MS: u64 = 33_000;
-const KILL_AFTER_MS: u64 = 1_600;
-const FREEZE_MS: u64 = 1_900;
+/// After the freeze began: the planned restart of another machine, the new runners, the kill, the thaw.
+const RESTART_MS: u64 = 2_300;
+const RELEASE_MS: u64 = 3_200;
+const KILL_MS: u64 = 4_800;
+const THAW_MS: u64 = 5_100;
+/// The zones of the machines; the first three are in one zone.
+const PLACES: [&str; 4] = [ZONES[0], ZONES[0], ZONES[0], ZONES[1]];
+const IN_ZONE: usize = 3;
 
 pub fn run(folder: &Path, trouble: bool) -> i32 {
     let stream = Work::Events { count: EVENTS, first_ms: 100, gap_ms: 100 };
     let whole = Work::Whole { ms: 30, bytes: 800 };
-    let Some(town) = Town::start_with(folder, MEMORY_MB, stream, whole, &["v1", "v2-later"]) else {
+    let Some(town) = Town::start_at(folder, MEMORY_MB, stream, whole, &["v1", "v2-later"], &PLACES)
+    else {
         return 2;
     };
+    town.machines.iter().for_each(|it| it.balance());
     let town = Arc::new(town);
     let (mixed, resumed) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
     let whole = Arc::new(AtomicU32::new(0));
@@ -46,17 +54,22 @@
             callers.into_iter().for_each(|it| drop(it.join()));
         })
     };
-    let (x, y) = (&town.machines[0], &town.machines[1]);
+    let (x, y, w) = (&town.machines[0], &town.machines[1], &town.machines[2]);
     sleep_ms(FREEZE_AT_MS);
+    let start = town.record.clock.ms();
+    let until = |ms: u64| sleep_ms((start + ms).saturating_sub(town.record.clock.ms()));
     if trouble {
         y.signal("STOP");
     }
+    until(RESTART_MS);
+    w.signal("TERM");
+    until(RELEASE_MS);
     town.record.line("runners of version v2 begin to serve beside the others");
     town.writers.iter().for_each(|it| it.unlisted.store(false, Ordering::SeqCst));
-    sleep_ms(KILL_AFTER_MS);
+    until(KILL_MS);
     // The watcher starts it again, as the platform does.
     x.signal("KILL");
-    sleep_ms(FREEZE_MS - KILL_AFTER_MS);
+    until(THAW_MS);
     if trouble {
         y.signal("CONT");
     }
@@ -79,6 +92,17 @@
     i32::from(mixed > 2)
 }
 
+/// Returns the machine to which the platform forwards the channel of a retry; retries reach other machines. If
+/// fewer than half of a zone's machines are in rotation, it uses all of that zone's machines.
+fn retry_machine(town: &Town, number: u64) -> Option<usize> {
+    let in_rotation: Vec<_> = (0..IN_ZONE)
+        .filter(|it| town.machines[*it].in_rotation.load(Ordering::SeqCst))
+        .collect();
+    let used = if in_rotation.len() * 2 < IN_ZONE { (0..IN_ZONE).collect() } else { in_rotation };
+    let others: Vec<_> = used.into_iter().filter(|it| *it != 0).collect();
+    (!others.is_empty()).then(|| others[number as usize % others.len()])
+}
+
 /// A requester's stream: begun at the first machine, and taken up at the second one if it breaks.
 fn stream_of(town: &Town, number: u64, mixed: &AtomicU32, resumed: &AtomicU32, whole: &AtomicU32) {
     let mut versions: Vec<String> = Vec::new();
@@ -86,8 +110,9 @@
     let origin = format!("{number:016x}");
     let mut tries = String::new();
     for attempt in 0..2 {
-        let front = town.machines[attempt.min(1)].front;
-        let Some(mut channel) = Channel::open(front) else { break };
+        let machine = if attempt == 0 { Some(0) } else { retry_machine(town, number) };
+        let Some(machine) = machine else { break };
+        let Some(mut channel) = Channel::open(town.machines[machine].front) else { break };
         let id = if attempt == 0 { origin.clone() } else { format!("{number:015x}r") };
         let mut fields = model_fields(number);
         if attempt > 0 {
