--- a/review/harness/parts.rs
+++ b/review/harness/parts.rs
@@ -480,7 +480,8 @@
     /// Sends a signal to the process, by its number.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = self.child.lock().unwrap().as_ref() {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+            let kill = format!("kill -{signal} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &kill]).status();
         }
         self.record.line(&format!("{} gets SIG{signal}", self.name));
     }
