--- a/review/harness/parts.rs
+++ b/review/harness/parts.rs
@@ -158,7 +158,8 @@
             store.put("servers", &self.id, Some(&self.row(sequence)));
             let now = self.record.clock.ms();
             self.last_beat_ms.store(now, Ordering::SeqCst);
-            while self.record.clock.ms() < now + HEARTBEAT_MS && !store.down.load(Ordering::SeqCst) {
+            while self.record.clock.ms() < now + HEARTBEAT_MS && !store.down.load(Ordering::SeqCst)
+            {
                 sleep_ms(10);
             }
         }
@@ -241,7 +242,8 @@
         self.runs.lock().unwrap().insert(request.clone(), self.record.clock.ms());
         let trouble = *self.trouble.lock().unwrap();
         if let Some(trouble) = trouble {
-            self.record.line(&format!("{} is in trouble and sends without end to {request}", self.id));
+            self.record
+                .line(&format!("{} is in trouble and sends without end to {request}", self.id));
             self.flood(stream, &request, trouble);
             self.busy.fetch_sub(1, Ordering::SeqCst);
             self.held.fetch_sub(1, Ordering::SeqCst);
@@ -267,7 +269,8 @@
                 let last: u64 =
                     head_fields.field("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
                 for number in last + 1..=count {
-                    let event = format!("id: {number}\ndata: {} {}\n\n", self.version, "t".repeat(53));
+                    let event =
+                        format!("id: {number}\ndata: {} {}\n\n", self.version, "t".repeat(53));
                     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
                     is_written &= !self.stopped.load(Ordering::SeqCst);
                     is_written = is_written && stream.write_all(chunk.as_bytes()).is_ok();
@@ -487,11 +490,13 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300)) else {
+        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300))
+        else {
             return false;
         };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
-        let _ = stream.write_all(b"GET /v1/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n");
+        let _ =
+            stream.write_all(b"GET /v1/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n");
         let mut text = [0; 12];
         stream.read_exact(&mut text).is_ok() && text.ends_with(b"200")
     }
@@ -577,7 +582,8 @@
     length: usize,
     more: &str,
 ) -> String {
-    let length = if method == "GET" { String::new() } else { format!("Content-Length: {length}\r\n") };
+    let length =
+        if method == "GET" { String::new() } else { format!("Content-Length: {length}\r\n") };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: pule25.example\r\nRequest-Id: {id}\r\n\
          Deadline-Ms: {deadline_ms}\r\nKey: jnbanfqasnmgkcuyj8pj\r\n{more}{length}\r\n"
--- a/review/harness/readers.rs
+++ b/review/harness/readers.rs
@@ -88,7 +88,8 @@
     let is_sent = channel.send(&head, b"");
     let answer = read_head(channel.reader());
     let status = answer.as_ref().map_or(0, |it| it.status());
-    let length = answer.as_ref().and_then(|it| it.field("content-length")?.parse().ok()).unwrap_or(0);
+    let length =
+        answer.as_ref().and_then(|it| it.field("content-length")?.parse().ok()).unwrap_or(0);
     let mut got = 0;
     while is_sent && got < length && clock.ms() < DEADLINE_MS {
         let mut part = vec![0; if slow { SLOW_BYTES } else { 200_000 }.min(length - got)];
--- a/review/harness/rollout.rs
+++ b/review/harness/rollout.rs
@@ -44,7 +44,8 @@
     for machine in 0..town.machines.len() {
         let (town, count, ended) = (town.clone(), count.clone(), ended.clone());
         let back_at = back_at.clone();
-        callers.push(std::thread::spawn(move || requesters(&town, &count, &ended, &back_at, machine)));
+        callers
+            .push(std::thread::spawn(move || requesters(&town, &count, &ended, &back_at, machine)));
     }
     let (old, new): (Vec<_>, Vec<_>) = town.writers.iter().partition(|it| it.id.ends_with("v1"));
     // Runners of one service differ in speed.
@@ -72,7 +73,8 @@
             town.store.set_down(true);
             town.record.line("the store is down");
         }
-        if town.store.down.load(Ordering::SeqCst) && down_at.is_some_and(|at| now() >= at + DOWN_MS) {
+        if town.store.down.load(Ordering::SeqCst) && down_at.is_some_and(|at| now() >= at + DOWN_MS)
+        {
             town.store.set_down(false);
             town.record.line("the store is back");
             back_at.store(town.record.clock.ms(), Ordering::SeqCst);
@@ -80,7 +82,8 @@
         let status = town.store.get("status", "rollout/huvo11a").unwrap_or_default();
         if completed.is_none() && status.contains("\"state\":\"completed\"") {
             completed = Some(now());
-            let at_work: Vec<_> = old.iter().map(|it| format!("{} {}", it.id, it.at_work())).collect();
+            let at_work: Vec<_> =
+                old.iter().map(|it| format!("{} {}", it.id, it.at_work())).collect();
             town.record.line(&format!(
                 "the system says that the move is completed; the old runners stop; requests at work there: {}",
                 at_work.join(", ")
@@ -144,12 +147,7 @@
     callers.into_iter().for_each(|it| drop(it.join()));
 }
 
-fn call(
-    town: &Town,
-    kept: &Mutex<Vec<Channel>>,
-    machine: usize,
-    number: u64,
-) -> (String, End) {
+fn call(town: &Town, kept: &Mutex<Vec<Channel>>, machine: usize, number: u64) -> (String, End) {
     let id = format!("{number:016x}");
     let channel = kept.lock().unwrap().pop();
     let Some(mut channel) = channel.or_else(|| Channel::open(town.machines[machine].front)) else {
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -131,8 +131,9 @@
         let mut state = self.state.lock().unwrap();
         loop {
             let changes = state.log.iter().filter(|it| it.0 > after && it.1 == table);
-            let rows: Vec<_> =
-                changes.map(|(ver, table, key, value)| row(table, key, value.as_ref(), *ver)).collect();
+            let rows: Vec<_> = changes
+                .map(|(ver, table, key, value)| row(table, key, value.as_ref(), *ver))
+                .collect();
             let now = Instant::now();
             if self.down.load(Ordering::SeqCst) {
                 return (503, String::new());
@@ -163,7 +164,10 @@
         }
         if conflict {
             let rows = current.join(",");
-            return (412, format!("{{\"rows\":[{rows}],\"ver\":{},\"now-ms\":{}}}", state.ver, self.now_ms()));
+            return (
+                412,
+                format!("{{\"rows\":[{rows}],\"ver\":{},\"now-ms\":{}}}", state.ver, self.now_ms()),
+            );
         }
         for it in tx.list("put").iter().chain(&tx.list("remove")) {
             if matches!(it.text("table").as_str(), "op" | "servers") {
@@ -172,7 +176,12 @@
         }
         state.ver += 1;
         for it in tx.list("put") {
-            apply(&mut state, &it.text("table"), &it.text("key"), Some(decode64(&it.text("value"))));
+            apply(
+                &mut state,
+                &it.text("table"),
+                &it.text("key"),
+                Some(decode64(&it.text("value"))),
+            );
         }
         for it in tx.list("remove") {
             apply(&mut state, &it.text("table"), &it.text("key"), None);
@@ -199,5 +208,9 @@
         Some(value) => format!("\"value\":\"{}\"", encode64(value)),
         None => "\"tombstone\":true".into(),
     };
-    format!("{{\"table\":{},\"part\":\"\",\"key\":{},\"ver\":{ver},{rest}}}", quote(table), quote(key))
+    format!(
+        "{{\"table\":{},\"part\":\"\",\"key\":{},\"ver\":{ver},{rest}}}",
+        quote(table),
+        quote(key)
+    )
 }
--- a/review/harness/town.rs
+++ b/review/harness/town.rs
@@ -50,7 +50,8 @@
         let scratch = std::env::temp_dir().join(format!("mothvale-review-{process}"));
         std::fs::create_dir_all(&scratch).ok()?;
         // Addresses of the loopback network that no other run uses.
-        let ip = |host: u32| format!("127.{}.{}.{host}", 64 + (process >> 8) % 128, 1 + process % 254);
+        let ip =
+            |host: u32| format!("127.{}.{}.{host}", 64 + (process >> 8) % 128, 1 + process % 254);
         let store = Store::start(&ip(1));
         store.put("op", "config", Some(&manifest()));
         let mut town =
@@ -66,12 +67,30 @@
             for version in versions {
                 let id = format!("i-writer{at}-{version}");
                 town.writers.push(Runner::start(
-                    store, record, &runner_ip, &id, "huvo11a", zone, (64, 192), stream.clone(), model, version,
+                    store,
+                    record,
+                    &runner_ip,
+                    &id,
+                    "huvo11a",
+                    zone,
+                    (64, 192),
+                    stream.clone(),
+                    model,
+                    version,
                 ));
             }
             let id = format!("i-desk{at}");
             town.desks.push(Runner::start(
-                store, record, &runner_ip, &id, "kafi81c", zone, (6, 24), whole.clone(), None, "v1",
+                store,
+                record,
+                &runner_ip,
+                &id,
+                "kafi81c",
+                zone,
+                (6, 24),
+                whole.clone(),
+                None,
+                "v1",
             ));
         }
         for (at, zone) in places.iter().enumerate() {
--- a/review/harness/uploads.rs
+++ b/review/harness/uploads.rs
@@ -27,7 +27,8 @@
 
 pub fn run(folder: &Path, trouble: bool) -> i32 {
     let stream = Work::Events { count: 48, first_ms: 300, gap_ms: 78 };
-    let Some(town) = Town::start(folder, MEMORY_MB, stream, Work::Whole { ms: 30, bytes: 800 }) else {
+    let Some(town) = Town::start(folder, MEMORY_MB, stream, Work::Whole { ms: 30, bytes: 800 })
+    else {
         return 2;
     };
     let town = Arc::new(town);
--- a/review/harness/util.rs
+++ b/review/harness/util.rs
@@ -111,7 +111,8 @@
         }
         _ => {
             let start = *at;
-            while *at < b.len() && matches!(b[*at], b'-' | b'+' | b'.' | b'e' | b'E' | b'0'..=b'9') {
+            while *at < b.len() && matches!(b[*at], b'-' | b'+' | b'.' | b'e' | b'E' | b'0'..=b'9')
+            {
                 *at += 1;
             }
             std::str::from_utf8(&b[start..*at]).ok()?.parse().ok().map(Json::Num)
@@ -295,7 +296,12 @@
     Some(body)
 }
 
-pub fn respond(stream: &mut TcpStream, status: u16, fields: &[(&str, String)], body: &[u8]) -> bool {
+pub fn respond(
+    stream: &mut TcpStream,
+    status: u16,
+    fields: &[(&str, String)],
+    body: &[u8],
+) -> bool {
     let mut text = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in fields {
         text.push_str(&format!("{name}: {value}\r\n"));
--- a/review/harness/versions.rs
+++ b/review/harness/versions.rs
@@ -2,8 +2,8 @@
 
 use std::io::BufRead;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use crate::parts::*;
 use crate::town::{Town, ZONES};
@@ -95,9 +95,8 @@
 /// Returns the machine to which the platform forwards the channel of a retry; retries reach other machines. If
 /// fewer than half of a zone's machines are in rotation, it uses all of that zone's machines.
 fn retry_machine(town: &Town, number: u64) -> Option<usize> {
-    let in_rotation: Vec<_> = (0..IN_ZONE)
-        .filter(|it| town.machines[*it].in_rotation.load(Ordering::SeqCst))
-        .collect();
+    let in_rotation: Vec<_> =
+        (0..IN_ZONE).filter(|it| town.machines[*it].in_rotation.load(Ordering::SeqCst)).collect();
     let used = if in_rotation.len() * 2 < IN_ZONE { (0..IN_ZONE).collect() } else { in_rotation };
     let others: Vec<_> = used.into_iter().filter(|it| *it != 0).collect();
     (!others.is_empty()).then(|| others[number as usize % others.len()])
@@ -158,4 +157,3 @@
         town.record.line(&format!("stream {origin}:{tries}, up to event {last}"));
     }
 }
-
