--- a/review/harness/rollout.rs
+++ b/review/harness/rollout.rs
@@ -16,7 +16,7 @@
 const DOWN_MS: u64 = 3_200;
 /// Entries that lapsed are back so long after the store's return; the pages say about two seconds.
 const RETURN_MS: u64 = 1_800;
-/// `contact-ms` of the site.
+/// `contact-ms` of the site with roll-outs; that of this site is 3 s.
 const CONTACT_MS: u64 = 4_000;
 const MAX_MS: u64 = 80_000;
 
