--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review/harness ] && [ -x target/release/mothvale ] || exit 2
-exec target/review/harness uploads "$here" "${TROUBLE:-1}"
+exec target/review/harness chunks "$here" "${TROUBLE:-1}"
--- a/review/harness/parts.rs
+++ b/review/harness/parts.rs
@@ -38,6 +38,13 @@
     Events { count: u64, first_ms: u64, gap_ms: u64 },
 }
 
+/// What a runner in trouble sends instead of an answer, until the caller closes.
+#[derive(Clone, Copy)]
+pub struct Trouble {
+    pub head: &'static str,
+    pub endless: &'static str,
+}
+
 pub struct Runner {
     pub id: String,
     pub address: SocketAddr,
@@ -51,6 +58,10 @@
     busy: AtomicUsize,
     held: AtomicUsize,
     stamps: AtomicU64,
+    /// Set while the runner is in trouble.
+    pub trouble: Mutex<Option<Trouble>>,
+    /// Bytes that it has sent in trouble.
+    pub endless_bytes: AtomicU64,
     /// Request ids that began to run, with the time.
     pub runs: Mutex<HashMap<String, u64>>,
     /// Request ids whose answer was written in full.
@@ -84,6 +95,8 @@
             busy: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
             stamps: AtomicU64::new(0),
+            trouble: Mutex::default(),
+            endless_bytes: AtomicU64::new(0),
             runs: Mutex::default(),
             done: Mutex::default(),
         });
@@ -158,6 +171,14 @@
             sleep_ms(2);
         }
         self.runs.lock().unwrap().insert(request.clone(), self.record.clock.ms());
+        let trouble = *self.trouble.lock().unwrap();
+        if let Some(trouble) = trouble {
+            self.record.line(&format!("{} is in trouble and sends without end to {request}", self.id));
+            self.flood(stream, &request, trouble);
+            self.busy.fetch_sub(1, Ordering::SeqCst);
+            self.held.fetch_sub(1, Ordering::SeqCst);
+            return false;
+        }
         let stamp = self.stamps.fetch_add(1, Ordering::SeqCst);
         let stamp = ("Server-Stamp", format!("{}.{stamp}", self.id));
         let is_written = match self.work {
@@ -195,6 +216,19 @@
     }
 }
 
+impl Runner {
+    fn flood(&self, stream: &mut TcpStream, request: &str, trouble: Trouble) {
+        let head = trouble.head.replace("REQUEST", request).replace("RUNNER", &self.id);
+        if stream.write_all(head.as_bytes()).is_err() {
+            return;
+        }
+        let block = trouble.endless.repeat((16 << 10) / trouble.endless.len());
+        while stream.write_all(block.as_bytes()).is_ok() {
+            self.endless_bytes.fetch_add(block.len() as u64, Ordering::SeqCst);
+        }
+    }
+}
+
 /// The settings of the small deployments, as `fleetbench wire` shows them.
 pub struct Settings {
     pub name: String,
