gateway, detour_forward: logs and metrics that tell the hypotheses apart

Callers saw refusals and operators could not say why: a refused request did not tell which hosts it had asked, and a request that was not sent once more did not tell how much the host took for its part of the slack. Lines `no other host takes the request` and `retry budget is used up`, counters mothvale_resends_total and mothvale_resend_refusals_total. No decision changes.

--- a/lib/src/detour.rs
+++ b/lib/src/detour.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Returns the number of hosts that are not asked for a service now.
+    pub fn avoided_count(&self, now: Instant, service: &Service) -> usize {
+        self.avoided.iter().filter(|it| it.0.1 == *service && *it.1 > now).count()
+    }
+
     /// Records that a host does not take requests for a service now.
     pub fn avoid(&mut self, now: Instant, host: &Host, service: &Service) {
         self.avoided.insert((host.clone(), service.clone()), now + AVOIDANCE);
--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -95,6 +95,7 @@
                 return Err(self.lost_error());
             }
         }
+        self.log_no_detour(&tried);
         Ok(None)
     }
 
@@ -186,6 +187,19 @@
         Error::new(kind, "the host that took the request broke off")
     }
 
+    fn log_no_detour(&self, tried: &[Host]) {
+        let (now, service) = (self.gateway.now(), &self.job.service);
+        let detours = self.gateway.detours();
+        let zone = &self.gateway.host_settings.zone;
+        let is_near = |host: &&Host| {
+            detours.candidates().iter().any(|it| it.host == **host && it.zone == *zone)
+        };
+        log::info!(request = self.job.metadata.id.as_str(), service = service.as_str(),
+            asked = tried.len(), asked_in_zone = tried.iter().filter(is_near).count(),
+            avoided = detours.avoided_count(now, service), hosts = detours.candidates().len();
+            "no other host takes the request");
+    }
+
     fn log_detour(&self, host: &Host, outcome: &str) {
         let (now, service) = (self.gateway.now(), &self.job.service);
         let lost_since = self.gateway.fleet().reach.lost_since(service);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -532,7 +532,17 @@
     pub fn try_acquire_retry(&self, service: &Service) -> bool {
         let (now, ratio, slack) =
             (self.now(), self.host_settings.bounds.retry_ratio, self.retry_slack());
-        self.with_retry_budget(service, |budget| budget.try_retry(now, ratio, slack))
+        let (acquired, requests, retries) = self.with_retry_budget(service, |budget| {
+            let acquired = budget.try_retry(now, ratio, slack);
+            (acquired, budget.request_count(now), budget.retry_count(now))
+        });
+        let counter = if acquired { &self.metrics.resends } else { &self.metrics.resend_refusals };
+        counter.with_label_values(&[service.as_str()]).inc();
+        if !acquired {
+            log::info!(service = service.as_str(), requests = requests, retries = retries,
+                slack = slack; "retry budget is used up");
+        }
+        acquired
     }
 
     /// Returns whether the retry budget of the service has room for the retry of a request that an
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -49,6 +49,10 @@
     pub build_answers: IntCounterVec,
     /// Requests that were sent over other hosts, by what became of them there.
     pub detours: IntCounterVec,
+    /// Attempts that sent a request once more, by service.
+    pub resends: IntCounterVec,
+    /// Requests that were not sent once more because the retry budget was used up, by service.
+    pub resend_refusals: IntCounterVec,
     /// Services of which this host reaches no upstream, as far as it knows.
     pub unreachable_services: IntGauge,
     /// Requests that were refused because all their upstreams had asked for a pause.
@@ -135,6 +139,16 @@
                 &["service", "side", "outcome"],
             )?,
             unreachable_services,
+            resends: counters(
+                "mothvale_resends_total",
+                "Attempts that sent a request once more",
+                &["service"],
+            )?,
+            resend_refusals: counters(
+                "mothvale_resend_refusals_total",
+                "Requests not sent once more because the retry budget was used up",
+                &["service"],
+            )?,
             detours: counters(
                 "mothvale_detours_total",
                 "Requests sent over other hosts, by outcome",
--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -120,6 +120,16 @@
         true
     }
 
+    /// Returns the number of callers' requests in the window that ends now.
+    pub fn request_count(&mut self, now: Instant) -> usize {
+        self.requests.count(now)
+    }
+
+    /// Returns the number of retries in the window that ends now.
+    pub fn retry_count(&mut self, now: Instant) -> usize {
+        self.retries.count(now)
+    }
+
     /// Returns whether there is room for the retry of a request that an upstream answered with an
     /// error. Parameters as for [`RetryBudget::try_retry`]; takes nothing.
     pub fn has_room_after_error(&mut self, now: Instant, ratio: f64, slack: f64) -> bool {
