retry_budget: the shared allowance belongs to hosts that know each other

Callers' requests were sent once more beyond what services allow, after disruptions in which many hosts start or leave. The fixed part of the budget is divided by the number of known hosts, and a process began with itself as the only one: until it had read the table of hosts, each took the whole part. A process that follows a killed one took its part again within the window, and hosts that stayed took over the part of those that left, which these had used a moment before. The class of fault: what a host does not know (others, its former process) counts as not being there.

A process has no part until it knows the hosts, a quarter of its part in its first window, and divides by the largest number of hosts within the window. RetryBudget moves out of window, Allowance is new.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -18,7 +18,9 @@
     rate_limit::{self, Hosts, Limits, Statement},
     reach::{Change, Reach},
     refusal_limit::{self, RefusalLimits},
-    rendezvous, share,
+    rendezvous,
+    retry_budget::Allowance,
+    share,
     stream_origin::Builds,
     target_weights::Targets,
     upstream_state::{COLD_RATE_WINDOW, REFUSAL_BACKOFF, REFUSAL_BACKOFF_MAX, State},
@@ -121,6 +123,8 @@
     pub refusal_limits: RefusalLimits,
     /// The shares of builds in the traffic of services that move to another build.
     pub build_shares: Shares,
+    /// This host's part of the retries that all hosts share, for each service.
+    pub retry_allowance: Allowance,
 }
 
 impl Fleet {
@@ -147,19 +151,29 @@
             reach: Reach::default(),
             refusal_limits: RefusalLimits::default(),
             build_shares: Shares::new(host_settings.bounds.exposure),
+            retry_allowance: Allowance::new(
+                host_settings.bounds.retry_slack,
+                host_settings.bounds.retry_window,
+            ),
         }
     }
 
-    /// Sets the list of hosts that share the capacity of the upstreams, and their limits.
+    /// Sets the list of hosts that share the capacity of the upstreams, their limits and the retries.
     pub fn set_hosts(&mut self, now: Instant, mut hosts: Vec<Host>) {
         if !hosts.contains(&self.me) {
             hosts.push(self.me.clone());
         }
         hosts.sort();
         self.hosts = hosts;
+        self.retry_allowance.set_host_count(now, self.hosts.len());
         self.limits.set_hosts(now, Hosts { me: &self.me, all: &self.hosts });
     }
 
+    /// Returns whether the list of hosts was set.
+    pub fn knows_hosts(&self) -> bool {
+        self.retry_allowance.knows_hosts()
+    }
+
     /// Records what an upstream has said about a limit on its requests.
     pub fn record_limit(&mut self, now: Instant, statement: &Statement) -> rate_limit::Change {
         self.limits.record(now, statement, Hosts { me: &self.me, all: &self.hosts })
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -37,11 +37,11 @@
     prelude::*,
     quarantine::{Fingerprint, Quarantine},
     replica::Row,
+    retry_budget::RetryBudget,
     store_history::History,
     stream_origin::Origins,
     stream_resumption::OriginQuestions,
     unread::Budget,
-    window::RetryBudget,
 };
 
 /// Shared state of a gateway: settings, configuration, upstreams, connections, cache index, retry
@@ -555,7 +555,7 @@
 
     /// Returns this host's part of the fixed allowance of retries.
     fn retry_slack(&self) -> f64 {
-        self.host_settings.bounds.retry_slack / self.fleet().host_count() as f64
+        self.fleet().retry_allowance.part(self.now())
     }
 
     fn with_retry_budget<F, R>(&self, service: &Service, f: F) -> R
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -91,6 +91,7 @@
 pub mod replica;
 pub mod response_body;
 pub mod retry;
+pub mod retry_budget;
 pub mod rollout;
 pub mod row_store;
 pub mod salt;
--- a/lib/src/retry.rs
+++ b/lib/src/retry.rs
@@ -1,6 +1,6 @@
 //! Retry budgets of `mothvale serve`: limit retries to a share of the requests, so that retries do
 //! not multiply the load during an outage. The gateway has
-//! [`RetryBudget`](crate::window::RetryBudget) instead.
+//! [`RetryBudget`](crate::retry_budget::RetryBudget) instead.
 
 use std::{
     collections::HashMap,
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -349,7 +349,8 @@
         match table {
             Table::Operators => self.gateway.apply_operator_rows(new_rows),
             Table::Upstreams => self.gateway.apply_upstream_rows(new_rows),
-            Table::Hosts if !new_rows.is_empty() => {
+            // A host that is alone knows so once it has read the table.
+            Table::Hosts if !new_rows.is_empty() || !self.gateway.fleet().knows_hosts() => {
                 let replica = self.replicas.table(Table::Hosts);
                 let hosts: Vec<_> = replica.rows().map(|it| Host::new(it.key.clone())).collect();
                 drop(replica);
--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -1,4 +1,4 @@
-//! Sliding-window counters, and the gateway's retry budget, which is built on them.
+//! Sliding-window counters.
 
 use std::collections::VecDeque;
 
@@ -83,62 +83,3 @@
         (slot % u64::from(SUM_SLOTS)) as usize
     }
 }
-
-/// Limits retries to a ratio of the requests plus this host's share of a fixed allowance.
-/// `mothvale serve` has [`Budgets`](crate::retry::Budgets) instead.
-#[derive(Clone, Debug)]
-pub struct RetryBudget {
-    requests: Window,
-    retries: Window,
-}
-
-/// Fraction of the budget that is used, because hosts may disagree for a moment about the number of
-/// hosts.
-const BUDGET_FRACTION: f64 = 0.8;
-/// Fraction of the retries allowed in a window that may go to requests that an upstream answered with
-/// an error. The rest is kept for requests that got no answer at all.
-const ERROR_FRACTION: f64 = 0.5;
-
-impl RetryBudget {
-    /// Creates a budget over a sliding window of length `span`.
-    pub fn new(span: Duration) -> Self {
-        RetryBudget { requests: Window::new(span), retries: Window::new(span) }
-    }
-
-    /// Records a request of a caller.
-    pub fn record_request(&mut self, now: Instant) {
-        self.requests.push(now);
-    }
-
-    /// Records a retry and returns true, unless the budget is used up. `ratio` is the number of
-    /// retries per request, and `slack` this host's share of the fixed allowance.
-    pub fn try_retry(&mut self, now: Instant, ratio: f64, slack: f64) -> bool {
-        if self.retries.count(now) as f64 + 1.0 > self.allowed(now, ratio, slack) {
-            return false;
-        }
-        self.retries.push(now);
-        true
-    }
-
-    /// Returns the number of callers' requests in the window that ends now.
-    pub fn request_count(&mut self, now: Instant) -> usize {
-        self.requests.count(now)
-    }
-
-    /// Returns the number of retries in the window that ends now.
-    pub fn retry_count(&mut self, now: Instant) -> usize {
-        self.retries.count(now)
-    }
-
-    /// Returns whether there is room for the retry of a request that an upstream answered with an
-    /// error. Parameters as for [`RetryBudget::try_retry`]; takes nothing.
-    pub fn has_room_after_error(&mut self, now: Instant, ratio: f64, slack: f64) -> bool {
-        let allowed = ERROR_FRACTION * self.allowed(now, ratio, slack);
-        self.retries.count(now) as f64 + 1.0 <= allowed
-    }
-
-    /// Returns the number of retries allowed in the window that ends now.
-    fn allowed(&mut self, now: Instant, ratio: f64, slack: f64) -> f64 {
-        BUDGET_FRACTION * (ratio * self.requests.count(now) as f64 + slack)
-    }
-}
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -11,10 +11,10 @@
     prelude::*,
     quarantine::{Crash, Fingerprint, Quarantine},
     replica::{Replica, Revision, Row},
+    retry_budget::RetryBudget,
     rollout::{Scheduler, Task, WeightState},
     share,
     sse::Decoder,
-    window::RetryBudget,
 };
 use mothvale_testutils::gateway::{ENGINES, at, configuration, engine, route};
 use proptest::prelude::*;
