detour: hosts that lost their links with their zone are not asked in turn

Callers of hosts that are cut off from all upstreams together with their zone were refused on large sites. A request asked three hosts, those of the own zone first, and one that had refused was avoided for 1 s. With 19 neighbours that refuse and 2 to 6 requests a second for a service, each request met three neighbours again before any host of another zone was asked.

Hosts that have taken requests come first now, and each host that is avoided counts against the others of its zone. A host that refuses again and again is avoided for up to 4 s.

In the test without network, 6 requests a second with 19 neighbours that refuse: all are taken, fewer than two hosts asked for each.

--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -10,7 +10,7 @@
     codec::Codec,
     configuration::RetryPolicy,
     connection::Connection,
-    detour::Candidate,
+    detour::{Asked, Candidate},
     detour_link::{self, Link, Terms},
     fault::Delivery,
     forward::Forwarder,
@@ -21,11 +21,12 @@
     unread::Sender,
 };
 
-/// Hosts that are asked to take a request, one after the other.
-const MAX_HOSTS: usize = 3;
 /// How much later than the request's deadline the other host's last bytes may arrive.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
 
+/// What is logged of a host that says that it does not take the request.
+const REFUSED: &str = "refused";
+
 /// A request that is under way at another host until this is dropped.
 struct UnderWay<C>
 where
@@ -66,9 +67,8 @@
     /// Returns the error for the caller if the request may have run and cannot be sent again.
     pub(crate) async fn take_detour(&mut self) -> Result<Option<Response<Body>>, Error> {
         let Some(link) = self.gateway.detour_link() else { return Ok(None) };
-        let mut tried: SmallVec<[Host; MAX_HOSTS]> = SmallVec::new();
-        while tried.len() < MAX_HOSTS {
-            let Some(candidate) = self.choose_host(&tried) else { break };
+        let mut asked = Asked::default();
+        while let Some(candidate) = self.choose_host(&asked) {
             let host = candidate.host.clone();
             let under_way = UnderWay { gateway: self.gateway.clone(), host: host.clone() };
             let outcome = self.send_over(&link, &candidate, under_way).await;
@@ -77,17 +77,20 @@
                 Outcome::NotTaken(reason) | Outcome::Unknown(reason) => reason,
             };
             self.log_detour(&host, name);
+            let (now, service) = (self.gateway.now(), &self.job.service);
             match outcome {
-                Outcome::Response(response) => return Ok(Some(response)),
+                Outcome::Response(response) => {
+                    self.gateway.detours().record_taken(now, &host, service);
+                    return Ok(Some(response));
+                }
                 Outcome::NotTaken(_) => {}
                 Outcome::Unknown(_) => {
                     self.times_sent += 1;
                     self.runs += 1;
                 }
             }
-            let (now, service) = (self.gateway.now(), &self.job.service);
             self.gateway.detours().avoid(now, &host, service);
-            tried.push(host);
+            asked.push(host, !matches!(outcome, Outcome::NotTaken(REFUSED)));
             if self.job.time_left().is_zero() {
                 return Err(self.deadline_error());
             }
@@ -95,15 +98,15 @@
                 return Err(self.lost_error());
             }
         }
-        self.log_no_detour(&tried);
+        self.log_no_detour(&asked);
         Ok(None)
     }
 
-    fn choose_host(&self, tried: &[Host]) -> Option<Candidate> {
+    fn choose_host(&self, asked: &Asked) -> Option<Candidate> {
         let zone = &self.gateway.host_settings.zone;
         let request_hash = crate::rendezvous::hash_parts(&["detour", &self.job.metadata.id]);
         let now = self.gateway.now();
-        self.gateway.detours().choose(now, &self.job.service, zone, request_hash, tried)
+        self.gateway.detours().choose(now, &self.job.service, zone, request_hash, asked)
     }
 
     /// Sends the request to another host and waits for the response head, or for the whole response if its
@@ -127,7 +130,7 @@
             Ok(Ok(response)) => response,
         };
         if detour_link::refusal(response.headers()).is_some() {
-            return Outcome::NotTaken("refused");
+            return Outcome::NotTaken(REFUSED);
         }
         let (head, body) = response.into_parts();
         if !head.headers.contains_key(header::CONTENT_LENGTH) {
@@ -187,15 +190,14 @@
         Error::new(kind, "the host that took the request broke off")
     }
 
-    fn log_no_detour(&self, tried: &[Host]) {
+    fn log_no_detour(&self, asked: &Asked) {
         let (now, service) = (self.gateway.now(), &self.job.service);
         let detours = self.gateway.detours();
         let zone = &self.gateway.host_settings.zone;
-        let is_near = |host: &&Host| {
-            detours.candidates().iter().any(|it| it.host == **host && it.zone == *zone)
-        };
+        let near = detours.candidates().iter().filter(|it| it.zone == *zone);
         log::info!(request = self.job.metadata.id.as_str(), service = service.as_str(),
-            asked = tried.len(), asked_in_zone = tried.iter().filter(is_near).count(),
+            asked = asked.hosts().len(),
+            asked_in_zone = near.filter(|it| asked.hosts().contains(&it.host)).count(),
             avoided = detours.avoided_count(now, service), hosts = detours.candidates().len();
             "no other host takes the request");
     }
--- a/lib/tests/test_detour.rs
+++ b/lib/tests/test_detour.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue};
 use mothvale_lib::{
-    detour::{Candidate, Detours},
+    detour::{Asked, Candidate, Detours},
     detour_link::{Terms, TermsError},
     prelude::*,
 };
@@ -22,7 +22,89 @@
 }
 
 fn choose(detours: &mut Detours, now: u64, hash: u64, tried: &[Host]) -> Option<Candidate> {
-    detours.choose(at(now), &Service::new("s1"), &Zone::new("hobart"), hash, tried)
+    let mut asked = Asked::default();
+    tried.iter().for_each(|it| asked.push(it.clone(), false));
+    detours.choose(at(now), &Service::new("s1"), &Zone::new("hobart"), hash, &asked)
+}
+
+/// Sends one request over other hosts, of which those that `reaches` says take it. Returns whether one took
+/// it, and how many were asked.
+fn send<F>(detours: &mut Detours, now: u64, hash: u64, reaches: F) -> (bool, usize)
+where
+    F: Fn(&Candidate) -> bool,
+{
+    let (service, zone) = (Service::new("s1"), Zone::new("hobart"));
+    let mut asked = Asked::default();
+    while let Some(candidate) = detours.choose(at(now), &service, &zone, hash, &asked) {
+        detours.finish(&candidate.host);
+        if reaches(&candidate) {
+            detours.record_taken(at(now), &candidate.host, &service);
+            return (true, asked.hosts().len() + 1);
+        }
+        detours.avoid(at(now), &candidate.host, &service);
+        asked.push(candidate.host, false);
+    }
+    (false, asked.hosts().len())
+}
+
+/// Load pattern: 6 requests a second at a host whose zone of 20 hosts has lost its links.
+#[test]
+fn requests_leave_a_zone_that_has_lost_its_links() {
+    let mut detours = Detours::default();
+    let mut hosts = candidates(&["hobart"], 19);
+    hosts.extend(candidates(&["launceston", "burnie", "huon"], 20));
+    detours.set_candidates(hosts);
+    let mut asked = 0;
+    for request in 0..60_u64 {
+        let hash = rendezvous_sample(request);
+        let (taken, hosts) =
+            send(&mut detours, request * 167, hash, |it| it.zone.as_str() != "hobart");
+        assert!(taken, "request {request}, {hosts} asked");
+        asked += hosts;
+    }
+    assert!(asked < 2 * 60, "{asked} asked for 60 requests");
+}
+
+/// Load pattern: a tenth of all hosts has links, in all zones alike. A host finds some of them, and stays
+/// with these.
+#[test]
+fn requests_find_the_few_hosts_that_have_links() {
+    let mut detours = Detours::default();
+    detours.set_candidates(candidates(&["hobart", "launceston", "burnie", "huon"], 20));
+    let reaches = |it: &Candidate| it.host.as_str().ends_with("-7");
+    let sent = (0..60_u64).map(|it| send(&mut detours, it * 167, rendezvous_sample(it), reaches));
+    let sent: Vec<_> = sent.collect();
+    let first = sent.iter().position(|it| it.0).expect("some host is found");
+    assert!(first < 12, "the first one that is served is request {first}");
+    assert!(sent[first..].iter().all(|it| it.0), "{sent:?}");
+}
+
+/// Load pattern: no host reaches the service, because its upstreams are overloaded. Requests in vain add
+/// little to that.
+#[test]
+fn hosts_are_not_asked_in_vain_for_long() {
+    let mut detours = Detours::default();
+    detours.set_candidates(candidates(&["hobart", "launceston", "burnie", "huon"], 20));
+    let sent = (0..60_u64).map(|it| send(&mut detours, it * 167, rendezvous_sample(it), |_| false));
+    let asked: Vec<_> = sent.map(|it| it.1).collect();
+    assert!(asked[2..].iter().all(|it| *it <= 2), "{asked:?}");
+}
+
+#[test]
+fn host_that_refuses_again_and_again_is_asked_less_and_less() {
+    let mut detours = Detours::default();
+    detours.set_candidates(candidates(&["hobart"], 1));
+    let (host, service) = (Host::new("hobart-0"), Service::new("s1"));
+    let mut asked = Vec::new();
+    for now in (0..12_000).step_by(100) {
+        if choose(&mut detours, now, 0, &[]).is_some() {
+            asked.push(now);
+            detours.avoid(at(now), &host, &service);
+        }
+    }
+    assert_eq!(asked, [0, 1000, 3000, 7000, 11_000]);
+    detours.record_taken(at(11_500), &host, &service);
+    assert!(choose(&mut detours, 11_500, 0, &[]).is_some());
 }
 
 /// Load pattern: all hosts of a zone are cut off, each with 40 requests under way.
@@ -83,7 +165,8 @@
     for hash in 0..20 {
         assert_eq!(choose(&mut detours, 900, hash, &[]).unwrap().host.as_str(), "hobart-1");
     }
-    let other = detours.choose(at(900), &Service::new("s2"), &Zone::new("hobart"), 0, &[]);
+    let other =
+        detours.choose(at(900), &Service::new("s2"), &Zone::new("hobart"), 0, &Asked::default());
     assert_eq!(other.unwrap().host, first, "it may take requests for another service");
     assert_eq!(choose(&mut detours, 1000, 0, &[]).unwrap().host, first);
     let tried = [first, Host::new("hobart-1")];
