reach: services with few requests are probed when another one is lost

A host with few callers learned late that it had lost its links to a small service: each of its upstreams had to fail by a request of its own, up to a caller's timeout each. When a service is lost, the others that requests have needed are probed once now, four upstreams at a time.

The test failed before (nothing was probed). A service that was reached since the loss is not probed again.

--- a/lib/src/reach.rs
+++ b/lib/src/reach.rs
@@ -6,6 +6,9 @@
 //! tried in turn, whatever callers ask for, and show which part of the service can be reached. Responses over
 //! older connections do not count: these may live on while new ones fail.
 //!
+//! A host that loses one service has most likely lost others too. Those that requests have needed are probed
+//! once.
+//!
 //! Does no I/O.
 
 use std::collections::HashMap;
@@ -56,6 +59,11 @@
         newest_first.take_while(|it| !it.succeeded && now.since(it.made_at) < FAILURE_TTL).count()
     }
 
+    /// Returns whether connections were tried, and none since a time.
+    fn was_tried_only_before(&self, time: Instant) -> bool {
+        self.attempts.last().is_some_and(|it| it.made_at < time)
+    }
+
     /// Returns the part of the sampled upstreams that could be reached.
     fn reached_part(&self) -> f64 {
         let succeeded = self.attempts.iter().filter(|it| it.succeeded).count();
@@ -151,12 +159,17 @@
         I: Iterator<Item = (&'a UpstreamRow, bool)>,
     {
         let is_silent = self.is_silent(now, heard_at);
+        let others = self.paths.iter().filter(|it| it.0 != service);
+        let last_loss = others.filter_map(|it| it.1.lost_since).max();
         let path = self.paths.entry(service.clone()).or_default();
         let is_lost = path.lost_since.is_some();
-        if path.next_probe > now || !is_lost && !is_silent {
+        let is_suspect = last_loss.is_some_and(|it| path.was_tried_only_before(it));
+        if path.next_probe > now || !is_lost && !is_silent && !is_suspect {
             return SmallVec::new();
         }
-        let candidates: Vec<_> = upstreams.filter(|it| is_lost || it.1).map(|it| it.0).collect();
+        let may_be_lost = is_lost || is_suspect;
+        let candidates: Vec<_> =
+            upstreams.filter(|it| may_be_lost || it.1).map(|it| it.0).collect();
         if candidates.is_empty() {
             return SmallVec::new();
         }
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -177,3 +177,42 @@
     let distinct: std::collections::HashSet<_> = found.iter().collect();
     assert_eq!(distinct.len(), rows.len());
 }
+
+/// Guards against a host with few callers that learns late which services it has lost: each request of the
+/// second service had to fail by itself.
+#[test]
+fn services_with_few_requests_are_probed_once_another_one_is_lost() {
+    let (mut reach, rows) = (Reach::default(), rows(4));
+    let other = Service::new("s2");
+    reach.record(at(0), &service(), &rows[0].id, rows.len(), true);
+    assert!(probed(&mut reach, 900, 900, &rows, 0).is_empty());
+    for (index, id) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        reach.record(at(1000 + index as u64), &other, &Upstream::new(id), 60, false);
+    }
+    assert!(reach.lost_since(&other).is_some());
+    let due = probed(&mut reach, 1200, 1100, &rows, 0);
+    assert_eq!(due, ["engine0", "engine1", "engine2", "engine3"]);
+    assert!(probed(&mut reach, 1400, 1100, &rows, 0).is_empty(), "these are under way");
+    let change = due
+        .iter()
+        .map(|it| reach.record(at(1550), &service(), &Upstream::new(it.clone()), 4, false));
+    assert_eq!(change.last().unwrap(), Some(Change::Lost(4)));
+}
+
+/// A service that is reached is probed once, and one that no request has needed is not probed at all.
+#[test]
+fn other_services_are_probed_once_for_each_loss() {
+    let (mut reach, rows) = (Reach::default(), rows(4));
+    let other = Service::new("s2");
+    let lose = |reach: &mut Reach, now: u64| {
+        for (index, id) in ["a", "b", "c", "d"].into_iter().enumerate() {
+            reach.record(at(now + index as u64), &other, &Upstream::new(id), 60, false);
+        }
+    };
+    lose(&mut reach, 1000);
+    assert!(probed(&mut reach, 1200, 1100, &rows, 0).is_empty(), "no request has needed it");
+    reach.record(at(1250), &service(), &rows[0].id, rows.len(), true);
+    for now in (1300..5000).step_by(200) {
+        assert!(probed(&mut reach, now, now, &rows, 0).is_empty(), "it was reached since the loss");
+    }
+}
