detour_link: another host learns which attempts have reached upstreams

Arrivals that no host counted against the retry budget: a request that an upstream had turned away before it took a detour was a first arrival for the other host, which was told only of attempts that may have run. The field mothvale-detour-arrivals tells all of them; a host of an earlier build does not send it, and its runs count as before. A host that has sent the request itself no longer says that nothing was sent when it loses the service too, so that the next host is not asked as if it were so.

The second part is by reading, without a test.

--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -162,6 +162,7 @@
         let terms = Terms {
             left: self.job.time_left(),
             runs: self.runs,
+            arrivals: self.times_sent,
             configuration: self.job.configuration.version,
             reached_part: self.gateway.reached_part(&self.job.service).unwrap_or(1.0),
         };
--- a/lib/src/detour_link.rs
+++ b/lib/src/detour_link.rs
@@ -37,6 +37,9 @@
 const LEFT_MS: HeaderName = HeaderName::from_static("mothvale-detour-left-ms");
 /// Attempts of the first host in which an upstream may have run the request.
 const RUNS: HeaderName = HeaderName::from_static("mothvale-detour-runs");
+/// Attempts of the first host that have reached an upstream, whether it ran the request or not. Hosts of earlier
+/// builds do not send it.
+const ARRIVALS: HeaderName = HeaderName::from_static("mothvale-detour-arrivals");
 /// Version of the configuration by which the first host has admitted the request.
 const CONFIGURATION: HeaderName = HeaderName::from_static("mothvale-detour-configuration");
 /// Part of the service that the first host reaches, from 0 to 1.
@@ -77,6 +80,8 @@
     pub left: Duration,
     /// Attempts in which an upstream may have run the request.
     pub runs: u32,
+    /// Attempts that have reached an upstream, whether it ran the request or not.
+    pub arrivals: u32,
     /// Version of the configuration by which the request was admitted.
     pub configuration: u64,
     /// Part of the service that the host reaches itself, from 0 to 1.
@@ -94,6 +99,7 @@
         let left_ms = u64::try_from(self.left.as_millis()).unwrap_or(u64::MAX);
         headers.insert(LEFT_MS, HeaderValue::from(left_ms));
         headers.insert(RUNS, HeaderValue::from(self.runs));
+        headers.insert(ARRIVALS, HeaderValue::from(self.arrivals));
         headers.insert(CONFIGURATION, HeaderValue::from(self.configuration));
         // The text of a number is always a valid value.
         let reached_part = HeaderValue::try_from(self.reached_part.to_string());
@@ -106,9 +112,16 @@
     ///
     /// Returns an error that names the field which cannot be read.
     pub fn take(headers: &mut HeaderMap) -> Result<Self, TermsError> {
+        let left = Duration::from_millis(take_number(headers, &LEFT_MS)?);
+        let runs = take_number(headers, &RUNS)?;
+        let arrivals = match headers.contains_key(ARRIVALS) {
+            true => take_number(headers, &ARRIVALS)?,
+            false => runs,
+        };
         Ok(Terms {
-            left: Duration::from_millis(take_number(headers, &LEFT_MS)?),
-            runs: take_number(headers, &RUNS)?,
+            left,
+            runs,
+            arrivals,
             configuration: take_number(headers, &CONFIGURATION)?,
             reached_part: take_number(headers, &REACHED_PART)?,
         })
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -267,14 +267,14 @@
     /// Creates the state of a request that has not been sent yet.
     pub fn new(gateway: Arc<Gateway<C>>, job: Job) -> Self {
         let (session_key, shared_parts) = (job.session_key(), job.shared_parts());
-        let runs = job.terms.map_or(0, |it| it.runs);
+        let (runs, times_sent) = job.terms.map_or((0, 0), |it| (it.runs, it.arrivals));
         Forwarder {
             gateway,
             session_key,
             shared_parts,
             is_trial: false,
             tried: SmallVec::new(),
-            times_sent: runs,
+            times_sent,
             runs,
             refusals: 0,
             connect_failures: 0,
@@ -806,7 +806,13 @@
             0 => "no upstream takes the request now",
             _ => "an attempt failed, and no upstream takes another one now",
         };
-        let kind = if self.runs == 0 { kind } else { Kind::UpstreamFailed };
+        let arrived_from_here = self.job.terms.is_some_and(|it| self.times_sent > it.arrivals);
+        let kind = match kind {
+            _ if self.runs > 0 => Kind::UpstreamFailed,
+            // The first host would not know of these attempts if it asked another host.
+            Kind::Unreachable if arrived_from_here => Kind::Overloaded,
+            kind => kind,
+        };
         Error::new(kind, message).with_retry_after(wait)
     }
 
--- a/lib/tests/test_detour.rs
+++ b/lib/tests/test_detour.rs
@@ -175,8 +175,13 @@
 
 #[test]
 fn terms_are_taken_out_of_the_fields_they_were_written_to() {
-    let terms =
-        Terms { left: Duration::from_millis(1234), runs: 1, configuration: 17, reached_part: 0.25 };
+    let terms = Terms {
+        left: Duration::from_millis(1234),
+        runs: 1,
+        arrivals: 2,
+        configuration: 17,
+        reached_part: 0.25,
+    };
     let mut headers = HeaderMap::new();
     // A caller's own field does not count.
     headers.insert("mothvale-detour-runs", HeaderValue::from_static("0"));
@@ -184,6 +189,10 @@
     terms.write(&mut headers);
     assert_eq!(Terms::take(&mut headers), Ok(terms));
     assert_eq!(headers.keys().map(|it| it.as_str()).collect::<Vec<_>>(), ["model"]);
+    // A host of an earlier build does not tell its arrivals.
+    terms.write(&mut headers);
+    headers.remove("mothvale-detour-arrivals");
+    assert_eq!(Terms::take(&mut headers), Ok(Terms { arrivals: 1, ..terms }));
     let missing: Result<_, TermsError> = Terms::take(&mut headers);
     let message = missing.unwrap_err().to_string();
     assert_eq!(message, "the field mothvale-detour-left-ms is missing or no number");
