--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -166,7 +166,8 @@
         hosts.sort();
         self.hosts = hosts;
         self.retry_allowance.set_host_count(now, self.hosts.len());
-        self.limits.set_hosts(now, Hosts { me: &self.me, all: &self.hosts });
+        let hosts = Hosts { me: &self.me, all: &self.hosts };
+        self.limits.set_hosts(now, hosts);
     }
 
     /// Returns whether the list of hosts was set.
@@ -176,7 +177,8 @@
 
     /// Records what an upstream has said about a limit on its requests.
     pub fn record_limit(&mut self, now: Instant, statement: &Statement) -> rate_limit::Change {
-        self.limits.record(now, statement, Hosts { me: &self.me, all: &self.hosts })
+        let all: &[Host] = if self.knows_hosts() { &self.hosts } else { &[] };
+        self.limits.record(now, statement, Hosts { me: &self.me, all })
     }
 
     /// Counts calls of the host's own to an upstream. Returns false, and counts nothing, if they may not
@@ -688,6 +690,7 @@
             }
             refusal_limit::single_places(&self.me, ids)
         });
+        let knows_hosts = self.knows_hosts();
         let mut usable = Vec::with_capacity(ids.len());
         for id in ids {
             let Some(state) = self.states.get_mut(id) else { continue };
@@ -721,7 +724,11 @@
             }
             if service.cold_rate > 0.0 && state.cold_until > now {
                 let limit = (cold_rate_limit * COLD_LIMIT_FRACTION) as u32;
-                let host_limit = share::host_share(limit, id.as_str(), &self.me, &self.hosts);
+                // This host is one of many, as far as it knows, until it knows how many.
+                let host_limit = match knows_hosts {
+                    true => share::host_share(limit, id.as_str(), &self.me, &self.hosts),
+                    false => 0,
+                };
                 if state.sent.count(now) as u32 >= host_limit {
                     continue;
                 }
--- a/lib/src/rate_limit.rs
+++ b/lib/src/rate_limit.rs
@@ -195,7 +195,7 @@
 pub struct Hosts<'a> {
     /// This host.
     pub me: &'a Host,
-    /// All hosts, this one included.
+    /// All hosts, this one included; empty if they are not known.
     pub all: &'a [Host],
 }
 
@@ -208,7 +208,7 @@
     learned_at: Instant,
     /// This host's share of the limit, if it has one.
     share: Option<RateShare>,
-    /// Number of hosts that the share was computed for.
+    /// Number of hosts that the share was computed for; 0 if it was not known.
     hosts: usize,
     requests: Bucket,
     /// Calls of the host's own.
@@ -227,7 +227,7 @@
             said_at: statement.said_at,
             learned_at: now,
             share: None,
-            hosts: hosts.all.len().max(1),
+            hosts: hosts.all.len(),
             requests: Bucket { tokens: 0.0, as_of: now },
             calls: Bucket { tokens: CALL_BURST, as_of: now },
             head_start: rendezvous::fraction(&["limit", id, hosts.me.as_str()]),
@@ -241,8 +241,8 @@
         let tokens =
             self.share.map_or(0.0, |it| self.requests.tokens(now, it.per_second, it.burst));
         self.requests = Bucket { tokens, as_of: now };
-        self.hosts = hosts.all.len().max(1);
-        self.share = self.rate.and_then(|rate| {
+        self.hosts = hosts.all.len();
+        self.share = self.rate.filter(|_| self.hosts > 0).and_then(|rate| {
             let per_second = rate.0.max(MIN_RATE);
             let total_burst = BURST + BURST_SECONDS * per_second;
             share::rate_share(per_second, total_burst, id.as_str(), hosts.me, hosts.all)
@@ -253,6 +253,7 @@
     fn tokens(&self, now: Instant) -> f64 {
         match self.share {
             Some(share) => self.requests.tokens(now, share.per_second, share.burst),
+            None if self.hosts == 0 => 0.0,
             None => {
                 let silent_since = self.said_at + SILENCE;
                 if now < silent_since {
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -7,6 +7,7 @@
     fleet::{Choice, Denial, Fleet, Outcome, Query, UpstreamRow},
     obstacle::Obstacle,
     prelude::*,
+    rate_limit::{Rate, Statement},
 };
 use mothvale_testutils::gateway::{
     CACHE_TOKENS, ENGINES, PLAIN, at, configuration, engine, fleet, host_settings,
@@ -118,6 +119,42 @@
     assert_eq!(placed, 24);
 }
 
+/// Guards against hosts that each take the whole limit: they had started and did not know yet that there are
+/// others.
+#[test]
+fn cold_rate_limit_holds_over_hosts_that_do_not_know_each_other_yet() {
+    let mut total = 0;
+    for index in 0..9 {
+        let mut fleet = Fleet::new(&host_settings(&format!("host{index}"), "hobart"));
+        let row =
+            UpstreamRow { cold_remaining: Duration::from_secs(3), ..engine("engine0", "hobart") };
+        fleet.upsert(at(0), row);
+        total += run_requests(&mut fleet, 0, 1, 900).values().sum::<u32>();
+    }
+    assert!(total <= 29, "{total}");
+}
+
+/// Guards against hosts that each take the whole limit that an upstream names.
+#[test]
+fn hosts_that_do_not_know_each_other_yet_have_no_share_of_a_limit() {
+    let mut total = 0;
+    for index in 0..9 {
+        let mut fleet = Fleet::new(&host_settings(&format!("host{index}"), "hobart"));
+        let row = engine("engine0", "hobart");
+        let statement = Statement {
+            upstream: row.id.clone(),
+            incarnation: row.incarnation(),
+            rate: Rate::try_from(10.0).ok(),
+            said_at: at(0),
+        };
+        fleet.upsert(at(0), row);
+        fleet.record_limit(at(0), &statement);
+        total += run_requests(&mut fleet, 0, 40, 100).values().sum::<u32>();
+    }
+    // In 4 s, one and a half times what the limit allows, plus 5.
+    assert!(total <= 65, "{total}");
+}
+
 #[test]
 fn cold_rate_limit_holds_over_all_hosts() {
     let hosts: Vec<_> = (0..9).map(|it| Host::new(format!("host{it}"))).collect();
--- a/lib/testutils/src/gateway.rs
+++ b/lib/testutils/src/gateway.rs
@@ -122,6 +122,7 @@
 /// Returns the fleet as host `host0` sees it, with `count` warm engines in the host's zone.
 pub fn fleet(count: usize) -> Fleet {
     let mut fleet = Fleet::new(&host_settings("host0", "hobart"));
+    fleet.set_hosts(at(0), Vec::new());
     for index in 0..count {
         fleet.upsert(at(0), engine(&format!("engine{index}"), "hobart"));
     }
