stream_origin: a host that is out of step does not know all builds

Builds::covers_all_streams asked only for how long the process had run. The class: what is not known counts as not being there.

Builds keeps as of when the rows of the upstreams are known, by the clock that goes on during suspensions. A host that is behind by more than three quarters of the drain bound asks other hosts, which answer for all builds only if they keep up, waits up to 0.4 s for its next read, and else refuses with stream_lost. Builds and origins are read from the row store again after that.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -70,6 +70,9 @@
 const PEER_LOADS_TTL: Duration = Duration::from_millis(700);
 /// Weight of the newest sample in the mean time to the first token for each token in flight.
 const TOKEN_TIME_WEIGHT: f64 = 0.05;
+/// Age of the known rows up to which this host keeps up with the row store, as a fraction of the drain bound:
+/// two intervals between reads, less one failed read.
+const MAX_ROWS_AGE_FRACTION: f64 = 0.75;
 /// Time after which a caller should retry whose request needs upstreams that this host does not reach.
 const UNREACHABLE_WAIT: Duration = Duration::from_millis(500);
 /// Back-off after a refusal by an upstream that does not have the target weights yet.
@@ -147,7 +150,7 @@
             departures: Departures::default(),
             pauses: Pauses::default(),
             limits: Limits::default(),
-            builds: Builds::default(),
+            builds: Builds::new(host_settings.bounds.drain.mul_f64(MAX_ROWS_AGE_FRACTION)),
             reach: Reach::default(),
             refusal_limits: RefusalLimits::default(),
             build_shares: Shares::new(host_settings.bounds.exposure),
@@ -201,6 +204,7 @@
 
     /// Records that the known rows of the upstreams are those of the time `at`.
     pub fn set_rows_as_of(&mut self, at: Instant) {
+        self.builds.record_rows(at);
         let oldest = self.oldest_weight_versions();
         self.target_weights.update_oldest(at, oldest);
     }
--- a/lib/src/ledger_sync.rs
+++ b/lib/src/ledger_sync.rs
@@ -15,7 +15,7 @@
     rendezvous,
     row_store::{RowStore, RowStoreError, Table, Write, WriteOutcome},
     stream_ledger::{Batch, Ledger, parse_streams},
-    stream_origin::{Attempt, Builds, Place, Source},
+    stream_origin::{Attempt, Place, Source},
     table_sync::Replicas,
 };
 
@@ -31,6 +31,8 @@
 /// Time after its start within which a host first changes the builds table. Until then, most hosts have
 /// found the leader of their zone, which does so.
 const START_SPREAD: Duration = Duration::from_secs(2);
+/// How often such a request looks whether the rows of the upstreams have been read.
+const ROWS_POLL: Duration = Duration::from_millis(10);
 /// How long a request that resumes a stream waits for a read of the store.
 const READ_WAIT: Duration = Duration::from_millis(400);
 
@@ -43,11 +45,11 @@
     is_read: watch::Sender<Reads>,
 }
 
-/// The tables that were read since the start of this host.
+/// When this host last began to read each table.
 #[derive(Clone, Copy, Debug, Default)]
 struct Reads {
-    builds: bool,
-    streams: bool,
+    builds: Option<Instant>,
+    streams: Option<Instant>,
 }
 
 impl<C> Gateway<C>
@@ -56,26 +58,47 @@
 {
     /// Returns whether this host knows all builds at which streams of a service may have begun.
     pub(crate) fn knows_builds(&self, service: &Service) -> bool {
-        Builds::covers_all_streams(self.now())
-            || lock(&self.stream_ledger.ledger).knows_builds(service)
+        let (now, builds) = (self.now(), self.fleet().builds.clone());
+        if builds.covers_all_streams(now) {
+            return true;
+        }
+        let read_at = self.stream_ledger.is_read.borrow().builds;
+        builds.is_current(now)
+            && read_at >= Some(builds.complete_since())
+            && lock(&self.stream_ledger.ledger).knows_builds(service)
+    }
+
+    /// Waits, for a moment at most, until this host keeps up with the row store. Returns whether it does.
+    pub(crate) async fn wait_for_rows(&self) -> bool {
+        let is_current = || self.fleet().builds.is_current(self.now());
+        let wait = async {
+            while !is_current() {
+                sleep(ROWS_POLL).await;
+            }
+        };
+        timeout(READ_WAIT, wait).await.is_ok()
     }
 
-    /// Waits, for a moment at most, until this host has read which builds the services have had.
+    /// Waits, for a moment at most, until this host has read which builds the services have had, since it
+    /// keeps up with the row store.
     pub(crate) async fn wait_for_builds(&self) {
+        let since = self.fleet().builds.complete_since();
         let mut reads = self.stream_ledger.is_read.subscribe();
         // Without an answer, the builds stay unknown.
-        let _ = timeout(READ_WAIT, reads.wait_for(|it| it.builds)).await;
+        let _ = timeout(READ_WAIT, reads.wait_for(|it| it.builds >= Some(since))).await;
     }
 
-    /// Waits, for a moment at most, until this host has read where streams began. One that has run for as
+    /// Waits, for a moment at most, until this host has read where streams began. One that has kept up for as
     /// long as streams last has been told by the others.
     pub(crate) async fn wait_for_streams(&self) {
-        if Builds::covers_all_streams(self.now()) {
+        let builds = self.fleet().builds.clone();
+        if builds.covers_all_streams(self.now()) {
             return;
         }
+        let since = builds.complete_since();
         let mut reads = self.stream_ledger.is_read.subscribe();
         self.stream_ledger.streams_wanted.notify_one();
-        let _ = timeout(READ_WAIT, reads.wait_for(|it| it.streams)).await;
+        let _ = timeout(READ_WAIT, reads.wait_for(|it| it.streams >= Some(since))).await;
     }
 }
 
@@ -139,7 +162,9 @@
         let is_delegated = self.replicas.is_delegated(now);
         let is_read = lock(&gateway.stream_ledger.ledger).is_read(self.replicas.newest_era());
         let is_due = is_any_mixed && !is_delegated && now.since(self.read_at) >= REREAD_PERIOD;
-        if !is_read || is_due {
+        let complete_since = gateway.fleet().builds.complete_since();
+        let has_missed = gateway.stream_ledger.is_read.borrow().builds < Some(complete_since);
+        if !is_read || is_due || has_missed {
             self.read_builds().await?;
         }
         if is_delegated {
@@ -166,10 +191,7 @@
                 "build is in the row store");
             gateway.fleet().builds.see(requested_at, service, build);
         }
-        gateway
-            .stream_ledger
-            .is_read
-            .send_if_modified(|it| !std::mem::replace(&mut it.builds, true));
+        gateway.stream_ledger.is_read.send_modify(|it| it.builds = Some(requested_at));
         Ok(())
     }
 
@@ -233,7 +255,8 @@
     async fn read_streams_once(&mut self) {
         let gateway = self.gateway;
         let is_read = &gateway.stream_ledger.is_read;
-        if is_read.borrow().streams {
+        let requested_at = gateway.now();
+        if is_read.borrow().streams >= Some(gateway.fleet().builds.complete_since()) {
             return;
         }
         let page = match self.row_store.read_table(Table::Streams).await {
@@ -260,6 +283,6 @@
         drop(origins);
         log::info!(rows = page.rows.len(), streams = count;
             "where streams began is read from the row store");
-        is_read.send_if_modified(|it| !std::mem::replace(&mut it.streams, true));
+        is_read.send_modify(|it| it.streams = Some(requested_at));
     }
 }
--- a/lib/src/stream_ledger.rs
+++ b/lib/src/stream_ledger.rs
@@ -120,7 +120,7 @@
         let Some(era) = self.era else { return Vec::new() };
         let change = |service: &Service| {
             let stored = self.rows.get(service);
-            let knows_all = Builds::covers_all_streams(now) || self.knows_builds(service);
+            let knows_all = builds.covers_all_streams(now) || self.knows_builds(service);
             let mut names: Vec<_> =
                 builds.recent(now, service).map(|it| it.as_str().to_owned()).collect();
             if names.is_empty() {
--- a/lib/src/stream_origin.rs
+++ b/lib/src/stream_origin.rs
@@ -215,13 +215,52 @@
     }
 }
 
-/// The builds that each service has had lately.
-#[derive(Clone, Debug, Default)]
+/// The builds that each service has had lately, as far as this host has read the rows of the upstreams.
+#[derive(Clone, Debug)]
 pub struct Builds {
     by_service: HashMap<Service, SmallVec<[(Build, Instant); 2]>>,
+    /// Age of the known rows up to which this host keeps up with the row store.
+    max_rows_age: Duration,
+    /// The time as of which the rows are known.
+    rows_as_of: Option<Instant>,
+    /// Since when this host has kept up with the row store.
+    complete_since: Instant,
 }
 
 impl Builds {
+    /// Creates the builds of a host that has read no rows. It keeps up with the row store while what it knows
+    /// is no older than `max_rows_age`.
+    pub fn new(max_rows_age: Duration) -> Self {
+        Builds {
+            by_service: HashMap::new(),
+            max_rows_age,
+            rows_as_of: None,
+            complete_since: Instant::ZERO,
+        }
+    }
+
+    /// Records that the rows of all upstreams are known as of a time. Builds that came and left since the
+    /// last such time are unknown if that is long ago.
+    pub fn record_rows(&mut self, as_of: Instant) {
+        if self.rows_as_of.is_some_and(|it| it >= as_of) {
+            return;
+        }
+        if self.rows_as_of.is_none_or(|it| as_of.since(it) > self.max_rows_age) {
+            self.complete_since = as_of;
+        }
+        self.rows_as_of = Some(as_of);
+    }
+
+    /// Returns whether this host keeps up with the row store: it has not just been suspended or cut off.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.rows_as_of.is_some_and(|it| now.since(it) <= self.max_rows_age)
+    }
+
+    /// Returns since when this host has kept up with the row store, up to its last read.
+    pub fn complete_since(&self) -> Instant {
+        self.complete_since
+    }
+
     /// Records that an upstream of a service has a build.
     pub fn see(&mut self, now: Instant, service: &Service, build: &Build) {
         if !self.by_service.contains_key(service) {
@@ -261,10 +300,10 @@
         recent.next().filter(|_| recent.next().is_none())
     }
 
-    /// Returns whether a host that has run since the start of its clock has seen all builds at which
-    /// streams of today may have begun.
-    pub fn covers_all_streams(now: Instant) -> bool {
-        now.since(Instant::ZERO) >= BUILD_RETENTION
+    /// Returns whether this host has kept up with the row store for so long that it has seen all builds at
+    /// which streams of today may have begun.
+    pub fn covers_all_streams(&self, now: Instant) -> bool {
+        self.is_current(now) && now.since(self.complete_since) >= BUILD_RETENTION
     }
 
     /// Forgets builds that no upstream has had for long.
--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -11,7 +11,7 @@
     gateway::{Gateway, lock},
     generated::peer,
     prelude::*,
-    stream_origin::{Attempt, Builds, Place, Source},
+    stream_origin::{Attempt, Place, Source},
 };
 
 /// How long a request that resumes a stream waits for other hosts to say where it began.
@@ -85,6 +85,7 @@
         attempt: Option<Attempt>,
     ) -> Destination {
         let Some(attempt) = attempt else {
+            self.wait_for_rows().await;
             self.wait_for_builds().await;
             return match self.knows_builds(service) {
                 true => self.only_destination(service),
@@ -95,7 +96,8 @@
             return destination;
         }
         let destination = self.only_destination(service);
-        if destination != Destination::Unknown && Builds::covers_all_streams(self.now()) {
+        let covers_all_streams = self.fleet().builds.covers_all_streams(self.now());
+        if destination != Destination::Unknown && covers_all_streams {
             return destination;
         }
         let answer = self.ask_other_hosts(service, attempt).await;
@@ -107,9 +109,11 @@
         if let Some(destination) = self.known_destination(attempt) {
             return destination;
         }
+        // After a suspension, or without the row store, this host may know one of several builds only.
+        let is_current = self.wait_for_rows().await;
         self.wait_for_builds().await;
         let destination = self.only_destination(service);
-        let knows_builds = self.knows_builds(service) || answer.knows_builds;
+        let knows_builds = self.knows_builds(service) || is_current && answer.knows_builds;
         if knows_builds && !answer.mixed && destination != Destination::Unknown {
             return destination;
         }
--- a/lib/tests/test_stream_ledger.rs
+++ b/lib/tests/test_stream_ledger.rs
@@ -23,9 +23,18 @@
     Place { service: service(), build: build(name) }
 }
 
-/// Returns the builds that a host has seen at some time.
+/// Age of rows up to which a host keeps up with the row store.
+const MAX_ROWS_AGE: Duration = Duration::from_millis(1500);
+
+/// Reads rows once a second until a time.
+fn keep_up(builds: &mut Builds, now: Instant) {
+    (0..=now.since(at(0)).as_secs()).for_each(|it| builds.record_rows(at(it * 1000)));
+}
+
+/// Returns the builds that a host has seen at some time. It has kept up with the row store until then.
 fn seen(now: Instant, names: &[&str]) -> Builds {
-    let mut builds = Builds::default();
+    let mut builds = Builds::new(MAX_ROWS_AGE);
+    keep_up(&mut builds, now);
     names.iter().for_each(|it| builds.see(now, &service(), &build(it)));
     builds
 }
@@ -74,6 +83,7 @@
     // The builds of a row count once, also if it is read again.
     assert!(ledger.apply(0, vec![stored(&["v1", "v2"])]).is_empty());
     builds.see(at(29_000), &service(), &build("v2"));
+    keep_up(&mut builds, at(30_000));
     let changes = ledger.changes(at(30_000), &builds);
     assert_eq!(changes[0].expected_version, 7);
     assert!(!text(&changes[0]).contains("v1"), "{}", text(&changes[0]));
@@ -202,7 +212,8 @@
                 hosts[host] = None;
                 continue;
             }
-            hosts[host].get_or_insert_default();
+            hosts[host].get_or_insert_with(|| (Ledger::default(), Builds::new(MAX_ROWS_AGE)));
+            hosts.iter_mut().flatten().for_each(|it| it.1.record_rows(now));
             if action == 1 {
                 served[name] = Some(now);
                 for (_, builds) in hosts.iter_mut().flatten() {
--- a/lib/tests/test_stream_origin.rs
+++ b/lib/tests/test_stream_origin.rs
@@ -84,7 +84,7 @@
 /// A build counts for as long as a stream that began there may go on.
 #[test]
 fn builds_count_for_a_while_after_they_left() {
-    let (mut builds, service) = (Builds::default(), Service::new(ENGINES));
+    let (mut builds, service) = (Builds::new(MAX_ROWS_AGE), Service::new(ENGINES));
     assert_eq!(builds.only(at(0), &service), None);
     builds.see(at(0), &service, &Build::new("v1"));
     assert!(!builds.is_any_mixed(at(10)));
@@ -95,7 +95,41 @@
     builds.purge(at(31_000));
     assert!(!builds.is_mixed(at(31_000), &service));
     assert_eq!(builds.only(at(31_000), &service), Some(&Build::new("v2")));
-    assert!(!Builds::covers_all_streams(at(29_999)) && Builds::covers_all_streams(at(30_000)));
+}
+
+const MAX_ROWS_AGE: Duration = Duration::from_millis(1500);
+
+/// Returns the builds of a host that has read rows from its start until a time.
+fn read_until(end_ms: u64) -> Builds {
+    let mut builds = Builds::new(MAX_ROWS_AGE);
+    (0..=end_ms).step_by(1000).for_each(|it| builds.record_rows(at(it)));
+    builds
+}
+
+#[test]
+fn host_that_keeps_up_knows_all_builds_after_the_time_that_streams_last() {
+    assert!(!read_until(29_000).covers_all_streams(at(29_999)));
+    assert!(read_until(30_000).covers_all_streams(at(30_000)));
+    assert!(!Builds::new(MAX_ROWS_AGE).covers_all_streams(at(60_000)), "it has read nothing");
+}
+
+/// Guards against a host that takes what it knew before a suspension for what is there. The first request
+/// after it comes before any read.
+#[test]
+fn host_that_was_suspended_does_not_know_all_builds() {
+    let mut builds = read_until(40_000);
+    assert!(builds.is_current(at(41_500)) && builds.covers_all_streams(at(41_500)));
+    assert!(!builds.is_current(at(41_501)) && !builds.covers_all_streams(at(41_501)));
+    // A build may have come and gone meanwhile.
+    builds.record_rows(at(42_000));
+    assert!(builds.is_current(at(42_000)));
+    assert_eq!(builds.complete_since(), at(42_000));
+    assert!(!builds.covers_all_streams(at(42_000)));
+    // A late answer to an earlier read.
+    builds.record_rows(at(41_000));
+    assert_eq!(builds.complete_since(), at(42_000));
+    (43..=72).for_each(|it| builds.record_rows(at(it * 1000)));
+    assert!(builds.covers_all_streams(at(72_000)));
 }
 
 fn with_build(index: u64, build: &str) -> UpstreamRow {
