missing_rows: what a host knows of an upstream outlives its row

The state of an upstream without a row is kept until 30 s after its last request, and is used again if the same process is back. Requests to a former process no longer count down those of the next one.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -12,6 +12,7 @@
     build_share::Shares,
     configuration::{Configuration, EngineEntry, ServiceEntry},
     departure::Departures,
+    missing_rows::MissingRows,
     obstacle::Obstacle,
     pause::{self, Pauses},
     prelude::*,
@@ -103,6 +104,8 @@
     /// The loads that other hosts last reported, with the time of the report.
     peer_loads: HashMap<Host, (Instant, Loads)>,
     states: HashMap<Upstream, State>,
+    /// What is known of upstreams whose rows are gone.
+    missing_rows: MissingRows,
     by_service: HashMap<Service, Vec<Upstream>>,
     /// Zones whose upstreams get no requests.
     evacuated: HashSet<Zone>,
@@ -142,6 +145,7 @@
             peer_loads: HashMap::new(),
             hosts: vec![host_settings.host.clone()],
             states: HashMap::new(),
+            missing_rows: MissingRows::default(),
             by_service: HashMap::new(),
             evacuated: HashSet::new(),
             waits: HashMap::new(),
@@ -296,14 +300,13 @@
     pub fn upsert(&mut self, now: Instant, row: UpstreamRow) {
         let id = row.id.clone();
         self.builds.see(now, &row.service, &row.build);
-        let previous = self.states.remove(&id);
+        let previous = self.states.remove(&id).or_else(|| self.missing_rows.take(&id));
         let restarted =
             previous.as_ref().is_some_and(|it| it.row.incarnation() != row.incarnation());
         let cold_until = now + row.cold_remaining;
         let mut state = match previous {
             Some(state) if !restarted => state,
-            // Requests still in flight to the previous process end later; the counters saturate
-            // at 0 then.
+            // Requests still in flight to the previous process end later, and are not counted any more.
             _ => State::new(&row, now),
         };
         let recently_disconnected = now.since(state.last_disconnect) < STALE_ROW_WINDOW
@@ -337,9 +340,10 @@
     }
 
     /// Removes an upstream whose row was deleted or is invalid.
-    pub fn remove(&mut self, id: &Upstream) {
+    pub fn remove(&mut self, now: Instant, id: &Upstream) {
         if let Some(state) = self.states.remove(id) {
             self.unlist(&state.row.service, id);
+            self.missing_rows.insert(now, state);
             log::info!(upstream = id.as_str(); "upstream is removed");
         }
     }
@@ -521,9 +525,12 @@
         if outcome == Outcome::Unreachable {
             self.record_connection(now, &choice.id, false);
         }
-        let Some(state) = self.states.get_mut(&choice.id) else { return };
-        state.in_flight = state.in_flight.saturating_sub(1);
-        state.tokens = state.tokens.saturating_sub(choice.tokens.into());
+        let state = self.states.get_mut(&choice.id);
+        let Some(state) = state.or_else(|| self.missing_rows.get_mut(&choice.id)) else { return };
+        if state.row.incarnation() == choice.incarnation {
+            state.in_flight = state.in_flight.saturating_sub(1);
+            state.tokens = state.tokens.saturating_sub(choice.tokens.into());
+        }
         if matches!(outcome, Outcome::Refused | Outcome::Paused)
             && let Some(room) = self.refusal_limits.room(now, &state.row.service)
         {
@@ -761,10 +768,13 @@
         &self.hosts
     }
 
-    /// Returns the requests in flight from this host at upstreams of a service that have another build.
+    /// Returns the requests in flight from this host at upstreams of a service that have another build, with
+    /// a row or without one.
     pub fn in_flight_beside(&self, service: &Service, build: &Build) -> u32 {
         let states = self.by_service.get(service).into_iter().flatten();
         let states = states.filter_map(|it| self.states.get(it));
+        let missing = self.missing_rows.states().filter(|it| it.row.service == *service);
+        let states = states.chain(missing);
         states.filter(|it| it.row.build != *build).map(|it| it.in_flight).sum()
     }
 
@@ -957,12 +967,14 @@
             log::info!(service = service.as_str(); "service no longer limits refusals");
         }
         self.pauses.purge(now);
-        let states = &self.states;
+        self.missing_rows.purge(now);
+        let (states, missing_rows) = (&self.states, &self.missing_rows);
         self.build_shares.purge(now, |service, build| {
             states.values().any(|it| it.row.service == *service && it.row.build == *build)
         });
         let is_listed = |id: &Upstream, incarnation| {
-            states.get(id).is_some_and(|it| it.row.incarnation().may_be(incarnation))
+            let state = states.get(id).or_else(|| missing_rows.get(id));
+            state.is_some_and(|it| it.row.incarnation().may_be(incarnation))
         };
         self.departures.purge(now, is_listed);
         self.limits.purge(now, is_listed);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -363,7 +363,7 @@
             let known = self.fleet().row(&id).cloned();
             let Some(value) = &row.value else {
                 self.holdover().record_removal(now, &id, known.as_ref());
-                self.fleet().remove(&id);
+                self.fleet().remove(now, &id);
                 self.pool().remove(&id);
                 continue;
             };
@@ -378,7 +378,7 @@
                 Err(err) => {
                     log::debug!(row = row.key.as_str(), error = err.to_string().as_str();
                         "upstream's row cannot be parsed");
-                    self.fleet().remove(&id);
+                    self.fleet().remove(now, &id);
                 }
             }
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod log_setup;
 pub mod mesh;
 pub mod metric;
+mod missing_rows;
 pub mod name;
 pub mod notice;
 pub mod object;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -21,6 +21,7 @@
 mod test_lease;
 mod test_lease_era;
 mod test_log;
+mod test_missing_rows;
 mod test_path;
 mod test_pause;
 mod test_poison;
--- a/lib/tests/test_build_share.rs
+++ b/lib/tests/test_build_share.rs
@@ -253,7 +253,7 @@
     fleet.build_shares.set_order(at(0), order("v2", 5));
     apply(&mut fleet, &news("v2", 5, 3));
     for index in 0..4 {
-        fleet.remove(&Upstream::new(format!("old{index}")));
+        fleet.remove(at(0), &Upstream::new(format!("old{index}")));
     }
     let mut denied = 0;
     for session in 0..500 {
@@ -329,7 +329,7 @@
     fleet.build_shares.set_order(at(0), order("v2", 5));
     assert!(run(&mut fleet, 0, 0..1000)["v2"] <= 60);
     for index in 0..4 {
-        fleet.remove(&Upstream::new(format!("old{index}")));
+        fleet.remove(at(0), &Upstream::new(format!("old{index}")));
     }
     assert_eq!(run(&mut fleet, 2000, 0..100)["v2"], 100);
 }
@@ -377,12 +377,12 @@
     assert!(!fleet.build_shares.withdraw(at(10), &service()));
     assert_eq!(run(&mut fleet, 100, 0..300)["v1"], 300);
     for index in 0..4 {
-        fleet.remove(&Upstream::new(format!("old{index}")));
+        fleet.remove(at(0), &Upstream::new(format!("old{index}")));
     }
     assert_eq!(run(&mut fleet, 1000, 0..300)["v2"], 300);
     // Once its upstreams are gone too, the build is one like any other.
     for index in 0..4 {
-        fleet.remove(&Upstream::new(format!("new{index}")));
+        fleet.remove(at(0), &Upstream::new(format!("new{index}")));
     }
     fleet.purge(at(30_000));
     assert!(fleet.build_shares.progress(&service()).is_some());
--- a/lib/tests/test_cache_gc.rs
+++ b/lib/tests/test_cache_gc.rs
@@ -141,7 +141,7 @@
                             Some(weights) => {
                                 host.upsert(at(now), row(index, *weights, start_times[index]));
                             }
-                            None => host.remove(&Upstream::new(format!("engine{index}"))),
+                            None => host.remove(at(0), &Upstream::new(format!("engine{index}"))),
                         }
                     }
                     host.set_rows_as_of(at(now));
--- a/lib/tests/test_departure.rs
+++ b/lib/tests/test_departure.rs
@@ -31,7 +31,7 @@
     assert!(no_upstream(&mut fleet, 30));
     fleet.upsert(at(40), started_at(1));
     assert!(no_upstream(&mut fleet, 50));
-    fleet.remove(&Upstream::new("engine0"));
+    fleet.remove(at(0), &Upstream::new("engine0"));
     fleet.upsert(at(60), started_at(1));
     assert!(no_upstream(&mut fleet, 70));
     fleet.upsert(at(80), started_at(2));
@@ -136,7 +136,7 @@
                     current = Some(start);
                 }
                 Event::Removed => {
-                    fleet.remove(&Upstream::new("engine0"));
+                    fleet.remove(at(0), &Upstream::new("engine0"));
                     current = None;
                 }
                 Event::Leaving(start) => {
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -251,7 +251,7 @@
     assert_eq!(obstacle(&fleet, at(11_600)), Some(Obstacle::OutdatedWeights));
     fleet.upsert(at(11_601), UpstreamRow { start_time_ms: 2, ..engine("engine0", "hobart") });
     assert_eq!(obstacle(&fleet, at(11_601)), Some(Obstacle::Restarted));
-    fleet.remove(&Upstream::new("engine0"));
+    fleet.remove(at(0), &Upstream::new("engine0"));
     assert_eq!(obstacle(&fleet, at(11_602)), Some(Obstacle::Removed));
 }
 
--- a/lib/tests/test_pause.rs
+++ b/lib/tests/test_pause.rs
@@ -91,7 +91,7 @@
     pause(&mut fleet, at(0), &started_at(0, 1), 60 * SECOND);
     fleet.upsert(at(10), started_at(0, 1));
     assert!(choose_engine(&mut fleet, at(11), 1).is_err());
-    fleet.remove(&Upstream::new("engine0"));
+    fleet.remove(at(0), &Upstream::new("engine0"));
     fleet.upsert(at(20), started_at(0, 1));
     assert!(choose_engine(&mut fleet, at(21), 1).is_err());
     fleet.upsert(at(30), started_at(0, 2));
@@ -222,7 +222,7 @@
                     current = Some(start);
                 }
                 Event::Removed => {
-                    fleet.remove(&Upstream::new("engine0"));
+                    fleet.remove(at(0), &Upstream::new("engine0"));
                     current = None;
                 }
                 Event::Pause(start, ms) => {
--- a/lib/tests/test_stream_origin.rs
+++ b/lib/tests/test_stream_origin.rs
@@ -178,11 +178,11 @@
     }
     fleet.upsert(at(20), UpstreamRow { draining: true, ..with_build(0, "v1") });
     assert_eq!(choose(&mut fleet, at(30), Some(&old)).unwrap().id.as_str(), "engine1");
-    fleet.remove(&Upstream::new("engine1"));
+    fleet.remove(at(0), &Upstream::new("engine1"));
     assert_eq!(choose(&mut fleet, at(40), Some(&old)), Err(Denial::OtherBuilds));
     assert!(choose(&mut fleet, at(40), None).is_ok());
     // Engines that are listed count also while no rows come.
-    fleet.remove(&Upstream::new("engine0"));
+    fleet.remove(at(0), &Upstream::new("engine0"));
     fleet.purge(at(60_000));
     assert_eq!(fleet.builds.only(at(60_000), &Service::new(ENGINES)), Some(&Build::new("v2")));
 }
