forward: a refusal that names no request does not count

A refusal with the id of another request was left out already (test_path); one without an id counted for the request that was under way.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -512,8 +512,13 @@
         let sent_at = answers.then_some(sent_at);
         let incarnation = choice.incarnation;
         self.gateway.apply_rate_limit(&choice.id, incarnation, request, sent_at, &metadata);
-        // The rest of a response to another request does not concern this one, also not a refusal.
-        let wrong_id = metadata.id.as_ref().is_some_and(|it| *it != self.job.metadata.id);
+        // The rest of a response to another request does not concern this one, also not a refusal. Upstreams
+        // repeat the id of each request that has one, so that a refusal without it may be of any request.
+        let is_refusal = metadata.not_run || metadata.misdirected;
+        let wrong_id = match &metadata.id {
+            Some(id) => *id != self.job.metadata.id,
+            None => is_refusal && !self.job.metadata.id.is_empty(),
+        };
         if wrong_id {
             return Err(self.handle_invalid_head(attempt, wrong_id, metadata.signed));
         }
