--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -157,10 +157,12 @@
         let origins = lock(&self.stream_origins);
         let place = origins.place(Attempt(question.attempt)).cloned();
         drop(origins);
+        // The lock of the fleet is released before it is taken again for the builds.
+        let mixed = self.fleet().builds.is_mixed(self.now(), &service);
         peer::OriginAnswer {
             service: place.as_ref().map(|it| FastStr::new(it.service.as_str())),
             build: place.as_ref().map(|it| FastStr::new(it.build.as_str())),
-            mixed: self.fleet().builds.is_mixed(self.now(), &service),
+            mixed,
             knows_builds: self.knows_builds(&service),
         }
     }
