memory_account: one account of the bodies that a host holds for others

The class: memory that nobody counts.

Bodies are one block each, whatever their chunks, and are charged until the last copy is dropped, wherever that is. A request's body waits for memory up to 0.5 s before it is read, and is refused then; it is let go when no attempt can follow and, while memory is short, when a stream has begun. A large response without memory is passed on as its caller reads it.

--- a/lib/src/body_buffer.rs
+++ b/lib/src/body_buffer.rs
@@ -1,20 +1,19 @@
-//! Bodies of responses that are read whole before they are passed on. What a host buffers of them is bounded,
-//! for one body and for all together: an upstream in trouble may send without end.
-
-use std::sync::atomic::{AtomicUsize, Ordering};
+//! Bodies that are read whole before they are passed on. A body is one block, whatever the chunks that it comes
+//! in, and is charged to the host's [`Account`] until its last copy is dropped.
 
+use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use thiserror::Error as ThisError;
 
-use crate::prelude::*;
+use crate::{
+    memory_account::{Account, Charge, Owner, SMALL_BODY_BYTES},
+    prelude::*,
+};
 
-/// Largest body, in bytes.
-const MAX_BODY_BYTES: usize = 8 << 20;
-/// Bytes of all bodies that a host buffers at a time. Beyond it, only small bodies are read to their end.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
-/// Size up to which a body is small, in bytes.
-const SMALL_BODY_BYTES: usize = 64 << 10;
+/// Largest body of a response, in bytes.
+pub(crate) const MAX_BODY_BYTES: usize = 8 << 20;
+/// First capacity of a block whose length is not known, in bytes.
+const FIRST_CAPACITY: usize = 1 << 10;
 
 /// Why a body was not read to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ThisError)]
@@ -22,72 +21,124 @@
     /// The connection broke, or the body is not valid.
     #[error("the body broke off")]
     Broken,
-    /// The body is larger than one may be, or than this host can buffer now.
-    #[error("the body is too large: {bytes} bytes, with {all_bytes} bytes of all bodies")]
+    /// The body is larger than one may be.
+    #[error("the body is too large: {bytes} bytes")]
     TooLarge {
         /// Bytes of this body so far.
         bytes: usize,
-        /// Bytes of all bodies.
+    },
+    /// The host has no memory for the body now.
+    #[error("no memory is left for the body: {bytes} bytes, with {all_bytes} bytes of all bodies")]
+    NoMemory {
+        /// Bytes of this body so far.
+        bytes: usize,
+        /// Bytes of all bodies of the kind.
         all_bytes: usize,
     },
 }
 
-/// How many bytes of all bodies a host buffers.
-#[derive(Debug, Default)]
-pub struct Usage(AtomicUsize);
+/// One body while it is read.
+#[derive(Debug)]
+pub(crate) struct Buffer {
+    account: Arc<Account>,
+    owner: Owner,
+    charge: Option<Charge>,
+    max_bytes: usize,
+}
 
-impl Usage {
-    /// Returns the bytes that are buffered now.
-    pub fn bytes(&self) -> usize {
-        self.0.load(Ordering::Acquire)
-    }
+/// The bytes of a body with what they are charged.
+struct Block {
+    bytes: Vec<u8>,
+    _charge: Option<Charge>,
 }
 
-/// One body while it is read; its bytes count as buffered until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Buffer {
-    usage: Arc<Usage>,
-    bytes: usize,
+impl AsRef<[u8]> for Block {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl Buffer {
-    /// Creates a buffer without bytes.
-    pub(crate) fn new(usage: Arc<Usage>) -> Self {
-        Buffer { usage, bytes: 0 }
+    /// Creates a buffer for the body of a response. `charge` is what its announced length was charged.
+    pub(crate) fn for_response(account: &Arc<Account>, charge: Option<Charge>) -> Self {
+        let (account, owner) = (account.clone(), Owner::Responses);
+        Buffer { account, owner, charge, max_bytes: MAX_BODY_BYTES }
+    }
+
+    /// Creates a buffer for the body of a request of at most `max_bytes`. `charge` is what its announced length
+    /// was charged.
+    pub(crate) fn for_request(
+        account: &Arc<Account>,
+        max_bytes: usize,
+        charge: Option<Charge>,
+    ) -> Self {
+        Buffer { account: account.clone(), owner: Owner::Requests, charge, max_bytes }
     }
 
     /// Reads a body to its end.
     ///
     /// # Errors
     ///
-    /// Returns an error when the body breaks off or is too large.
-    pub(crate) async fn read(mut self, mut body: Incoming) -> Result<Bytes, ReadError> {
-        let mut frames: SmallVec<[Bytes; 4]> = SmallVec::new();
+    /// Returns an error when the body breaks off, is too large, or does not fit into the host's memory.
+    pub(crate) async fn read<B>(mut self, mut body: B) -> Result<Bytes, ReadError>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+    {
+        let announced = body.size_hint().exact().and_then(|it| usize::try_from(it).ok());
+        let mut block = Vec::new();
+        if let Some(length) = announced {
+            self.check_size(length)?;
+            self.reserve(&mut block, length)?;
+        }
         while let Some(frame) = body.frame().await {
             // Trailers are not passed on.
             let Ok(data) = frame.map_err(|_| ReadError::Broken)?.into_data() else { continue };
-            self.grow(data.len())?;
-            frames.push(data);
+            let length = block.len() + data.len();
+            self.check_size(length)?;
+            if length > block.capacity() {
+                let capacity = length.max(2 * block.capacity()).max(FIRST_CAPACITY);
+                self.reserve(&mut block, capacity)?;
+            }
+            block.extend_from_slice(&data);
+        }
+        if block.is_empty() {
+            return Ok(Bytes::new());
         }
-        Ok(match frames.len() {
-            1 => frames.remove(0),
-            _ => frames.concat().into(),
-        })
+        Ok(Bytes::from_owner(Block { bytes: block, _charge: self.charge }))
     }
 
-    fn grow(&mut self, more: usize) -> Result<(), ReadError> {
-        self.bytes += more;
-        let all_bytes = self.usage.0.fetch_add(more, Ordering::AcqRel) + more;
-        let fits = self.bytes <= MAX_BODY_BYTES && all_bytes <= MAX_BUFFERED_BYTES;
-        if fits || self.bytes <= SMALL_BODY_BYTES {
-            return Ok(());
+    fn check_size(&self, bytes: usize) -> Result<(), ReadError> {
+        if bytes > self.max_bytes { Err(ReadError::TooLarge { bytes }) } else { Ok(()) }
+    }
+
+    /// Makes room for `capacity` bytes in a block.
+    fn reserve(&mut self, block: &mut Vec<u8>, capacity: usize) -> Result<(), ReadError> {
+        // While a block moves to a larger one, both are allocated.
+        let needed = capacity + block.capacity();
+        let fits = match &mut self.charge {
+            Some(charge) => charge.try_grow(needed),
+            None => {
+                self.charge = self.account.try_charge(self.owner, needed);
+                self.charge.is_some()
+            }
+        };
+        if !fits {
+            let all_bytes = self.account.used(self.owner);
+            return Err(ReadError::NoMemory { bytes: block.len(), all_bytes });
         }
-        Err(ReadError::TooLarge { bytes: self.bytes, all_bytes })
+        block.reserve_exact(capacity - block.len());
+        if let Some(charge) = &mut self.charge {
+            charge.shrink(block.capacity());
+        }
+        Ok(())
     }
 }
 
-impl Drop for Buffer {
-    fn drop(&mut self) {
-        self.usage.0.fetch_sub(self.bytes, Ordering::AcqRel);
-    }
+/// Returns the announced length of a body that is so large that it may find no memory.
+pub(crate) fn large_length<B>(body: &B) -> Option<usize>
+where
+    B: HttpBody,
+{
+    let length = usize::try_from(body.size_hint().exact()?).unwrap_or(usize::MAX);
+    (length > SMALL_BODY_BYTES).then_some(length)
 }
--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use crate::{
-    body_buffer::Buffer,
+    body_buffer::{self, Buffer},
     codec::Codec,
     configuration::RetryPolicy,
     connection::Connection,
@@ -16,6 +16,7 @@
     forward::Forwarder,
     gateway::Gateway,
     hop_by_hop,
+    memory_account::Owner,
     prelude::*,
     response_body::{Body, Truncated},
     unread::Sender,
@@ -133,9 +134,19 @@
             return Outcome::NotTaken(REFUSED);
         }
         let (head, body) = response.into_parts();
-        if !head.headers.contains_key(header::CONTENT_LENGTH) {
-            let (sender, receiver) = self.gateway.unread.channel();
-            let response = self.build_response(&head, Body::Stream(receiver));
+        let memory = &self.gateway.memory;
+        let large_length = body_buffer::large_length(&body);
+        let charge = large_length.and_then(|it| memory.try_charge(Owner::Responses, it));
+        let has_no_memory = large_length.is_some() && charge.is_none();
+        if has_no_memory || !head.headers.contains_key(header::CONTENT_LENGTH) {
+            let (sender, receiver) = match has_no_memory {
+                true => self.gateway.unread.narrow_channel(),
+                false => self.gateway.unread.channel(),
+            };
+            let mut response = self.build_response(&head, Body::Stream(receiver));
+            if let Some(length) = head.headers.get(header::CONTENT_LENGTH) {
+                response.headers_mut().insert(header::CONTENT_LENGTH, length.clone());
+            }
             let passing = Passing {
                 gateway: self.gateway.clone(),
                 request: self.job.metadata.id.clone(),
@@ -146,7 +157,7 @@
             tokio::spawn(passing.pass_on(body, sender));
             return Outcome::Response(response);
         }
-        let read = Buffer::new(self.gateway.body_usage.clone()).read(body);
+        let read = Buffer::for_response(memory, charge).read(body);
         match timeout_at(self.job.deadline + DEADLINE_MARGIN, read).await {
             Ok(Ok(bytes)) => {
                 Outcome::Response(self.build_response(&head, Body::Buffered(Full::new(bytes))))
@@ -167,7 +178,7 @@
             reached_part: self.gateway.reached_part(&self.job.service).unwrap_or(1.0),
         };
         terms.write(&mut headers);
-        let mut request = Request::new(Full::new(self.job.body.clone()));
+        let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.job.method.clone();
         *request.uri_mut() = self.job.uri.clone();
         *request.headers_mut() = headers;
--- a/lib/src/fatal_prompt.rs
+++ b/lib/src/fatal_prompt.rs
@@ -83,7 +83,7 @@
         let may_be_cause = signs.is_break && !signs.had_event;
         self.gateway.record_break(Break {
             crash: Crash {
-                request: self.job.fingerprint(),
+                request: self.job.fingerprint,
                 upstream: choice.id.clone(),
                 suspected: signs.pooled || signs.had_event,
             },
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -12,7 +12,7 @@
 use crate::{
     admission::{self, Pressure},
     attempt_connection::MAX_CONNECT_FAILURES,
-    body_buffer::{Buffer, ReadError},
+    body_buffer::{self, Buffer, ReadError},
     cache_index::{Plan, Prompt, Source},
     codec::{Codec, Metadata, Outgoing, ResponseMetadata},
     configuration::{Configuration, KeyHolder, RetryPolicy, Route},
@@ -23,6 +23,7 @@
     fleet::{Choice, Denial, Outcome, Query},
     gateway::Gateway,
     hop_by_hop,
+    memory_account::{Charge, Owner},
     poison::{self, Admission},
     prelude::*,
     quarantine::Fingerprint,
@@ -60,6 +61,8 @@
     pub uri: Uri,
     /// Header fields as received.
     pub headers: HeaderMap,
+    /// Hash of path, API key and body, which a repeat of this request shares.
+    pub fingerprint: Fingerprint,
     /// The body.
     pub body: Bytes,
     /// When the request head had been read.
@@ -71,11 +74,6 @@
 }
 
 impl Job {
-    /// Returns a hash of path, API key and body, which a repeat of this request shares.
-    pub fn fingerprint(&self) -> Fingerprint {
-        Fingerprint::new(self.uri.path(), self.metadata.key.as_deref(), &self.body)
-    }
-
     /// Returns the priority to send to the upstream; only requests for a model have one.
     fn upstream_priority(&self, callers_compete: bool) -> Option<u8> {
         self.metadata.model.as_ref()?;
@@ -211,6 +209,10 @@
 {
     pub(crate) gateway: Arc<Gateway<C>>,
     pub(crate) job: Arc<Job>,
+    /// The request's body, empty once no attempt can follow.
+    pub(crate) body: Bytes,
+    /// Whether the body was let go although another attempt might have followed.
+    pub(crate) is_body_released: bool,
     pub(crate) session_key: Option<u64>,
     /// The prompt parts that other requests may share.
     pub(crate) shared_parts: poison::Keys,
@@ -265,11 +267,14 @@
     C: Codec,
 {
     /// Creates the state of a request that has not been sent yet.
-    pub fn new(gateway: Arc<Gateway<C>>, job: Job) -> Self {
+    pub fn new(gateway: Arc<Gateway<C>>, mut job: Job) -> Self {
+        let body = std::mem::take(&mut job.body);
         let (session_key, shared_parts) = (job.session_key(), job.shared_parts());
         let (runs, times_sent) = job.terms.map_or((0, 0), |it| (it.runs, it.arrivals));
         Forwarder {
             gateway,
+            body,
+            is_body_released: false,
             session_key,
             shared_parts,
             is_trial: false,
@@ -332,7 +337,16 @@
             if streamed && upstream_response.head.status == StatusCode::OK {
                 return Ok(self.forward_stream(upstream_response));
             }
-            match self.buffer_response(upstream_response).await {
+            let charge = match body_buffer::large_length(&upstream_response.body) {
+                None => None,
+                Some(length) => match self.gateway.memory.try_charge(Owner::Responses, length) {
+                    None if upstream_response.head.status.is_success() => {
+                        return Ok(self.pass_through(upstream_response));
+                    }
+                    charge => charge,
+                },
+            };
+            match self.buffer_response(upstream_response, charge).await {
                 Ok(Some(response)) => return Ok(response),
                 Ok(None) => {}
                 Err(err) => return self.failure.take().ok_or(err),
@@ -354,7 +368,7 @@
             if self.job.time_left().is_zero() {
                 return Err(self.deadline_error());
             }
-            if self.gateway.is_quarantined(self.job.fingerprint()) {
+            if self.gateway.is_quarantined(self.job.fingerprint) {
                 return Err(self.refusal_error(Kind::Quarantined, Duration::from_secs(60)));
             }
             self.gateway.wait_for_causes(&self.shared_parts).await;
@@ -549,6 +563,9 @@
             return Err(self.handle_invalid_head(attempt, wrong_id, metadata.signed));
         }
         self.runs += 1;
+        if !self.may_retry() {
+            self.body = Bytes::new();
+        }
         let head_at = TokioInstant::now();
         Ok(UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested })
     }
@@ -598,10 +615,11 @@
     async fn buffer_response(
         &mut self,
         upstream_response: UpstreamResponse<C>,
+        charge: Option<Charge>,
     ) -> Result<Option<Response<Body>>, Error> {
         let UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested } =
             upstream_response;
-        let read = Buffer::new(self.gateway.body_usage.clone()).read(body);
+        let read = Buffer::for_response(&self.gateway.memory, charge).read(body);
         let read = match timeout_at(self.job.deadline, read).await {
             Err(_) => {
                 attempt.complete(Outcome::Failed);
@@ -628,7 +646,7 @@
             }
         };
         let choice = attempt.choice.clone();
-        self.gateway.forget_crashes(self.job.fingerprint());
+        self.gateway.forget_crashes(self.job.fingerprint);
         // With an error, the upstream may never have looked at the prompt.
         if head.status.is_success() {
             self.gateway.record_answer(&self.shared_parts);
@@ -679,7 +697,7 @@
             weight_version: choice.weight_version,
             last_event_id,
         };
-        let mut request = Request::new(Full::new(self.job.body.clone()));
+        let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.job.method.clone();
         *request.uri_mut() = self.job.uri.clone();
         *request.headers_mut() = self.gateway.codec.upstream_headers(&self.job.headers, &outgoing);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,7 +15,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    body_buffer::Usage,
     build_gossip::BuildTrials,
     build_share::Order,
     cache_index::Index,
@@ -30,6 +29,7 @@
     holdover::Holdover,
     host_settings::HostSettings,
     ledger_sync::LedgerLink,
+    memory_account::{Account, Owner},
     metric::Metrics,
     obstacle::Obstacle,
     pinned_tls::Pins,
@@ -94,7 +94,7 @@
     /// Callers' connections on which a request was read, until they end.
     unfinished_connections: AtomicU32,
     /// Bytes of responses' bodies that are buffered until they are complete.
-    pub(crate) body_usage: Arc<Usage>,
+    pub(crate) memory: Arc<Account>,
     /// Memory for chunks of streamed responses that callers have not read yet.
     pub(crate) unread: Budget,
     /// Whether this host exchanges messages with other hosts.
@@ -127,6 +127,7 @@
     ///
     /// Returns an error when two metrics have the same name.
     pub fn new(host_settings: HostSettings, codec: C) -> Result<Self, prometheus::Error> {
+        let memory = Arc::new(Account::new(host_settings.memory_bytes));
         Ok(Gateway {
             fleet: Mutex::new(Fleet::new(&host_settings)),
             holdover: Mutex::new(Holdover::new(&host_settings)),
@@ -159,7 +160,7 @@
             stream_ledger: LedgerLink::default(),
             active_requests: AtomicU32::new(0),
             unfinished_connections: AtomicU32::new(0),
-            body_usage: Arc::default(),
+            memory,
             mesh_joined: AtomicBool::new(false),
             heard_ms: AtomicU64::new(0),
             build_trials: Mutex::default(),
@@ -254,9 +255,14 @@
         ConnectionGuard { gateway: self.clone() }
     }
 
-    /// Returns how many bytes of responses' bodies are buffered until they are complete.
+    /// Returns how many bytes of responses' bodies are held until callers have read them.
     pub fn buffered_bytes(&self) -> usize {
-        self.body_usage.bytes()
+        self.memory.used(Owner::Responses)
+    }
+
+    /// Returns how many bytes of requests' bodies are held until no attempt can follow.
+    pub fn held_request_bytes(&self) -> usize {
+        self.memory.used(Owner::Requests)
     }
 
     /// Applies rows of the operators' table, which hold the configuration, evacuated zones and
@@ -590,7 +596,12 @@
         lock(&self.stream_origins).purge(self.now());
         self.fleet().purge(self.now());
         self.update_limited_upstreams();
-        self.metrics.unread_bytes.set(i64::try_from(self.unread.used()).unwrap_or(i64::MAX));
+        let gauge = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.metrics.unread_bytes.set(gauge(self.unread.used()));
+        let held = &self.metrics.held_bytes;
+        held.with_label_values(&["requests"]).set(gauge(self.memory.used(Owner::Requests)));
+        held.with_label_values(&["responses"]).set(gauge(self.memory.used(Owner::Responses)));
+        self.metrics.held_bytes_peak.set(gauge(self.memory.peak()));
     }
 }
 
--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -11,7 +11,7 @@
 };
 
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header, uri::PathAndQuery};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -22,12 +22,15 @@
 };
 
 use crate::{
+    body_buffer::{self, Buffer, ReadError},
     codec::{Codec, Metadata},
     configuration::Configuration,
     detour_link::{self, Terms},
     forward::{Forwarder, Job},
     gateway::{ConnectionGuard, Gateway},
+    memory_account::Owner,
     prelude::*,
+    quarantine::Fingerprint,
     response_body::Body,
 };
 
@@ -43,6 +46,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Added to the idle timeout, so that callers stop reusing a connection before it is closed here.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Longest wait of a large body for memory, unless less of the request's time is left. Later it is refused.
+const MEMORY_WAIT: Duration = Duration::from_millis(500);
 /// Time that a request may take when the caller gives no timeout; the route may allow less.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -322,7 +327,8 @@
     let limit = metadata.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT).min(route.timeout);
     let limit = terms.map_or(limit, |it| it.left.min(limit));
     let deadline = received + limit;
-    let body = read_body(body, &configuration, deadline).await?;
+    let body = read_body(gateway, body, &configuration, deadline).await?;
+    let fingerprint = Fingerprint::new(head.uri.path(), metadata.key.as_deref(), &body);
     let path = head.uri.path_and_query().cloned();
     let mut job = Job {
         service: Service::new(FastStr::default()),
@@ -332,6 +338,7 @@
         key_holder,
         method: head.method,
         uri: Uri::from(path.unwrap_or_else(|| PathAndQuery::from_static("/"))),
+        fingerprint,
         headers: head.headers,
         body,
         received,
@@ -347,23 +354,56 @@
     Ok(job)
 }
 
-/// Reads the body up to the configured limit, until `deadline`.
-async fn read_body(
-    body: Incoming,
+/// Reads the body up to the configured limit, until `deadline`. A large body waits for memory before it is read.
+async fn read_body<C>(
+    gateway: &Gateway<C>,
+    mut body: Incoming,
     configuration: &Configuration,
     deadline: TokioInstant,
-) -> Result<Bytes, Error> {
-    let read = Limited::new(body, configuration.limits.body_bytes).collect();
+) -> Result<Bytes, Error>
+where
+    C: Codec,
+{
+    let max_bytes = configuration.limits.body_bytes;
+    let too_large = || Error::new(Kind::BodyTooLarge, "the body is larger than the limit");
+    let no_memory = || {
+        gateway.metrics.memory_refusals.with_label_values(&["requests"]).inc();
+        let message = "this host has no memory left for the body";
+        Error::new(Kind::Overloaded, message).with_retry_after(MEMORY_WAIT)
+    };
+    let mut charge = None;
+    if let Some(length) = body_buffer::large_length(&body) {
+        if length > max_bytes {
+            return Err(too_large());
+        }
+        let now = TokioInstant::now();
+        let wait = MEMORY_WAIT.min(deadline.saturating_duration_since(now) / 4);
+        charge = gateway.memory.charge(Owner::Requests, length, now + wait).await;
+        if charge.is_none() {
+            discard(body, deadline).await;
+            return Err(no_memory());
+        }
+    }
+    let read = Buffer::for_request(&gateway.memory, max_bytes, charge).read(&mut body);
     match timeout_at(deadline, read).await {
         Err(_) => Err(Error::new(Kind::BodyStalled, "the body stopped arriving")),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            Err(Error::new(Kind::BodyTooLarge, "the body is larger than the limit"))
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLarge { .. })) => Err(too_large()),
+        Ok(Err(ReadError::NoMemory { .. })) => {
+            discard(body, deadline).await;
+            Err(no_memory())
         }
-        Ok(Err(_)) => Err(Error::new(Kind::BodyBroken, "the body broke off")),
+        Ok(Err(ReadError::Broken)) => Err(Error::new(Kind::BodyBroken, "the body broke off")),
     }
 }
 
+/// Reads a body and drops it: a caller that is still sending when its connection closes does not see the response.
+async fn discard(mut body: Incoming, deadline: TokioInstant) {
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A body that takes too long ends with its connection.
+    let _ = timeout_at(deadline, read).await;
+}
+
 /// Logs an error and builds its response.
 fn error_response<C>(
     gateway: &Gateway<C>,
--- a/lib/src/metric.rs
+++ b/lib/src/metric.rs
@@ -1,8 +1,8 @@
 //! Metrics of one host, exported in the Prometheus text format.
 
 use prometheus::{
-    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use crate::invariant::{Invariant, violations};
@@ -43,6 +43,12 @@
     pub limited_upstreams: IntGauge,
     /// Bytes of streamed responses that wait for slow callers.
     pub unread_bytes: IntGauge,
+    /// Bytes that are held for bodies of requests and of responses.
+    pub held_bytes: IntGaugeVec,
+    /// Most bytes that were held for bodies since the start.
+    pub held_bytes_peak: IntGauge,
+    /// Bodies for which the host had no memory, by owner.
+    pub memory_refusals: IntCounterVec,
     /// Part of a service's requests that a new build gets, by service and build.
     pub build_shares: GaugeVec,
     /// Answers while a service moves to another build, by service, side and whether they were good.
@@ -121,6 +127,16 @@
         let unread_bytes =
             IntGauge::new("mothvale_unread_bytes", "Bytes of streams that wait for slow callers")?;
         registry.register(Box::new(unread_bytes.clone()))?;
+        let held_bytes = IntGaugeVec::new(
+            Opts::new("mothvale_held_bytes", "Bytes held for bodies of requests and of responses"),
+            &["owner"],
+        )?;
+        registry.register(Box::new(held_bytes.clone()))?;
+        let held_bytes_peak = IntGauge::new(
+            "mothvale_held_bytes_peak",
+            "Most bytes held for bodies since the start",
+        )?;
+        registry.register(Box::new(held_bytes_peak.clone()))?;
         let unreachable_services = IntGauge::new(
             "mothvale_unreachable_services",
             "Services of which this host reaches no upstream",
@@ -189,6 +205,13 @@
             pauses: counter("mothvale_upstream_pauses_total", "Pauses that upstreams asked for")?,
             limited_upstreams,
             unread_bytes,
+            held_bytes,
+            held_bytes_peak,
+            memory_refusals: counters(
+                "mothvale_memory_refusals_total",
+                "Bodies for which the host had no memory",
+                &["owner"],
+            )?,
             pause_refusals: counter(
                 "mothvale_pause_refusals_total",
                 "Requests refused because all their upstreams had asked for a pause",
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -14,6 +14,7 @@
     fleet::{Choice, Outcome},
     forward::{Forwarder, InFlightAttempt, UpstreamResponse},
     gateway::Gateway,
+    memory_account::{Owner, SMALL_BODY_BYTES},
     prelude::*,
     response_body::{Body, Truncated},
     sse::Decoder,
@@ -111,7 +112,9 @@
             let retry = match end {
                 RunEnd::Completed | RunEnd::CallerLeft => return,
                 RunEnd::TimedOut | RunEnd::Withdrawn | RunEnd::HostEnds => false,
-                RunEnd::Broken => !self.unnumbered_sent && self.may_retry(),
+                RunEnd::Broken => {
+                    !self.unnumbered_sent && !self.is_body_released && self.may_retry()
+                }
             };
             if !retry {
                 break;
@@ -186,6 +189,7 @@
                 first_event_time = Some(elapsed);
                 self.report_wait();
                 self.record_origin(&attempt.choice);
+                self.release_large_body();
                 self.gateway.record_answer(&self.shared_parts);
                 if let Some(plan) = &self.cache_plan {
                     let mean_latency = self.gateway.fleet().mean_latency(&attempt.choice.id);
@@ -206,7 +210,7 @@
             }
         }
         let choice = attempt.choice.clone();
-        self.gateway.forget_crashes(self.job.fingerprint());
+        self.gateway.forget_crashes(self.job.fingerprint);
         self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let first_event_time = first_event_time.unwrap_or_else(|| started.elapsed());
         let route = self.job.route.name.as_str();
@@ -239,6 +243,16 @@
         }
     }
 
+    /// Lets go of a large body while the host has little memory for more. If the stream breaks, its caller has
+    /// to resume it.
+    fn release_large_body(&mut self) {
+        let is_large = self.body.len() > SMALL_BODY_BYTES;
+        if is_large && self.gateway.memory.is_tight(Owner::Requests) {
+            self.body = Bytes::new();
+            self.is_body_released = true;
+        }
+    }
+
     /// Takes the complete events from the decoder and joins them, without those that the caller
     /// already has.
     fn drain_events(&mut self, decoder: &mut Decoder, last_event_id: &mut Option<u64>) -> Bytes {
--- a/lib/src/unread.rs
+++ b/lib/src/unread.rs
@@ -13,6 +13,8 @@
 
 /// Chunks of each response that need nothing of the budget, so that slow callers cannot hold up the others.
 const OWN_CHUNKS: usize = 32;
+/// The same for a response of which the host keeps nothing else, because it has no memory for the whole.
+const NARROW_CHUNKS: usize = 4;
 /// Fraction of the host's memory that unread chunks may take beyond that.
 const MEMORY_FRACTION: u64 = 16;
 /// Memory that a chunk takes beside its bytes, in bytes.
@@ -43,11 +45,20 @@
 
     /// Creates a channel for the chunks of one response.
     pub fn channel<T>(&self) -> (Sender<T>, Receiver<T>) {
+        self.channel_with(OWN_CHUNKS, MAX_RESPONSE_BYTES)
+    }
+
+    /// Creates a channel for a response that is read from its upstream no faster than the caller reads it.
+    pub fn narrow_channel<T>(&self) -> (Sender<T>, Receiver<T>) {
+        self.channel_with(NARROW_CHUNKS, 0)
+    }
+
+    fn channel_with<T>(&self, own: usize, response: usize) -> (Sender<T>, Receiver<T>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let sender = Sender {
             chunks: sender,
-            own: Arc::new(Semaphore::new(OWN_CHUNKS)),
-            response: Arc::new(Semaphore::new(MAX_RESPONSE_BYTES)),
+            own: Arc::new(Semaphore::new(own)),
+            response: Arc::new(Semaphore::new(response)),
             shared: self.left.clone(),
         };
         (sender, Receiver { chunks: receiver })
