gateway_server: a caller that waits to be asked for a body is refused without it

A large body that finds no memory is read and dropped, so that the caller sees the refusal; one that was announced with Expect was asked for first, only to be dropped.

--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -312,6 +312,7 @@
         return Err(err.with_retry_after(Duration::from_millis(500)));
     };
     let (head, body) = request.into_parts();
+    let is_sent = !head.headers.contains_key(header::EXPECT);
     let host = head.headers.get(header::HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let route = configuration.route(host, head.uri.path()).cloned();
@@ -327,7 +328,7 @@
     let limit = metadata.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT).min(route.timeout);
     let limit = terms.map_or(limit, |it| it.left.min(limit));
     let deadline = received + limit;
-    let body = read_body(gateway, body, &configuration, deadline).await?;
+    let body = read_body(gateway, body, is_sent, &configuration, deadline).await?;
     let fingerprint = Fingerprint::new(head.uri.path(), metadata.key.as_deref(), &body);
     let path = head.uri.path_and_query().cloned();
     let mut job = Job {
@@ -355,9 +356,11 @@
 }
 
 /// Reads the body up to the configured limit, until `deadline`. A large body waits for memory before it is read.
+/// `is_sent` is whether the caller sends it without being asked to go on.
 async fn read_body<C>(
     gateway: &Gateway<C>,
     mut body: Incoming,
+    is_sent: bool,
     configuration: &Configuration,
     deadline: TokioInstant,
 ) -> Result<Bytes, Error>
@@ -380,7 +383,9 @@
         let wait = MEMORY_WAIT.min(deadline.saturating_duration_since(now) / 4);
         charge = gateway.memory.charge(Owner::Requests, length, now + wait).await;
         if charge.is_none() {
-            discard(body, deadline).await;
+            if is_sent {
+                discard(body, deadline).await;
+            }
             return Err(no_memory());
         }
     }
