memory_account: small bodies of requests have a limit too

Bodies of up to 64 KiB always fitted, so that a burst of many of them could still take a host over its memory. Those of requests may take half of the host's memory together with the large ones now.

--- a/lib/src/body_buffer.rs
+++ b/lib/src/body_buffer.rs
@@ -11,7 +11,7 @@
 };
 
 /// Largest body of a response, in bytes.
-pub(crate) const MAX_BODY_BYTES: usize = 8 << 20;
+const MAX_BODY_BYTES: usize = 8 << 20;
 /// First capacity of a block whose length is not known, in bytes.
 const FIRST_CAPACITY: usize = 1 << 10;
 
--- a/lib/src/memory_account.rs
+++ b/lib/src/memory_account.rs
@@ -15,13 +15,15 @@
 
 /// Part of the host's memory that bodies of requests may take, as a divisor.
 const REQUESTS_DIVISOR: u64 = 3;
+/// The same while the body is a small one.
+const SMALL_REQUESTS_DIVISOR: u64 = 2;
 /// The same for bodies of responses.
 const RESPONSES_DIVISOR: u64 = 8;
 /// Most that bodies of responses may take, in bytes.
 const MAX_RESPONSES: u64 = 16 << 20;
 /// Memory of a host that does not know how much it has, in bytes.
 const ASSUMED_MEMORY: u64 = 256 << 20;
-/// Size up to which a body is small, in bytes. Small ones are charged, but always fit.
+/// Size up to which a body is small, in bytes. Small bodies of responses always fit: their requests have run.
 pub(crate) const SMALL_BODY_BYTES: usize = 64 << 10;
 
 /// What memory is held for.
@@ -38,6 +40,8 @@
 struct Share {
     used: AtomicUsize,
     limit: usize,
+    /// Limit for small bodies.
+    small_limit: usize,
 }
 
 /// The memory that a host holds for others.
@@ -53,13 +57,18 @@
     /// Creates the account of a host with this much memory, in bytes; 0 if that is not known.
     pub fn new(memory: u64) -> Self {
         let memory = if memory == 0 { ASSUMED_MEMORY } else { memory };
-        let share = |bytes: u64| Share {
+        let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+        let share = |limit: usize, small_limit: usize| Share {
             used: AtomicUsize::new(0),
-            limit: usize::try_from(bytes).unwrap_or(usize::MAX),
+            limit,
+            small_limit,
         };
+        let (requests, small_requests) =
+            (size(memory / REQUESTS_DIVISOR), size(memory / SMALL_REQUESTS_DIVISOR));
+        let responses = size((memory / RESPONSES_DIVISOR).min(MAX_RESPONSES));
         Account {
-            requests: share(memory / REQUESTS_DIVISOR),
-            responses: share((memory / RESPONSES_DIVISOR).min(MAX_RESPONSES)),
+            requests: share(requests, small_requests),
+            responses: share(responses, usize::MAX),
             peak: AtomicUsize::new(0),
             freed: Notify::new(),
         }
@@ -126,7 +135,8 @@
     pub fn try_grow(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
         let share = self.account.share(self.owner);
-        let fits = |used: usize| bytes <= SMALL_BODY_BYTES || used + more <= share.limit;
+        let limit = if bytes <= SMALL_BODY_BYTES { share.small_limit } else { share.limit };
+        let fits = |used: usize| used.saturating_add(more) <= limit;
         let grown = share.used.fetch_update(Ordering::AcqRel, Ordering::Acquire, |used| {
             fits(used).then_some(used + more)
         });
