--- a/lib/src/ledger_sync.rs
+++ b/lib/src/ledger_sync.rs
@@ -58,13 +58,16 @@
 {
     /// Returns whether this host knows all builds at which streams of a service may have begun.
     pub(crate) fn knows_builds(&self, service: &Service) -> bool {
-        let (now, builds) = (self.now(), self.fleet().builds.clone());
-        if builds.covers_all_streams(now) {
-            return true;
-        }
+        let now = self.now();
+        let since = {
+            let builds = &self.fleet().builds;
+            if builds.covers_all_streams(now) {
+                return true;
+            }
+            builds.is_current(now).then(|| builds.complete_since())
+        };
         let read_at = self.stream_ledger.is_read.borrow().builds;
-        builds.is_current(now)
-            && read_at >= Some(builds.complete_since())
+        since.is_some_and(|since| read_at >= Some(since))
             && lock(&self.stream_ledger.ledger).knows_builds(service)
     }
 
@@ -91,11 +94,14 @@
     /// Waits, for a moment at most, until this host has read where streams began. One that has kept up for as
     /// long as streams last has been told by the others.
     pub(crate) async fn wait_for_streams(&self) {
-        let builds = self.fleet().builds.clone();
-        if builds.covers_all_streams(self.now()) {
-            return;
-        }
-        let since = builds.complete_since();
+        let now = self.now();
+        let since = {
+            let builds = &self.fleet().builds;
+            if builds.covers_all_streams(now) {
+                return;
+            }
+            builds.complete_since()
+        };
         let mut reads = self.stream_ledger.is_read.subscribe();
         self.stream_ledger.streams_wanted.notify_one();
         let _ = timeout(READ_WAIT, reads.wait_for(|it| it.streams >= Some(since))).await;
