--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -13,7 +13,7 @@
     detour::{Asked, Candidate},
     detour_link::{self, Link, Terms},
     fault::Delivery,
-    forward::Forwarder,
+    forward::{Forwarder, keep_length},
     gateway::Gateway,
     hop_by_hop,
     memory_account::Owner,
@@ -144,9 +144,7 @@
                 false => self.gateway.unread.channel(),
             };
             let mut response = self.build_response(&head, Body::Stream(receiver));
-            if let Some(length) = head.headers.get(header::CONTENT_LENGTH) {
-                response.headers_mut().insert(header::CONTENT_LENGTH, length.clone());
-            }
+            keep_length(&head, &mut response);
             let passing = Passing {
                 gateway: self.gateway.clone(),
                 request: self.job.metadata.id.clone(),
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -748,10 +748,8 @@
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = hop_by_hop::strip(&head.headers);
-        if self.job.method == Method::HEAD
-            && let Some(length) = head.headers.get(header::CONTENT_LENGTH)
-        {
-            response.headers_mut().insert(header::CONTENT_LENGTH, length.clone());
+        if self.job.method == Method::HEAD {
+            keep_length(head, &mut response);
         }
         response
     }
@@ -854,3 +852,10 @@
             left_ms = self.job.time_left().as_millis() as u64; "attempt ended");
     }
 }
+
+/// Gives a response whose body is not at hand the length that the upstream has announced.
+pub(crate) fn keep_length(head: &Parts, response: &mut Response<Body>) {
+    if let Some(length) = head.headers.get(header::CONTENT_LENGTH) {
+        response.headers_mut().insert(header::CONTENT_LENGTH, length.clone());
+    }
+}
--- a/lib/src/pass_through.rs
+++ b/lib/src/pass_through.rs
@@ -1,7 +1,7 @@
 //! Passes large responses on as their callers read them, while the host has no memory to hold them whole. Such a
 //! response cannot be asked for again once its head is on the way to the caller.
 
-use http::{Response, header};
+use http::Response;
 use http_body_util::BodyExt;
 use tokio::time::timeout_at;
 
@@ -9,7 +9,7 @@
     codec::Codec,
     fatal_prompt::Signs,
     fleet::Outcome,
-    forward::{Forwarder, UpstreamResponse},
+    forward::{Forwarder, UpstreamResponse, keep_length},
     prelude::*,
     response_body::{Body, Truncated},
     unread::Sender,
@@ -26,9 +26,7 @@
         let (sender, receiver) = self.gateway.unread.narrow_channel();
         let head = &upstream_response.head;
         let mut response = self.build_response(head, Body::Stream(receiver));
-        if let Some(length) = head.headers.get(header::CONTENT_LENGTH) {
-            response.headers_mut().insert(header::CONTENT_LENGTH, length.clone());
-        }
+        keep_length(head, &mut response);
         tokio::spawn(self.pass_chunks(upstream_response, sender));
         response
     }
