stream_resumption: a stream goes on only after a read that begins after its request

Another host may have read of the new build and begun the stream in the meantime. No age is safe: a freeze, a late relay or too little processor time only makes the gap wider.

Change: such a request waits for rows that are read after it came. What another host has begun by then, it began at an upstream whose row the store already held. The read is asked for at once and shared by all requests that wait. A host that cannot read asks other hosts to do so, by a field that earlier builds ignore; without their answer the stream is refused. After the store has come back from a copy, rows count once upstreams have had two heartbeats to write them again. A host that was lost a moment ago no longer delays what the others answer to a question.

Ruled out: a wait before a new build's first stream, as it needs all hosts of a mesh to be of the new program, and hosts that have just started do not know how long a build has been there.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -38,6 +38,7 @@
     quarantine::{Fingerprint, Quarantine},
     replica::Row,
     retry_budget::RetryBudget,
+    row_reads::RowReads,
     store_history::History,
     stream_origin::Origins,
     stream_resumption::OriginQuestions,
@@ -90,6 +91,7 @@
     pub(crate) stream_origins: Mutex<Origins>,
     pub(crate) origin_questions: OriginQuestions,
     pub(crate) stream_ledger: LedgerLink,
+    pub(crate) row_reads: RowReads,
     active_requests: AtomicU32,
     /// Callers' connections on which a request was read, until they end.
     unfinished_connections: AtomicU32,
@@ -158,6 +160,7 @@
             stream_origins: Mutex::default(),
             origin_questions: OriginQuestions::default(),
             stream_ledger: LedgerLink::default(),
+            row_reads: RowReads::default(),
             active_requests: AtomicU32::new(0),
             unfinished_connections: AtomicU32::new(0),
             memory,
--- a/lib/src/holdover.rs
+++ b/lib/src/holdover.rs
@@ -9,6 +9,9 @@
 /// longer those of the others: it removes a row after three that were missed.
 const HEARTBEATS: u32 = 4;
 
+/// Heartbeats of upstreams within which the store again has the rows of those that are alive.
+const REWRITE_HEARTBEATS: u32 = 2;
+
 /// How long the removal of an upstream is remembered: longer than the age of any copy.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(60);
 
@@ -25,6 +28,8 @@
 pub struct Holdover {
     period: Duration,
     until: Instant,
+    rewrite_time: Duration,
+    rows_rewritten_at: Instant,
     removals: HashMap<Upstream, Removal>,
     /// Rows that the store has again although they are older than what was known.
     held_back: HashMap<Upstream, UpstreamRow>,
@@ -36,8 +41,14 @@
         let bounds = &host_settings.bounds;
         let heartbeats = host_settings.heartbeat.saturating_mul(HEARTBEATS);
         let period = heartbeats.max(bounds.evacuate).max(bounds.max_staleness);
-        let (removals, held_back) = (HashMap::new(), HashMap::new());
-        Holdover { period, until: Instant::ZERO, removals, held_back }
+        Holdover {
+            period,
+            until: Instant::ZERO,
+            rewrite_time: host_settings.heartbeat.saturating_mul(REWRITE_HEARTBEATS),
+            rows_rewritten_at: Instant::ZERO,
+            removals: HashMap::new(),
+            held_back: HashMap::new(),
+        }
     }
 
     /// Returns how long what was known before stays in force: the longest of four heartbeats, the bound
@@ -49,6 +60,12 @@
     /// Starts the period, or starts it anew if it has not ended.
     pub fn start(&mut self, now: Instant) {
         self.until = now + self.period;
+        self.rows_rewritten_at = now + self.rewrite_time;
+    }
+
+    /// Returns the time from which the store again holds the rows of all upstreams that are alive.
+    pub fn rows_rewritten_at(&self) -> Instant {
+        self.rows_rewritten_at
     }
 
     /// Returns whether the store's word does not yet count alone.
--- a/lib/src/ledger_sync.rs
+++ b/lib/src/ledger_sync.rs
@@ -13,6 +13,7 @@
     gateway::{Gateway, lock},
     prelude::*,
     rendezvous,
+    row_reads::READ_WAIT,
     row_store::{RowStore, RowStoreError, Table, Write, WriteOutcome},
     stream_ledger::{Batch, Ledger, parse_streams},
     stream_origin::{Attempt, Place, Source},
@@ -31,10 +32,6 @@
 /// Time after its start within which a host first changes the builds table. Until then, most hosts have
 /// found the leader of their zone, which does so.
 const START_SPREAD: Duration = Duration::from_secs(2);
-/// How often such a request looks whether the rows of the upstreams have been read.
-const ROWS_POLL: Duration = Duration::from_millis(10);
-/// How long a request that resumes a stream waits for a read of the store.
-const READ_WAIT: Duration = Duration::from_millis(400);
 
 /// Connects requests that resume streams with the loop that reads the row store.
 #[derive(Debug, Default)]
@@ -71,17 +68,6 @@
             && lock(&self.stream_ledger.ledger).knows_builds(service)
     }
 
-    /// Waits, for a moment at most, until this host keeps up with the row store. Returns whether it does.
-    pub(crate) async fn wait_for_rows(&self) -> bool {
-        let is_current = || self.fleet().builds.is_current(self.now());
-        let wait = async {
-            while !is_current() {
-                sleep(ROWS_POLL).await;
-            }
-        };
-        timeout(READ_WAIT, wait).await.is_ok()
-    }
-
     /// Waits, for a moment at most, until this host has read which builds the services have had, since it
     /// keeps up with the row store.
     pub(crate) async fn wait_for_builds(&self) {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -96,6 +96,7 @@
 pub mod retry;
 pub mod retry_budget;
 pub mod rollout;
+mod row_reads;
 pub mod row_store;
 pub mod salt;
 pub mod services;
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -78,6 +78,8 @@
 const MAX_AGE_FRACTION: f64 = 0.5;
 /// Hosts asked in each round of catching up.
 const MAX_PEERS_ASKED: usize = 2;
+/// Longest wait for the answers of hosts that are asked where a stream began.
+const ORIGIN_ROUND: Duration = Duration::from_millis(250);
 /// Hosts that are asked at once where a stream began.
 const MAX_ORIGIN_SOURCES: usize = 4;
 /// Pause between rounds of catching up.
@@ -351,7 +353,7 @@
                             question::Body::Pull(pull) =>
                                 encode(&mesh.answer_pull(&requester, pull)?),
                             question::Body::Origin(origin) => encode(
-                                &mesh.table_sync.gateway.answer_origin(&origin),
+                                &mesh.table_sync.gateway.answer_origin(&origin).await,
                             ),
                             question::Body::Gossip(gossip) => {
                                 mesh.apply_gossip(&requester, gossip);
@@ -711,10 +713,12 @@
         let Some(mut questions) = self.table_sync.gateway.origin_questions.take_receiver() else {
             return;
         };
-        while let Some(OriginQuestion { service, attempt, answer }) = questions.recv().await {
+        while let Some(asked) = questions.recv().await {
+            let OriginQuestion { service, attempt, reads_rows, answer } = asked;
             let question = peer::OriginQuestion {
                 service: FastStr::new(service.as_str()),
                 attempt: attempt.0,
+                reads_rows,
             };
             let mut calls = JoinSet::new();
             for connection in self.origin_sources() {
@@ -722,23 +726,24 @@
                 calls.spawn(async move { call(&connection, body).await });
             }
             tokio::spawn(async move {
-                let (mut mixed, mut knows_builds) = (false, false);
-                while let Some(bytes) = calls.join_next().await {
-                    let Ok(Some(bytes)) = bytes else { continue };
-                    let Ok(origin) = peer::OriginAnswer::decode(bytes) else { continue };
-                    mixed |= origin.mixed;
-                    knows_builds |= origin.knows_builds;
-                    if origin.build.is_some() {
-                        // The request may have been given up meanwhile.
-                        let _ = answer.send(origin);
-                        return;
+                let mut all = peer::OriginAnswer::default();
+                let collect = async {
+                    while let Some(bytes) = calls.join_next().await {
+                        let Ok(Some(bytes)) = bytes else { continue };
+                        let Ok(origin) = peer::OriginAnswer::decode(bytes) else { continue };
+                        all.mixed |= origin.mixed;
+                        all.knows_builds |= origin.knows_builds;
+                        all.has_read_rows |= origin.has_read_rows;
+                        if origin.build.is_some() {
+                            (all.service, all.build) = (origin.service, origin.build);
+                            return;
+                        }
                     }
-                }
-                let _ = answer.send(peer::OriginAnswer {
-                    mixed,
-                    knows_builds,
-                    ..peer::OriginAnswer::default()
-                });
+                };
+                // A host that was lost a moment ago does not answer; what the others say counts.
+                let _ = timeout(ORIGIN_ROUND, collect).await;
+                // The request may have been given up meanwhile.
+                let _ = answer.send(all);
             });
         }
     }
@@ -808,7 +813,7 @@
         if let Some(others) = pulled.others {
             self.apply_gossip(host, others);
         }
-        gateway.fleet().set_rows_as_of(rows_as_of);
+        gateway.set_rows_as_of(rows_as_of);
         for store in pulled.stores {
             let Ok(address) = store.address.parse() else { continue };
             let part = |it: peer::StorePart| CachedPart { key: it.key, tokens: it.tokens };
--- /dev/null
+++ b/lib/src/row_reads.rs
@@ -0,0 +1,71 @@
+//! Reads of the upstreams' rows that requests wait for. What another host has begun by now, it began at an
+//! upstream whose row the store held by now, so rows that are read from now on hold it as well. The age of
+//! rows that were read earlier says nothing of that.
+
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
+
+use crate::{codec::Codec, gateway::Gateway, prelude::*};
+
+/// How long a request waits for the rows.
+pub(crate) const READ_WAIT: Duration = Duration::from_millis(400);
+
+/// Connects requests that need newer rows with the loop that reads them.
+#[derive(Debug, Default)]
+pub(crate) struct RowReads {
+    /// The time as of which the rows are known.
+    as_of: watch::Sender<Option<Instant>>,
+    /// Notified when a request waits for newer rows.
+    wanted: Notify,
+}
+
+impl RowReads {
+    /// Records that the rows are known as of a time.
+    fn record(&self, as_of: Instant) {
+        self.as_of.send_if_modified(|known| {
+            let is_newer = known.is_none_or(|it| it < as_of);
+            if is_newer {
+                *known = Some(as_of);
+            }
+            is_newer
+        });
+    }
+
+    /// Waits until a request needs newer rows than are known.
+    pub(crate) async fn wanted(&self) {
+        self.wanted.notified().await;
+    }
+
+    /// Asks for rows as of `since` or later, and waits for them for at most `wait`. Returns whether they
+    /// are known.
+    async fn wait(&self, since: Instant, wait: Duration) -> bool {
+        let mut as_of = self.as_of.subscribe();
+        let is_known = |it: &Option<Instant>| it.is_some_and(|it| it >= since);
+        if is_known(&as_of.borrow()) {
+            return true;
+        }
+        self.wanted.notify_one();
+        timeout(wait, as_of.wait_for(is_known)).await.is_ok_and(|it| it.is_ok())
+    }
+}
+
+impl<C> Gateway<C>
+where
+    C: Codec,
+{
+    /// Records that the rows of the upstreams are known as of a time.
+    pub fn set_rows_as_of(&self, as_of: Instant) {
+        self.fleet().set_rows_as_of(as_of);
+        self.row_reads.record(as_of);
+    }
+
+    /// Waits, for at most `wait`, until the rows of the upstreams are known as of `since` or later. Returns
+    /// whether they are, and hold every upstream that was in use by then.
+    pub(crate) async fn wait_for_rows(&self, since: Instant, wait: Duration) -> bool {
+        // A store that has come back from a copy lacks the rows of the newest upstreams for a while.
+        let since = since.max(self.holdover().rows_rewritten_at());
+        self.row_reads.wait(since, wait).await
+    }
+}
--- a/lib/src/stream_origin.rs
+++ b/lib/src/stream_origin.rs
@@ -256,6 +256,11 @@
         self.rows_as_of.is_some_and(|it| now.since(it) <= self.max_rows_age)
     }
 
+    /// Returns the time as of which the rows are known, or `None` before the first read.
+    pub fn rows_as_of(&self) -> Option<Instant> {
+        self.rows_as_of
+    }
+
     /// Returns since when this host has kept up with the row store, up to its last read.
     pub fn complete_since(&self) -> Instant {
         self.complete_since
--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -11,11 +11,14 @@
     gateway::{Gateway, lock},
     generated::peer,
     prelude::*,
+    row_reads::READ_WAIT,
     stream_origin::{Attempt, Place, Source},
 };
 
 /// How long a request that resumes a stream waits for other hosts to say where it began.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a host that is asked waits for a read of the rows of the upstreams.
+const PEER_READ_WAIT: Duration = Duration::from_millis(150);
 /// Questions to other hosts that may wait to be asked.
 const MAX_WAITING_QUESTIONS: usize = 1024;
 
@@ -36,6 +39,8 @@
 pub(crate) struct OriginQuestion {
     pub(crate) service: Service,
     pub(crate) attempt: Attempt,
+    /// Whether the other hosts are to read the rows of the upstreams before they answer.
+    pub(crate) reads_rows: bool,
     pub(crate) answer: oneshot::Sender<peer::OriginAnswer>,
 }
 
@@ -84,10 +89,11 @@
         service: &Service,
         attempt: Option<Attempt>,
     ) -> Destination {
+        let asked_at = self.now();
         let Some(attempt) = attempt else {
-            self.wait_for_rows().await;
+            let has_rows = self.wait_for_rows(asked_at, READ_WAIT).await;
             self.wait_for_builds().await;
-            return match self.knows_builds(service) {
+            return match has_rows && self.knows_builds(service) {
                 true => self.only_destination(service),
                 false => Destination::Unknown,
             };
@@ -95,12 +101,16 @@
         if let Some(destination) = self.known_destination(attempt) {
             return destination;
         }
-        let destination = self.only_destination(service);
-        let covers_all_streams = self.fleet().builds.covers_all_streams(self.now());
-        if destination != Destination::Unknown && covers_all_streams {
-            return destination;
+        // While builds differ, the rows do not tell where the stream began.
+        let is_mixed = self.fleet().builds.is_mixed(asked_at, service);
+        let has_rows = !is_mixed && self.wait_for_rows(asked_at, READ_WAIT).await;
+        if has_rows && self.fleet().builds.covers_all_streams(self.now()) {
+            let destination = self.only_destination(service);
+            if destination != Destination::Unknown {
+                return destination;
+            }
         }
-        let answer = self.ask_other_hosts(service, attempt).await;
+        let answer = self.ask_other_hosts(service, attempt, !is_mixed && !has_rows).await;
         if let (Some(service), Some(build)) = (answer.service, answer.build) {
             let place = Place { service: Service::new(service), build: Build::new(build) };
             lock(&self.stream_origins).record(self.now(), attempt, &place, Source::Told);
@@ -109,12 +119,12 @@
         if let Some(destination) = self.known_destination(attempt) {
             return destination;
         }
-        // After a suspension, or without the row store, this host may know one of several builds only.
-        let is_current = self.wait_for_rows().await;
+        // After its start, this host may know only one of several builds.
         self.wait_for_builds().await;
         let destination = self.only_destination(service);
-        let knows_builds = self.knows_builds(service) || is_current && answer.knows_builds;
-        if knows_builds && !answer.mixed && destination != Destination::Unknown {
+        let has_rows = has_rows || answer.has_read_rows;
+        let knows_builds = self.knows_builds(service) || answer.knows_builds;
+        if has_rows && knows_builds && !answer.mixed && destination != Destination::Unknown {
             return destination;
         }
         self.wait_for_streams().await;
@@ -135,13 +145,19 @@
         lock(&self.stream_origins).place(attempt).cloned().map(Destination::Known)
     }
 
-    /// Asks other hosts where a stream began. The answer is empty if there is none in time.
-    async fn ask_other_hosts(&self, service: &Service, attempt: Attempt) -> peer::OriginAnswer {
+    /// Asks other hosts where a stream began, and to read the rows of the upstreams first if this host cannot.
+    /// The answer is empty if there is none in time.
+    async fn ask_other_hosts(
+        &self,
+        service: &Service,
+        attempt: Attempt,
+        reads_rows: bool,
+    ) -> peer::OriginAnswer {
         if !self.has_joined_mesh() {
             return peer::OriginAnswer::default();
         }
         let (answer, received) = oneshot::channel();
-        let question = OriginQuestion { service: service.clone(), attempt, answer };
+        let question = OriginQuestion { service: service.clone(), attempt, reads_rows, answer };
         if self.origin_questions.sender.try_send(question).is_err() {
             log::warn!(service = service.as_str();
                 "too many questions where streams began wait for other hosts");
@@ -152,8 +168,13 @@
     }
 
     /// Answers another host's question where a stream began.
-    pub(crate) fn answer_origin(&self, question: &peer::OriginQuestion) -> peer::OriginAnswer {
+    pub(crate) async fn answer_origin(
+        &self,
+        question: &peer::OriginQuestion,
+    ) -> peer::OriginAnswer {
         let service = Service::new(question.service.clone());
+        let has_read_rows =
+            question.reads_rows && self.wait_for_rows(self.now(), PEER_READ_WAIT).await;
         let origins = lock(&self.stream_origins);
         let place = origins.place(Attempt(question.attempt)).cloned();
         drop(origins);
@@ -164,6 +185,7 @@
             build: place.as_ref().map(|it| FastStr::new(it.build.as_str())),
             mixed,
             knows_builds: self.knows_builds(&service),
+            has_read_rows,
         }
     }
 
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -201,8 +201,10 @@
         let mut read_snapshot = true;
         let mut failures = 0_u32;
         loop {
-            if self.is_pulled(table) && self.replicas.is_delegated(self.gateway.now()) {
-                sleep(DELEGATED_POLL).await;
+            if self.is_pulled(table)
+                && self.replicas.is_delegated(self.gateway.now())
+                && !self.pause(table, DELEGATED_POLL).await
+            {
                 continue;
             }
             let requested_at = self.gateway.now();
@@ -254,9 +256,10 @@
                     }
                     self.apply(table, page.rows, known, revision, is_snapshot);
                     if table == Table::Upstreams {
-                        self.gateway.fleet().set_rows_as_of(requested_at);
+                        self.gateway.set_rows_as_of(requested_at);
                     }
-                    sleep(if read_snapshot { RETRY_DELAY } else { poll_interval }).await;
+                    let pause = if read_snapshot { RETRY_DELAY } else { poll_interval };
+                    self.pause(table, pause).await;
                 }
                 Err(RowStoreError::Compacted) => {
                     log::info!(table = table.name(), era = known.era, version = known.version;
@@ -270,13 +273,23 @@
                             error = err.to_string().as_str(); "store cannot be read");
                     }
                     self.replicas.sync_needed.notify_one();
-                    sleep((RETRY_DELAY * 2_u32.pow(failures.min(4))).min(MAX_RETRY_DELAY)).await;
+                    let delay = RETRY_DELAY * 2_u32.pow(failures.min(4));
+                    self.pause(table, delay.min(MAX_RETRY_DELAY)).await;
                     failures += 1;
                 }
             }
         }
     }
 
+    /// Pauses between two reads of a table, until a request needs newer rows of the upstreams. Returns
+    /// whether one does.
+    async fn pause(&self, table: Table, pause: Duration) -> bool {
+        tokio::select! {
+            () = self.gateway.row_reads.wanted(), if table == Table::Upstreams => true,
+            () = sleep(pause) => false,
+        }
+    }
+
     /// Records at which revision the store was seen, and when. `waited` marks the response to a call
     /// that waits for changes.
     fn record_sighting(&self, requested_at: Instant, page: &Page, waited: bool) {
