body_buffer, forward: the body of an error has a bound of its own in bytes and time

Requests waited for it until their deadline of 12 s or until all bodies together had no memory left at 12.8 MB, so 6 or 7 of 88 were refused with 504.

Cause: the bounds of a body (8 MiB, the request's deadline) were those of a success. Until one was reached the attempt had not failed, so nothing was sent elsewhere and the upstream was chosen 26 times.

Change: the body of an error ends within 1 s of its head and, unless its length is announced, within 64 KiB, the size that always fits into memory. Else the attempt has failed as if the upstream had broken off: another one follows if one may, and the failure counts against the upstream.

test_endless::error_without_end_leaves_time_for_another_upstream failed before with 504 (timed_out).

--- a/lib/src/body_buffer.rs
+++ b/lib/src/body_buffer.rs
@@ -12,6 +12,8 @@
 
 /// Largest body of a response, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// Largest body of an error response whose length is not announced, in bytes. It may have no end.
+const MAX_ERROR_BYTES: usize = SMALL_BODY_BYTES;
 /// First capacity of a block whose length is not known, in bytes.
 const FIRST_CAPACITY: usize = 1 << 10;
 
@@ -27,6 +29,9 @@
         /// Bytes of this body so far.
         bytes: usize,
     },
+    /// The body did not end in time.
+    #[error("the body does not end")]
+    Stalled,
     /// The host has no memory for the body now.
     #[error("no memory is left for the body: {bytes} bytes, with {all_bytes} bytes of all bodies")]
     NoMemory {
@@ -65,6 +70,17 @@
         Buffer { account, owner, charge, max_bytes: MAX_BODY_BYTES }
     }
 
+    /// Limits a body without an announced length to what the body of an error response may have.
+    pub(crate) fn with_error_limit<B>(mut self, body: &B) -> Self
+    where
+        B: HttpBody,
+    {
+        if body.size_hint().exact().is_none() {
+            self.max_bytes = MAX_ERROR_BYTES;
+        }
+        self
+    }
+
     /// Creates a buffer for the body of a request of at most `max_bytes`. `charge` is what its announced length
     /// was charged.
     pub(crate) fn for_request(
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -39,6 +39,9 @@
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 /// Fraction of the time left within the latency objective that fetches of cached parts may take.
 const FETCH_BUDGET_FRACTION: f64 = 0.4;
+/// Longest time from the head of an error response to the end of its body. The caller can do without the body
+/// sooner than without another attempt.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest timeout of an attempt, unless less of the request's time is left.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -619,20 +622,26 @@
     ) -> Result<Option<Response<Body>>, Error> {
         let UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested } =
             upstream_response;
-        let read = Buffer::for_response(&self.gateway.memory, charge).read(body);
-        let read = match timeout_at(self.job.deadline, read).await {
-            Err(_) => {
+        let mut buffer = Buffer::for_response(&self.gateway.memory, charge);
+        let mut read_deadline = self.job.deadline;
+        if !head.status.is_success() {
+            buffer = buffer.with_error_limit(&body);
+            read_deadline = read_deadline.min(head_at + ERROR_BODY_TIMEOUT);
+        }
+        let read = match timeout_at(read_deadline, buffer.read(body)).await {
+            Err(_) if read_deadline == self.job.deadline => {
                 attempt.complete(Outcome::Failed);
                 return Err(self.deadline_error());
             }
+            Err(_) => Err(ReadError::Stalled),
             Ok(read) => read,
         };
         let read = match read {
             Ok(read) => read,
             Err(err) => {
                 log::info!(request = self.job.metadata.id.as_str(),
-                    upstream = attempt.choice.id.as_str(), error = err.to_string().as_str();
-                    "response body cannot be read");
+                    upstream = attempt.choice.id.as_str(), status = head.status.as_u16(),
+                    error = err.to_string().as_str(); "response body cannot be read");
                 // Both are counted again in `handle_break`.
                 self.times_sent -= 1;
                 self.runs -= 1;
--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -391,7 +391,9 @@
     }
     let read = Buffer::for_request(&gateway.memory, max_bytes, charge).read(&mut body);
     match timeout_at(deadline, read).await {
-        Err(_) => Err(Error::new(Kind::BodyStalled, "the body stopped arriving")),
+        Err(_) | Ok(Err(ReadError::Stalled)) => {
+            Err(Error::new(Kind::BodyStalled, "the body stopped arriving"))
+        }
         Ok(Ok(body)) => Ok(body),
         Ok(Err(ReadError::TooLarge { .. })) => Err(too_large()),
         Ok(Err(ReadError::NoMemory { .. })) => {
