body_buffer: a response in very many tiny frames is given up

What callers saw: with an upstream that answers 200 in chunks of one byte without end, requests that could have run elsewhere waited until their deadline (504), and the host spent most of a core on the bytes.

Cause: bodies had bounds in bytes and in time, and none on what a byte costs when it comes in a frame of its own.

Change: beyond 65,536 frames of less than 16 bytes on average a response has failed, and another attempt may follow. Requests keep their bound, the largest body that the configuration allows.

test_endless::success_in_tiny_chunks_without_end_leaves_time_for_another_upstream failed before with 504.

--- a/lib/src/body_buffer.rs
+++ b/lib/src/body_buffer.rs
@@ -14,6 +14,10 @@
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// Largest body of an error response whose length is not announced, in bytes. It may have no end.
 const MAX_ERROR_BYTES: usize = SMALL_BODY_BYTES;
+/// Frames of a response's body from which their mean size matters.
+const MAX_TINY_FRAMES: usize = 64 << 10;
+/// Mean size below which frames are tiny, in bytes. Reading them takes much more processor time than their bytes.
+const TINY_FRAME_BYTES: usize = 16;
 /// First capacity of a block whose length is not known, in bytes.
 const FIRST_CAPACITY: usize = 1 << 10;
 
@@ -29,6 +33,14 @@
         /// Bytes of this body so far.
         bytes: usize,
     },
+    /// The body comes in very many tiny frames.
+    #[error("the body comes in tiny frames: {frames} of them for {bytes} bytes")]
+    TinyFrames {
+        /// Bytes of this body so far.
+        bytes: usize,
+        /// Its frames so far.
+        frames: usize,
+    },
     /// The body did not end in time.
     #[error("the body does not end")]
     Stalled,
@@ -106,11 +118,14 @@
             self.check_size(length)?;
             self.reserve(&mut block, length)?;
         }
+        let mut frames = 0;
         while let Some(frame) = body.frame().await {
             // Trailers are not passed on.
             let Ok(data) = frame.map_err(|_| ReadError::Broken)?.into_data() else { continue };
             let length = block.len() + data.len();
             self.check_size(length)?;
+            frames += 1;
+            self.check_frames(length, frames)?;
             if length > block.capacity() {
                 let capacity = length.max(2 * block.capacity()).max(FIRST_CAPACITY);
                 self.reserve(&mut block, capacity)?;
@@ -123,6 +138,15 @@
         Ok(Bytes::from_owner(Block { bytes: block, _charge: self.charge }))
     }
 
+    /// Checks that the body of a response costs no more processor time than its size explains.
+    fn check_frames(&self, bytes: usize, frames: usize) -> Result<(), ReadError> {
+        let is_tiny = frames > MAX_TINY_FRAMES && bytes / frames < TINY_FRAME_BYTES;
+        match is_tiny && self.owner == Owner::Responses {
+            true => Err(ReadError::TinyFrames { bytes, frames }),
+            false => Ok(()),
+        }
+    }
+
     fn check_size(&self, bytes: usize) -> Result<(), ReadError> {
         if bytes > self.max_bytes { Err(ReadError::TooLarge { bytes }) } else { Ok(()) }
     }
--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -400,7 +400,9 @@
             discard(body, deadline).await;
             Err(no_memory())
         }
-        Ok(Err(ReadError::Broken)) => Err(Error::new(Kind::BodyBroken, "the body broke off")),
+        Ok(Err(ReadError::Broken | ReadError::TinyFrames { .. })) => {
+            Err(Error::new(Kind::BodyBroken, "the body broke off"))
+        }
     }
 }
 
