stream, stream_resumption: a stream waits for the rows of upstreams that have started again

What callers saw (ORDER): a stream of known origin went on at an upstream that had started again under its id and address with a newer build.

What the stream needs is the build of the process that listens there now.

Change: before a stream goes on, in one answer or by another request, its host reads the rows, for 100 ms at most. If they cannot be read it goes on as before: a stream whose origin is known is not refused because the store is down.

Still open: an upstream that takes requests before its new row is in the store, and one that starts again while the store cannot be read.

--- a/lib/src/row_reads.rs
+++ b/lib/src/row_reads.rs
@@ -12,6 +12,9 @@
 /// How long a request waits for the rows.
 pub(crate) const READ_WAIT: Duration = Duration::from_millis(400);
 
+/// How long a stream that can also go on without newer rows waits for them.
+pub(crate) const BRIEF_READ_WAIT: Duration = Duration::from_millis(100);
+
 /// Connects requests that need newer rows with the loop that reads them.
 #[derive(Debug, Default)]
 pub(crate) struct RowReads {
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -122,7 +122,7 @@
             let resumed = tokio::select! {
                 () = chunks.closed() => return,
                 () = ending.cancelled() => break,
-                resumed = self.send_with_retries(last_event_id) => resumed,
+                resumed = self.resume(last_event_id) => resumed,
             };
             match resumed {
                 Ok(next) if next.head.status == StatusCode::OK => upstream_response = next,
@@ -138,6 +138,15 @@
         let _ = chunks.send(Err(Truncated), 0).await;
     }
 
+    /// Sends the request to another upstream, which goes on with the stream after an event.
+    async fn resume(
+        &mut self,
+        last_event_id: Option<u64>,
+    ) -> Result<UpstreamResponse<C>, Error> {
+        self.gateway.wait_for_restarts().await;
+        self.send_with_retries(last_event_id).await
+    }
+
     /// Forwards the events of one run, except those that the caller already has, and returns how
     /// the run ended. `last_event_id` is that of the last forwarded event.
     async fn forward_run(
--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -11,7 +11,7 @@
     gateway::{Gateway, lock},
     generated::peer,
     prelude::*,
-    row_reads::READ_WAIT,
+    row_reads::{BRIEF_READ_WAIT, READ_WAIT},
     stream_origin::{Attempt, Place, Source},
 };
 
@@ -99,6 +99,7 @@
             };
         };
         if let Some(destination) = self.known_destination(attempt) {
+            self.wait_for_restarts().await;
             return destination;
         }
         // While builds differ, the rows do not tell where the stream began.
@@ -131,6 +132,12 @@
         self.known_destination(attempt).unwrap_or(Destination::Unknown)
     }
 
+    /// Waits, for a moment at most, for the rows of upstreams that have started again under their ids, maybe
+    /// with another build.
+    pub(crate) async fn wait_for_restarts(&self) {
+        self.wait_for_rows(self.now(), BRIEF_READ_WAIT).await;
+    }
+
     /// Returns where a stream can go on whose beginning is not known.
     fn only_destination(&self, service: &Service) -> Destination {
         let (now, fleet) = (self.now(), self.fleet());
