stream: what does not go on with a stream never reaches its caller

Shown here by tests: a 200 with another type of content was taken for events, so text with an empty line reached the caller; a run that went on and ended without any event ended the stream as complete. An error status could not get through, but cut the stream though a third upstream might have gone on.

Change: a run goes on only with a 200 of the content type of the first run, and one that ends without an event counts as broken off. In either case another upstream is tried while the request may run again, and else the stream is cut.

The two tests of streams in test_broken_response failed before. The third one of that file, for heads and bodies that stop in the middle, passed before: an answer that stops in its head is no success here.

--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -2,7 +2,7 @@
 //! they arrive, and a broken stream is resumed at another upstream if the route allows it. Also finds
 //! out where a stream can go on that the caller resumes.
 
-use http::{Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
@@ -107,8 +107,13 @@
             RunningStream { gateway: self.gateway.clone(), attempt: self.stream_attempt() };
         let mut last_event_id = None;
         let ending = self.gateway.ending.clone();
+        let content_type = upstream_response.head.headers.get(header::CONTENT_TYPE).cloned();
+        let mut is_first_run = true;
         loop {
-            let end = self.forward_run(upstream_response, &chunks, &mut last_event_id).await;
+            let end = self
+                .forward_run(upstream_response, &chunks, &mut last_event_id, is_first_run)
+                .await;
+            is_first_run = false;
             let retry = match end {
                 RunEnd::Completed | RunEnd::CallerLeft => return,
                 RunEnd::TimedOut | RunEnd::Withdrawn | RunEnd::HostEnds => false,
@@ -122,11 +127,11 @@
             let resumed = tokio::select! {
                 () = chunks.closed() => return,
                 () = ending.cancelled() => break,
-                resumed = self.resume(last_event_id) => resumed,
+                resumed = self.resume(last_event_id, content_type.as_ref()) => resumed,
             };
             match resumed {
-                Ok(next) if next.head.status == StatusCode::OK => upstream_response = next,
-                _ => break,
+                Some(next) => upstream_response = next,
+                None => break,
             }
         }
         log::info!(request = self.job.metadata.id.as_str(), route = self.job.route.name.as_str(),
@@ -138,22 +143,42 @@
         let _ = chunks.send(Err(Truncated), 0).await;
     }
 
-    /// Sends the request to another upstream, which goes on with the stream after an event.
+    /// Sends the request to other upstreams until one goes on with the stream after an event. What an upstream
+    /// responds that does not go on with it must not reach the caller, who has the head of the first run.
     async fn resume(
         &mut self,
         last_event_id: Option<u64>,
-    ) -> Result<UpstreamResponse<C>, Error> {
+        content_type: Option<&HeaderValue>,
+    ) -> Option<UpstreamResponse<C>> {
         self.gateway.wait_for_restarts().await;
-        self.send_with_retries(last_event_id).await
+        loop {
+            let next = self.send_with_retries(last_event_id).await.ok()?;
+            let head = &next.head;
+            let is_alike = head.headers.get(header::CONTENT_TYPE) == content_type;
+            if head.status == StatusCode::OK && is_alike {
+                return Some(next);
+            }
+            log::info!(request = self.job.metadata.id.as_str(),
+                upstream = next.attempt.choice.id.as_str(), status = head.status.as_u16(),
+                same_content_type = is_alike; "upstream does not go on with the stream");
+            self.tried.push(next.attempt.choice.id.clone());
+            let outcome = if next.pause_requested { Outcome::Paused } else { Outcome::Failed };
+            next.attempt.complete(outcome);
+            if !self.may_retry() {
+                return None;
+            }
+        }
     }
 
     /// Forwards the events of one run, except those that the caller already has, and returns how
-    /// the run ended. `last_event_id` is that of the last forwarded event.
+    /// the run ended. `last_event_id` is that of the last forwarded event. `is_first` is whether this is the
+    /// run whose head the caller got.
     async fn forward_run(
         &mut self,
         upstream_response: UpstreamResponse<C>,
         chunks: &Sender<Result<Bytes, Truncated>>,
         last_event_id: &mut Option<u64>,
+        is_first: bool,
     ) -> RunEnd {
         let UpstreamResponse { attempt, connection, head, mut body, started, head_at, .. } =
             upstream_response;
@@ -175,7 +200,13 @@
                     self.gateway.record_heard();
                     frame.into_data().unwrap_or_default()
                 }
-                Ok(None) if decoder.take_remaining().is_empty() => break,
+                // A run that goes on with a stream and has no event does not show that the stream is complete.
+                Ok(None)
+                    if decoder.take_remaining().is_empty()
+                        && (is_first || first_event_time.is_some()) =>
+                {
+                    break;
+                }
                 Ok(None | Some(Err(_))) => {
                     let signs = Signs {
                         is_break: true,
