answer_time, forward: no further attempt begins that cannot end in time

Cause: a further attempt was made while any time was left.

Change: hosts keep a moving average of how long whole answers of each route take. Another attempt is made only if half of that is left; the request fails at once otherwise. A caller that already has a part of its stream gets what there is time for. First attempts are as before.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -21,7 +21,7 @@
     fatal_prompt::Signs,
     fault::{Cause, Delivery},
     fleet::{Choice, Denial, Outcome, Query},
-    gateway::Gateway,
+    gateway::{Gateway, lock},
     hop_by_hop,
     memory_account::{Charge, Owner},
     poison::{self, Admission},
@@ -371,6 +371,10 @@
             if self.job.time_left().is_zero() {
                 return Err(self.deadline_error());
             }
+            // A caller that has part of the stream gets what there is time for.
+            if last_event_id.is_none() {
+                self.check_time_left()?;
+            }
             if self.gateway.is_quarantined(self.job.fingerprint) {
                 return Err(self.refusal_error(Kind::Quarantined, Duration::from_secs(60)));
             }
@@ -400,6 +404,16 @@
         }
     }
 
+    /// Checks that another attempt can end in the time that is left to the request.
+    fn check_time_left(&self) -> Result<(), Error> {
+        let route = self.job.route.name.as_str();
+        let answer_times = lock(&self.gateway.answer_times);
+        match self.runs == 0 || answer_times.may_end_within(route, self.job.time_left()) {
+            true => Ok(()),
+            false => Err(self.deadline_error()),
+        }
+    }
+
     /// Chooses an upstream, with a preference for one whose zone holds cached parts of the prompt.
     fn choose(&self, allowed: Option<&[Upstream]>) -> Result<Choice, Denial> {
         let job = &self.job;
@@ -663,6 +677,9 @@
         self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let response = self.build_response(&head, Body::Buffered(Full::new(read)));
         if !head.status.is_server_error() {
+            if head.status.is_success() {
+                self.record_answer_time(started.elapsed());
+            }
             attempt.complete(Outcome::Served(started.elapsed()));
             return Ok(Some(response));
         }
@@ -680,6 +697,11 @@
         Ok(Some(response))
     }
 
+    /// Records how long the whole response of an attempt took.
+    pub(crate) fn record_answer_time(&self, time: Duration) {
+        lock(&self.gateway.answer_times).record(&self.job.route.name, time);
+    }
+
     /// Returns whether an idempotent request that an upstream answered with an error may run at another
     /// one, which may know better: once, and only if the time left allows for as long an attempt.
     fn may_retry_error(&self, started: TokioInstant) -> bool {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    answer_time::AnswerTimes,
     build_gossip::BuildTrials,
     build_share::Order,
     cache_index::Index,
@@ -92,6 +93,7 @@
     pub(crate) origin_questions: OriginQuestions,
     pub(crate) stream_ledger: LedgerLink,
     pub(crate) row_reads: RowReads,
+    pub(crate) answer_times: Mutex<AnswerTimes>,
     active_requests: AtomicU32,
     /// Callers' connections on which a request was read, until they end.
     unfinished_connections: AtomicU32,
@@ -161,6 +163,7 @@
             origin_questions: OriginQuestions::default(),
             stream_ledger: LedgerLink::default(),
             row_reads: RowReads::default(),
+            answer_times: Mutex::default(),
             active_requests: AtomicU32::new(0),
             unfinished_connections: AtomicU32::new(0),
             memory,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admin;
 pub mod admission;
 pub mod answer;
+pub mod answer_time;
 mod attempt_connection;
 pub mod backend;
 mod body_buffer;
--- a/lib/src/pass_through.rs
+++ b/lib/src/pass_through.rs
@@ -55,6 +55,7 @@
                     self.gateway.pool().put(id, address, connection, &head.headers);
                     self.gateway.forget_crashes(self.job.fingerprint);
                     self.gateway.record_answer(&self.shared_parts);
+                    self.record_answer_time(started.elapsed());
                     attempt.complete(Outcome::Served(latency));
                     return;
                 }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -261,6 +261,9 @@
             .with_label_values(&[route])
             .observe(first_event_time.as_secs_f64());
         attempt.complete(Outcome::Served(first_event_time));
+        if is_first && self.job.metadata.last_event_id.is_none() {
+            self.record_answer_time(started.elapsed());
+        }
         let parts = self.cache_plan.as_ref().map(Plan::summary).unwrap_or_default();
         log::info!(request = self.job.metadata.id.as_str(), route = self.job.route.name.as_str(),
             upstream = choice.id.as_str(), build = choice.build.as_str(), chosen = choice.reason,
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod test_adapters;
 mod test_admission;
 mod test_answer;
+mod test_answer_time;
 mod test_bad_input;
 mod test_build_evidence;
 mod test_build_share;
