gateway_process, forward: a request that may outlive the host is refused before it is sent

Change: a host that shuts down sends a request only if it ends before the host does: by its own deadline, or, while the load balancer still sends callers there, by what answers of the route take. Else it is refused with 503, has not run and can go elsewhere at once. The same holds for further attempts.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -404,13 +404,27 @@
         }
     }
 
-    /// Checks that another attempt can end in the time that is left to the request.
+    /// Checks that the response can end in the time that is left to the request, and to this host if it shuts
+    /// down.
     fn check_time_left(&self) -> Result<(), Error> {
-        let route = self.job.route.name.as_str();
+        let (left, route) = (self.job.time_left(), self.job.route.name.as_str());
+        let shutdown_left = self.gateway.shutdown_left();
         let answer_times = lock(&self.gateway.answer_times);
-        match self.runs == 0 || answer_times.may_end_within(route, self.job.time_left()) {
-            true => Ok(()),
-            false => Err(self.deadline_error()),
+        if self.runs > 0 {
+            let left = shutdown_left.map_or(left, |it| it.min(left));
+            return match answer_times.may_end_within(route, left) {
+                true => Ok(()),
+                false => Err(self.deadline_error()),
+            };
+        }
+        let Some(shutdown_left) = shutdown_left.filter(|it| *it < left) else { return Ok(()) };
+        // Few requests still arrive once the host closes its connections, and each of them can go elsewhere.
+        let is_late = self.gateway.closing.is_cancelled()
+            || answer_times.mean(route).is_some_and(|it| it > shutdown_left);
+        match is_late {
+            true => Err(Error::new(Kind::ShuttingDown, "this host ends before the request may")
+                .with_retry_after(BEGIN_ANEW_WAIT)),
+            false => Ok(()),
         }
     }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -11,7 +11,10 @@
 };
 
 use arc_swap::ArcSwapOption;
-use tokio::sync::{Notify, watch};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant as TokioInstant,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -94,6 +97,8 @@
     pub(crate) stream_ledger: LedgerLink,
     pub(crate) row_reads: RowReads,
     pub(crate) answer_times: Mutex<AnswerTimes>,
+    /// When a host that shuts down ends what is then in progress.
+    stop_deadline: OnceLock<TokioInstant>,
     active_requests: AtomicU32,
     /// Callers' connections on which a request was read, until they end.
     unfinished_connections: AtomicU32,
@@ -164,6 +169,7 @@
             stream_ledger: LedgerLink::default(),
             row_reads: RowReads::default(),
             answer_times: Mutex::default(),
+            stop_deadline: OnceLock::new(),
             active_requests: AtomicU32::new(0),
             unfinished_connections: AtomicU32::new(0),
             memory,
@@ -228,6 +234,18 @@
             && !self.fleet().has_no_active()
     }
 
+    /// Starts to shut down. What is in progress at `deadline` is ended then.
+    pub fn start_shutdown(&self, deadline: TokioInstant) {
+        let _ = self.stop_deadline.set(deadline);
+        self.draining.cancel();
+    }
+
+    /// Returns how long requests may still take if the host shuts down.
+    pub(crate) fn shutdown_left(&self) -> Option<Duration> {
+        let deadline = self.stop_deadline.get()?;
+        Some(deadline.saturating_duration_since(TokioInstant::now()))
+    }
+
     /// Records whether this host exchanges messages with other hosts.
     pub fn set_mesh_joined(&self, joined: bool) {
         self.mesh_joined.store(joined, Ordering::Release);
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -410,13 +410,13 @@
     }
     let stop_time = TokioInstant::now();
     log::info!(active = gateway.active_requests(); "stopping");
-    gateway.draining.cancel();
+    let deadline = stop_time + host_settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    gateway.start_shutdown(deadline);
     sleep(BALANCER_DELAY.min(host_settings.bounds.grace / 2)).await;
     gateway.closing.cancel();
     if let Err(err) = accepting.await {
         log::error!(error = err.to_string().as_str(); "accepting connections ended with an error");
     }
-    let deadline = stop_time + host_settings.bounds.grace.saturating_sub(GRACE_MARGIN);
     // A connection ends after its response is written, a request only has been handled by then. This
     // leaves time for connections that were accepted last.
     sleep(SHUTDOWN_POLL * 4).await;
