row_reads: a read that shows a store come back from a copy is not enough

Cause: the time from which the store's rows count was taken before the read that is the first one to show the new era.

Change: it is looked at again after each read that is waited for.

--- a/lib/src/row_reads.rs
+++ b/lib/src/row_reads.rs
@@ -41,16 +41,15 @@
         self.wanted.notified().await;
     }
 
-    /// Asks for rows as of `since` or later, and waits for them for at most `wait`. Returns whether they
-    /// are known.
-    async fn wait(&self, since: Instant, wait: Duration) -> bool {
+    /// Asks for rows as of `since` or later, and waits until they are known.
+    async fn wait(&self, since: Instant) {
         let mut as_of = self.as_of.subscribe();
         let is_known = |it: &Option<Instant>| it.is_some_and(|it| it >= since);
-        if is_known(&as_of.borrow()) {
-            return true;
+        if !is_known(&as_of.borrow()) {
+            self.wanted.notify_one();
         }
-        self.wanted.notify_one();
-        timeout(wait, as_of.wait_for(is_known)).await.is_ok_and(|it| it.is_ok())
+        // The sender is part of `self`, so it cannot be gone.
+        let _ = as_of.wait_for(is_known).await;
     }
 }
 
@@ -68,7 +67,15 @@
     /// whether they are, and hold every upstream that was in use by then.
     pub(crate) async fn wait_for_rows(&self, since: Instant, wait: Duration) -> bool {
         // A store that has come back from a copy lacks the rows of the newest upstreams for a while.
-        let since = since.max(self.holdover().rows_rewritten_at());
-        self.row_reads.wait(since, wait).await
+        let needed = || since.max(self.holdover().rows_rewritten_at());
+        let rows = async {
+            let mut known = Instant::ZERO;
+            // The read that is waited for may be the first one to show it.
+            while known < needed() {
+                known = needed();
+                self.row_reads.wait(known).await;
+            }
+        };
+        timeout(wait, rows).await.is_ok()
     }
 }
