stream: events that the caller has are not sent again

Cause: what the caller has was known only from the events of this answer, not from the event that the request names.

Change: events up to the one that the request names are left out.

test_stream_build::events_that_the_caller_has_do_not_come_again failed before.

--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -105,7 +105,9 @@
         let _active = self.gateway.track_request();
         let _running =
             RunningStream { gateway: self.gateway.clone(), attempt: self.stream_attempt() };
-        let mut last_event_id = None;
+        // A caller that resumes a stream has the events up to this one.
+        let mut last_event_id =
+            self.job.metadata.last_event_id.as_deref().and_then(|it| it.parse().ok());
         let ending = self.gateway.ending.clone();
         let content_type = upstream_response.head.headers.get(header::CONTENT_TYPE).cloned();
         let mut is_first_run = true;
