--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -52,9 +52,12 @@
             Destination::Unknown => ("origin_unknown", None),
         };
         self.gateway.metrics.resumed_streams.with_label_values(&[outcome]).inc();
+        let rows_as_of = self.gateway.fleet().builds.rows_as_of();
+        let rows_age = rows_as_of.map(|it| self.gateway.now().since(it));
         log::info!(request = id.as_str(), stream_origin = stream_origin.as_deref(),
             last_event = last_event_id.as_deref(), service = service.as_str(), outcome = outcome,
-            build = build.map(Build::as_str), asked_ms = started.elapsed().as_millis() as u64;
+            build = build.map(Build::as_str), asked_ms = started.elapsed().as_millis() as u64,
+            rows_age_ms = rows_age.map(|it| it.as_millis() as u64);
             "caller resumes a stream");
         let lost =
             |message| Err(Error::new(Kind::StreamLost, message).with_retry_after(BEGIN_ANEW_WAIT));
