ledger_sync: where streams began is read again for each stream that nobody knows

What callers saw: streams were refused (stream_lost) at hosts of a large mesh though the row store knew where they had begun. With 102 processes in six zones, 8 frozen and 8 killed in each zone as a second build came, 86 of 198 streams that were taken up were refused.

Cause: a host read these rows once after its start or after it had been out of step, and took it that other hosts told it of all later streams. In a large mesh only leaders are told, and they may be lost with the hosts they serve.

Change: such a request waits for a read that begins after it came. Requests share reads, which are 100 ms apart at least.

--- a/lib/src/ledger_sync.rs
+++ b/lib/src/ledger_sync.rs
@@ -29,6 +29,8 @@
 const REREAD_PERIOD: Duration = Duration::from_secs(5);
 /// Age of a read after which the builds table is read again before it is changed.
 const MAX_READ_AGE: Duration = Duration::from_millis(100);
+/// Shortest time between two reads of where streams began. All requests that come meanwhile share the next one.
+const MIN_STREAMS_READ_PERIOD: Duration = Duration::from_millis(100);
 /// Time after its start within which a host first changes the builds table. Until then, most hosts have
 /// found the leader of their zone, which does so.
 const START_SPREAD: Duration = Duration::from_secs(2);
@@ -77,17 +79,9 @@
         let _ = timeout(READ_WAIT, reads.wait_for(|it| it.builds >= Some(since))).await;
     }
 
-    /// Waits, for a moment at most, until this host has read where streams began. One that has kept up for as
-    /// long as streams last has been told by the others.
-    pub(crate) async fn wait_for_streams(&self) {
-        let now = self.now();
-        let since = {
-            let builds = &self.fleet().builds;
-            if builds.covers_all_streams(now) {
-                return;
-            }
-            builds.complete_since()
-        };
+    /// Waits, for a moment at most, until this host has read where streams began, as of `since` or later. What
+    /// other hosts tell each other dies with them, and in a large mesh not all of them are told.
+    pub(crate) async fn wait_for_streams(&self, since: Instant) {
         let mut reads = self.stream_ledger.is_read.subscribe();
         self.stream_ledger.streams_wanted.notify_one();
         let _ = timeout(READ_WAIT, reads.wait_for(|it| it.streams >= Some(since))).await;
@@ -124,7 +118,7 @@
         let pause = STORE_PERIOD * 2_u32.pow(failures.min(4));
         tokio::select! {
             () = sleep(pause.min(MAX_RETRY_DELAY)) => {}
-            () = gateway.stream_ledger.streams_wanted.notified() => worker.read_streams_once().await,
+            () = gateway.stream_ledger.streams_wanted.notified() => worker.read_streams().await,
         }
     }
 }
@@ -243,14 +237,16 @@
         Ok(())
     }
 
-    /// Reads where streams began, unless that is done.
-    async fn read_streams_once(&mut self) {
+    /// Reads where streams began, a moment after the last such read at the earliest.
+    async fn read_streams(&mut self) {
         let gateway = self.gateway;
         let is_read = &gateway.stream_ledger.is_read;
-        let requested_at = gateway.now();
-        if is_read.borrow().streams >= Some(gateway.fleet().builds.complete_since()) {
-            return;
+        let last_read_at = is_read.borrow().streams;
+        if let Some(last_read_at) = last_read_at {
+            let elapsed = gateway.now().since(last_read_at);
+            sleep(MIN_STREAMS_READ_PERIOD.saturating_sub(elapsed)).await;
         }
+        let requested_at = gateway.now();
         let page = match self.row_store.read_table(Table::Streams).await {
             Ok(page) => page,
             Err(err) => {
--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -128,7 +128,7 @@
         if has_rows && knows_builds && !answer.mixed && destination != Destination::Unknown {
             return destination;
         }
-        self.wait_for_streams().await;
+        self.wait_for_streams(asked_at).await;
         self.known_destination(attempt).unwrap_or(Destination::Unknown)
     }
 
