stream_resumption: rows are read also for a stream of which other hosts have told

A stream whose origin came from another host or from the row store went on by the rows of before, in which an upstream may still have its former build. The read stands with the look-up now, so that no way to a known origin is without it.

--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -98,8 +98,7 @@
                 false => Destination::Unknown,
             };
         };
-        if let Some(destination) = self.known_destination(attempt) {
-            self.wait_for_restarts().await;
+        if let Some(destination) = self.known_destination(attempt).await {
             return destination;
         }
         // While builds differ, the rows do not tell where the stream began.
@@ -117,7 +116,7 @@
             lock(&self.stream_origins).record(self.now(), attempt, &place, Source::Told);
         }
         // It may also have been told meanwhile.
-        if let Some(destination) = self.known_destination(attempt) {
+        if let Some(destination) = self.known_destination(attempt).await {
             return destination;
         }
         // After its start, this host may know only one of several builds.
@@ -129,7 +128,7 @@
             return destination;
         }
         self.wait_for_streams(asked_at).await;
-        self.known_destination(attempt).unwrap_or(Destination::Unknown)
+        self.known_destination(attempt).await.unwrap_or(Destination::Unknown)
     }
 
     /// Waits, for a moment at most, for the rows of upstreams that have started again under their ids, maybe
@@ -148,8 +147,10 @@
         }
     }
 
-    fn known_destination(&self, attempt: Attempt) -> Option<Destination> {
-        lock(&self.stream_origins).place(attempt).cloned().map(Destination::Known)
+    async fn known_destination(&self, attempt: Attempt) -> Option<Destination> {
+        let place = lock(&self.stream_origins).place(attempt).cloned()?;
+        self.wait_for_restarts().await;
+        Some(Destination::Known(place))
     }
 
     /// Asks other hosts where a stream began, and to read the rows of the upstreams first if this host cannot.
