forward: short requests are served while a host closes its connections

A request that came on a kept connection at that moment was refused if its own deadline was later than the host's end, also if answers of its route take milliseconds. It is refused only if four times the average does not fit into what is left, or nothing is known of the route.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -39,6 +39,9 @@
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 /// Fraction of the time left within the latency objective that fetches of cached parts may take.
 const FETCH_BUDGET_FRACTION: f64 = 0.4;
+/// How many times what responses of its route take on average a request needs that comes while the host closes its
+/// connections.
+const CLOSING_MARGIN: u32 = 4;
 /// Longest time from the head of an error response to the end of its body. The caller can do without the body
 /// sooner than without another attempt.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -418,9 +421,10 @@
             };
         }
         let Some(shutdown_left) = shutdown_left.filter(|it| *it < left) else { return Ok(()) };
-        // Few requests still arrive once the host closes its connections, and each of them can go elsewhere.
-        let is_late = self.gateway.closing.is_cancelled()
-            || answer_times.mean(route).is_some_and(|it| it > shutdown_left);
+        // Few requests still come once the host closes its connections, and each of them can go elsewhere.
+        let is_closing = self.gateway.closing.is_cancelled();
+        let margin = if is_closing { CLOSING_MARGIN } else { 1 };
+        let is_late = answer_times.mean(route).map_or(is_closing, |it| it * margin > shutdown_left);
         match is_late {
             true => Err(Error::new(Kind::ShuttingDown, "this host ends before the request may")
                 .with_retry_after(BEGIN_ANEW_WAIT)),
