--- a/lib/tests/test_stream_origin.rs
+++ b/lib/tests/test_stream_origin.rs
@@ -4,10 +4,12 @@
 
 use mothvale_lib::{
     fleet::{Choice, Denial, Fleet, Query, UpstreamRow},
+    generated::peer,
     prelude::*,
     stream_origin::{Attempt, Builds, Origins, Place, Source},
 };
 use mothvale_testutils::gateway::{ENGINES, at, configuration, engine, fleet};
+use pilota::pb::Message;
 use proptest::prelude::*;
 
 fn place(build: &str) -> Place {
@@ -240,3 +242,20 @@
         }
     }
 }
+
+/// Guards against hosts of an earlier program that cannot ask this one where streams began, or answer it, while a
+/// mesh goes over to another program. The bytes are those of 676c687.
+#[test]
+fn questions_and_answers_of_an_earlier_program_are_read() {
+    let question = b"\x0a\x02s1\x11\x07\0\0\0\0\0\0\0";
+    let read = peer::OriginQuestion::decode(Bytes::from_static(question)).unwrap();
+    assert_eq!((read.service.as_str(), read.attempt, read.reads_rows), ("s1", 7, false));
+    let answer = b"\x0a\x02v1\x10\x01\x1a\x02s1\x20\x01";
+    let read = peer::OriginAnswer::decode(Bytes::from_static(answer)).unwrap();
+    assert_eq!((read.build.as_deref(), read.service.as_deref()), (Some("v1"), Some("s1")));
+    assert!(read.mixed && read.knows_builds);
+    assert!(!read.has_read_rows, "it knows nothing of the question");
+    // A field of a later program, as the new ones are to an earlier one.
+    let later = [&answer[..], b"\x78\x01"].concat();
+    assert_eq!(peer::OriginAnswer::decode(Bytes::from(later)).unwrap(), read);
+}
