connection: reset connections of attempts that are given up

Cause: a connection was closed when its attempt was given up. After a close, the kernel goes on sending what the other side has not acknowledged, until the user timeout of 4 s.

Change: the socket of a call that is not complete is reset when it is dropped (`CallSocket`), which discards unsent bytes. Complete calls and idle connections are closed as before.

--- a/lib/src/connection.rs
+++ b/lib/src/connection.rs
@@ -23,7 +23,11 @@
     time::{Instant as TokioInstant, timeout},
 };
 
-use crate::{fault::Fault, prelude::*};
+use crate::{
+    call_socket::{CallSocket, CallState},
+    fault::Fault,
+    prelude::*,
+};
 
 /// Longest wait for a connection. A distant host accepts within a few milliseconds, but one whose
 /// accept queue is full only after seconds, and then another upstream is the better choice.
@@ -52,11 +56,12 @@
 #[error("{0}")]
 pub struct CallError(pub Fault);
 
-/// One connection, which is closed when dropped.
+/// One connection, which is closed when dropped, or reset in the middle of a call.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    call: CallState,
     idle_since: TokioInstant,
     idle_limit: Duration,
 }
@@ -93,7 +98,8 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| connect_error)?.map_err(|_| connect_error)?;
         set_socket_options(&stream, max_silence);
-        Connection::handshake(stream).await
+        let call = CallState::default();
+        Connection::start(CallSocket::new(stream, call.clone()), call).await
     }
 
     /// Starts the task that drives a connection over an open stream.
@@ -102,6 +108,13 @@
     ///
     /// Returns [`Fault::CONNECT`] when the connection cannot be set up.
     pub(crate) async fn handshake<T>(stream: T) -> Result<Self, CallError>
+    where
+        T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        Connection::start(stream, CallState::default()).await
+    }
+
+    async fn start<T>(stream: T, call: CallState) -> Result<Self, CallError>
     where
         T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
@@ -118,6 +131,7 @@
         Ok(Connection {
             sender,
             task,
+            call,
             idle_since: TokioInstant::now(),
             idle_limit: DEFAULT_IDLE_LIMIT,
         })
@@ -132,6 +146,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, CallError> {
+        self.call.begin();
         let result = self.sender.try_send_request(request).await;
         result.map_err(|mut err| match err.take_message() {
             Some(_) => CallError(Fault::CONNECT),
@@ -156,6 +171,7 @@
             let (head, body) = self.send(request).await?.into_parts();
             let body = Limited::new(body, max_bytes).collect().await;
             let body = body.map_err(|_| CallError(Fault::BROKEN))?.to_bytes();
+            self.call.finish();
             Ok(Response::from_parts(head, body))
         };
         timeout(max_wait, exchange).await.unwrap_or(Err(CallError(Fault::TIMEOUT)))
@@ -252,6 +268,7 @@
         mut connection: Connection,
         headers: &HeaderMap,
     ) {
+        connection.call.finish();
         connection.idle_since = TokioInstant::now();
         connection.idle_limit = idle_limit(headers);
         if !connection.is_closed() && !connection.idle_limit.is_zero() {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod cache_gc;
 pub mod cache_index;
 pub mod cache_watch;
+mod call_socket;
 pub mod choice;
 pub mod claim;
 pub mod client;
--- a/lib/tests/test_connection.rs
+++ b/lib/tests/test_connection.rs
@@ -1,13 +1,23 @@
-//! Tests of the options of connections, by which the kernel breaks those whose other side is silent.
+//! Tests of the options of connections, by which the kernel breaks those whose other side is silent, and of
+//! how connections end.
 
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
-use mothvale_lib::connection::{STORE_MAX_SILENCE, UPSTREAM_MAX_SILENCE, set_socket_options};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use mothvale_lib::connection::{
+    Connection, STORE_MAX_SILENCE, UPSTREAM_MAX_SILENCE, build_request, set_socket_options,
+};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 /// Silence of a sound upstream: a second or so.
 const SOUND_SILENCE: Duration = Duration::from_millis(1500);
+/// Longest wait for a response.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// First interval between retransmissions; each further one is twice as long.
 const FIRST_RETRANSMISSION: Duration = Duration::from_millis(200);
 
@@ -42,3 +52,43 @@
     let user_timeout = SockRef::from(&stream).tcp_user_timeout().unwrap();
     assert_eq!(user_timeout, Some(STORE_MAX_SILENCE));
 }
+
+/// A server for one connection that reads a request and answers it, if it is told to. Returns how its next
+/// read ends.
+async fn serve_once(listener: TcpListener, answers: bool) -> std::io::Result<usize> {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buffer = [0; 1024];
+    assert!(stream.read(&mut buffer).await.unwrap() > 0);
+    if answers {
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.unwrap();
+    }
+    stream.read(&mut buffer).await
+}
+
+/// Calls a server that answers or does not, drops the connection, and returns how the server's next read
+/// ends.
+async fn end_of_call(answers: bool) -> std::io::Result<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(serve_once(listener, answers));
+    let mut connection = Connection::connect_upstream(address).await.unwrap();
+    let path = Uri::from_static("/read/");
+    let request = build_request(address, Method::GET, path, HeaderMap::new(), Bytes::new());
+    let result = connection.call(request, CALL_TIMEOUT, 16).await;
+    assert_eq!(result.is_ok(), answers);
+    drop(connection);
+    server.await.unwrap()
+}
+
+/// Guards against requests that the kernel goes on sending after their call was given up.
+#[tokio::test]
+async fn connection_of_a_call_that_is_given_up_is_reset() {
+    let end = end_of_call(false).await.map_err(|it| it.kind());
+    assert_eq!(end, Err(ErrorKind::ConnectionReset));
+}
+
+#[tokio::test]
+async fn connection_of_a_complete_call_is_closed() {
+    let end = end_of_call(true).await.map_err(|it| it.kind());
+    assert_eq!(end, Ok(0));
+}
