fleet: take upstreams of a zone that was evacuated for cold

What operators would see: engines that have become cold while their zone was evacuated get the load of warm ones as soon as the evacuation ends (FAILBACK).

Cause: whether an engine is cold is known from its row, and the end of an evacuation is another row. A host that reads the latter first takes what it does not know yet for "warm".

Change: when an evacuation ends, the zone's upstreams count as cold for the service's cold start, or until a row that is read 1.5 s later or more says otherwise, as after a broken connection.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -39,8 +39,8 @@
 /// Failed requests eject an upstream only while at most one in this many upstreams of its service
 /// would then be ejected.
 const EJECTED_ONE_IN: usize = 3;
-/// Time after a disconnect in which a row cannot end the assumed cold phase of an upstream: the
-/// row may have been written before the disconnect.
+/// Time after a disconnect, or after the end of an evacuation, in which a row cannot end the assumed cold
+/// phase of an upstream: the row may have been written before.
 const STALE_ROW_WINDOW: Duration = Duration::from_millis(1500);
 /// Multiple of the mean tokens in flight per upstream above which a session moves on to the
 /// upstream that ranks next.
@@ -311,6 +311,7 @@
         };
         let recently_disconnected = now.since(state.last_disconnect) < STALE_ROW_WINDOW
             && state.last_disconnect != Instant::default();
+        state.reopened_at = state.reopened_at.filter(|it| now.since(*it) < STALE_ROW_WINDOW);
         if !recently_disconnected {
             state.cold_until = cold_until;
         } else {
@@ -348,13 +349,15 @@
         }
     }
 
-    /// Marks a zone as evacuated, so that its upstreams get no requests, or ends the evacuation.
-    pub fn set_evacuated(&mut self, zone: Zone, evacuated: bool) {
+    /// Marks a zone as evacuated, so that its upstreams get no requests, or ends the evacuation. They may have
+    /// become cold meanwhile, of which their rows may not tell yet.
+    pub fn set_evacuated(&mut self, now: Instant, zone: Zone, evacuated: bool) {
         log::info!(zone = zone.as_str(), out = evacuated; "zone evacuation state changed");
         if evacuated {
             self.evacuated.insert(zone);
-        } else {
-            self.evacuated.remove(&zone);
+        } else if self.evacuated.remove(&zone) {
+            let states = self.states.values_mut().filter(|it| it.row.zone == zone);
+            states.for_each(|it| it.reopened_at = Some(now));
         }
     }
 
@@ -733,7 +736,7 @@
                     continue;
                 }
             }
-            if service.cold_rate > 0.0 && state.cold_until > now {
+            if state.is_cold(now, service) {
                 let limit = (cold_rate_limit * COLD_LIMIT_FRACTION) as u32;
                 // This host is one of many, as far as it knows, until it knows how many.
                 let host_limit = match knows_hosts {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -315,7 +315,9 @@
                 self.cache_index().set_stores(&configuration.stores);
                 self.configuration.store(Some(Arc::new(*configuration)));
             }
-            OperatorUpdate::Evacuation { zone, out } => self.fleet().set_evacuated(zone, out),
+            OperatorUpdate::Evacuation { zone, out } => {
+                self.fleet().set_evacuated(self.now(), zone, out);
+            }
             OperatorUpdate::Weights { model, version } => {
                 self.set_target_weights(model, version, row_version);
                 self.rollout_needed.notify_one();
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -118,6 +118,8 @@
     pub(crate) cold_until: Instant,
     /// When a connection to it last failed or broke; the default if none has.
     pub(crate) last_disconnect: Instant,
+    /// When the evacuation of its zone ended, unless a later row has told since whether it is cold.
+    pub(crate) reopened_at: Option<Instant>,
     /// Requests in flight from this host.
     pub(crate) in_flight: u32,
     /// Tokens of the prompts and answers in flight from this host.
@@ -156,6 +158,7 @@
             assumed_weights: SmallVec::new(),
             cold_until: now + row.cold_remaining,
             last_disconnect: Instant::default(),
+            reopened_at: None,
             in_flight: 0,
             tokens: 0,
             peer_load: (0, 0),
@@ -277,6 +280,12 @@
         }
     }
 
+    /// Returns whether the upstream is in a cold start, as far as is known.
+    pub(crate) fn is_cold(&self, now: Instant, service: &ServiceEntry) -> bool {
+        let may_be_cold = self.reopened_at.is_some_and(|it| now.since(it) < service.cold_start);
+        service.cold_rate > 0.0 && (may_be_cold || self.cold_until > now)
+    }
+
     /// Assumes a cold start, because the upstream may have restarted.
     fn mark_disconnected(&mut self, now: Instant, service: &ServiceEntry) {
         self.last_disconnect = now;
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -191,6 +191,34 @@
     assert!(run_requests(&mut fleet, 4300, 1, 40).values().sum::<u32>() > 30);
 }
 
+/// Guards against an upstream that became cold while its zone was evacuated and gets the load of a warm one
+/// as soon as the zone is back, before its row tells of it.
+#[test]
+fn upstream_of_a_zone_that_was_evacuated_counts_as_cold_until_a_later_row() {
+    let hosts: Vec<_> = (0..9).map(|it| Host::new(format!("host{it}"))).collect();
+    let zone = Zone::new("hobart");
+    let sent = |fleet: &mut Fleet, start_ms| -> u32 {
+        run_requests(fleet, start_ms, 10, 40).values().sum()
+    };
+    let (mut reopened, mut early_row, mut later_row) = (0, 0, 0);
+    for host in &hosts {
+        let mut fleet = Fleet::new(&host_settings(host.as_str(), "hobart"));
+        fleet.set_hosts(at(0), hosts.clone());
+        fleet.upsert(at(0), engine("engine0", "hobart"));
+        fleet.set_evacuated(at(100), zone.clone(), true);
+        fleet.set_evacuated(at(5000), zone.clone(), false);
+        reopened += sent(&mut fleet, 5000);
+        fleet.upsert(at(5900), engine("engine0", "hobart"));
+        early_row += sent(&mut fleet, 6100);
+        fleet.upsert(at(7200), engine("engine0", "hobart"));
+        later_row += sent(&mut fleet, 7300);
+    }
+    // The upper bound is 16 requests per second times 1.5, plus 5.
+    assert!((16..=29).contains(&reopened), "{reopened}");
+    assert!((16..=29).contains(&early_row), "{early_row}");
+    assert!(later_row > 300, "{later_row}");
+}
+
 #[test]
 fn unreachable_upstream_is_tried_one_request_at_a_time() {
     let mut fleet = fleet(1);
@@ -224,10 +252,10 @@
     let draining =
         mothvale_lib::fleet::UpstreamRow { draining: true, ..engine("engine0", "hobart") };
     fleet.upsert(at(10), draining);
-    fleet.set_evacuated(Zone::new("burnie"), true);
+    fleet.set_evacuated(at(20), Zone::new("burnie"), true);
     let counts = run_requests(&mut fleet, 20, 1, 40);
     assert_eq!(counts.keys().map(Upstream::as_str).collect::<Vec<_>>(), ["engine1"]);
-    fleet.set_evacuated(Zone::new("burnie"), false);
+    fleet.set_evacuated(at(100), Zone::new("burnie"), false);
     assert_eq!(run_requests(&mut fleet, 100, 1, 40).len(), 2);
 }
 
@@ -240,9 +268,9 @@
     let obstacle =
         |fleet: &Fleet, now: Instant| fleet.obstacle(now, &choice, Some(&Model::new("demo")));
     assert_eq!(obstacle(&fleet, at(1)), None);
-    fleet.set_evacuated(Zone::new("hobart"), true);
+    fleet.set_evacuated(at(2), Zone::new("hobart"), true);
     assert_eq!(obstacle(&fleet, at(2)), Some(Obstacle::Evacuated));
-    fleet.set_evacuated(Zone::new("hobart"), false);
+    fleet.set_evacuated(at(3), Zone::new("hobart"), false);
     fleet.upsert(at(3), UpstreamRow { draining: true, ..engine("engine0", "hobart") });
     assert_eq!(obstacle(&fleet, at(3)), Some(Obstacle::Draining));
     fleet.upsert(at(4), engine("engine0", "hobart"));
