soak: let hosts go over from an earlier build to the present one and back

`--former FILE` starts all hosts with that program. Each host gets SIGTERM once in each half of the run and starts again with the other program, in an order that the seed gives, amid the faults that it would have otherwise.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -35,7 +35,7 @@
       Randomised runs of claims on several hosts beside each other, in virtual time.
   slopes
       How memory, messages and processor time grow with upstreams, workspaces and records.
-  soak [--seed N] [--seeds N] [--seconds N] [--hosts N] [--program FILE] [--folder FOLDER]
+  soak [--seed N] [--seeds N] [--seconds N] [--hosts N] [--program FILE] [--former FILE] [--folder FOLDER]
        [--case NAME] [--mutant NAME] [--pass-over CHECK]
       Gateway processes under faults that are drawn from the seed, with checks of what they promise.
       What a check that is passed over finds is printed and does not fail the run.
--- a/bench/src/soak/conductor.rs
+++ b/bench/src/soak/conductor.rs
@@ -300,6 +300,9 @@
 
     fn interrupt(&mut self, host: usize, interruption: Interruption, until: Instant) {
         let now = Instant::now();
+        if interruption == Interruption::Replace {
+            self.stage.hosts[host].replace_program();
+        }
         let (process, intent) = (&self.stage.hosts[host], &mut self.intents[host]);
         if interruption == Interruption::Reload {
             process.signal(Signal::HUP);
@@ -309,7 +312,7 @@
             return;
         }
         let scope = match interruption {
-            Interruption::Terminate => Scope::Stop(host),
+            Interruption::Terminate | Interruption::Replace => Scope::Stop(host),
             _ => Scope::Host(host),
         };
         lock(&self.stage.record).disturbances.push(Disturbance { scope, start: now, end: None });
@@ -325,11 +328,11 @@
                 process.signal(Signal::KILL);
                 lock(&self.stage.record).kills.push((host, now));
             }
-            Interruption::Terminate if intent.terminated.is_none() => {
+            Interruption::Terminate | Interruption::Replace if intent.terminated.is_none() => {
                 intent.down_until = intent.down_until.max(Some(until));
                 terminate(&self.stage, intent, host);
             }
-            Interruption::Terminate | Interruption::Reload => {}
+            Interruption::Terminate | Interruption::Replace | Interruption::Reload => {}
         }
     }
 
--- a/bench/src/soak/host.rs
+++ b/bench/src/soak/host.rs
@@ -27,6 +27,7 @@
     pub log: PathBuf,
     settings: PathBuf,
     program: PathBuf,
+    other_program: PathBuf,
     child: Option<Child>,
 }
 
@@ -51,6 +52,7 @@
             log: folder.join(format!("{name}.log")),
             settings: settings_file,
             program: program.to_owned(),
+            other_program: program.to_owned(),
             child: None,
         })
     }
@@ -84,6 +86,16 @@
         Ok(())
     }
 
+    /// Makes the first process run the program of an earlier build.
+    pub fn set_former_program(&mut self, program: &Path) {
+        self.program = program.to_owned();
+    }
+
+    /// Makes the next process run the other program.
+    pub fn replace_program(&mut self) {
+        std::mem::swap(&mut self.program, &mut self.other_program);
+    }
+
     /// Returns the length of the log, in bytes; 0 before the first process.
     pub fn log_length(&self) -> u64 {
         fs::metadata(&self.log).map_or(0, |it| it.len())
--- a/bench/src/soak/mod.rs
+++ b/bench/src/soak/mod.rs
@@ -58,6 +58,9 @@
 pub struct Options {
     /// Program with the command `gateway`.
     pub program: PathBuf,
+    /// Program of an earlier build with which all hosts start. They go over to the other one and back, one
+    /// after the other.
+    pub former_program: Option<PathBuf>,
     /// Folder for settings files and logs.
     pub folder: PathBuf,
     /// Seed of the faults and of the callers.
@@ -103,7 +106,11 @@
         zones: ZONES,
         time: options.time,
     };
-    let faults = options.faults.clone().unwrap_or_else(|| plan::draw(options.seed, &size));
+    let mut faults = options.faults.clone().unwrap_or_else(|| plan::draw(options.seed, &size));
+    if options.former_program.is_some() {
+        faults.extend(plan::draw_upgrade(options.seed, &size));
+        faults.sort_by_key(|it| (it.start, it.end));
+    }
     let record =
         Arc::new(Mutex::new(Record { usage: vec![(0, 0); options.hosts], ..Record::default() }));
     let journal = Arc::new(Mutex::new(Journal::default()));
@@ -148,7 +155,10 @@
         let link = Link::start(store.address).await?;
         let (name, zone, ip) = (format!("host{index}"), &zones[index % ZONES], host_ip(index));
         let settings = operator::settings(&name, zone, ip, link.address, &bounds);
-        let host = Host::new(&name, ip, &options.program, &options.folder, &settings)?;
+        let mut host = Host::new(&name, ip, &options.program, &options.folder, &settings)?;
+        if let Some(program) = &options.former_program {
+            host.set_former_program(program);
+        }
         stage.caller_links.push(Link::start(host.caller_address()).await?);
         stage.store_links.push(link);
         stage.hosts.push(host);
--- a/bench/src/soak/plan.rs
+++ b/bench/src/soak/plan.rs
@@ -22,6 +22,8 @@
 const MAX_LEAD_MS: u64 = 400;
 /// Faults of one series.
 const SERIES_LENGTH: std::ops::Range<usize> = 1..12;
+/// Keeps the random numbers of upgrades apart from those of other faults.
+const UPGRADE_STREAM: u64 = 9 << 48;
 /// Probability that all hosts get the faults of one series, one after the other.
 const ROLLING_PROBABILITY: f64 = 0.3;
 
@@ -34,6 +36,8 @@
     Kill,
     /// SIGTERM, and a new process at the end, but not before the old one has ended.
     Terminate,
+    /// Like [`Terminate`](Self::Terminate), and the new process runs the other program.
+    Replace,
     /// SIGHUP.
     Reload,
 }
@@ -154,6 +158,26 @@
     faults
 }
 
+/// Draws when each host goes over to the other program, and when each one goes back, one after the other.
+pub fn draw_upgrade(seed: u64, size: &Size) -> Vec<Fault> {
+    let mut random = Pcg64::seed_from_u64(seed ^ UPGRADE_STREAM);
+    let total = size.time.as_millis() as u64;
+    let step = total * 2 / 5 / size.hosts as u64;
+    let mut faults = Vec::new();
+    for first in [WARM_UP_MS, total / 2] {
+        let mut order: Vec<usize> = (0..size.hosts).collect();
+        order.shuffle(&mut random);
+        for (turn, host) in order.into_iter().enumerate() {
+            let start = first + turn as u64 * step + random.random_range(0..=step / 2);
+            let end = start + random.random_range(50..600);
+            let (start, end) = (Duration::from_millis(start), Duration::from_millis(end));
+            let action = Action::Interrupt(host, Interruption::Replace);
+            faults.push(Fault { start, end, action });
+        }
+    }
+    faults
+}
+
 /// Moves some suspensions to just before something that operators ask for, so that hosts miss it.
 fn miss_operators(random: &mut Pcg64, faults: &mut [Fault]) {
     let asked = |it: &&Fault| {
--- a/bench/src/soak_command.rs
+++ b/bench/src/soak_command.rs
@@ -12,7 +12,8 @@
 /// Runs `mothvale-bench soak` with the arguments after its name.
 pub fn run(mut args: Parser) -> Result<(), Box<dyn Error>> {
     let (mut first_seed, mut seed_count, mut seconds, mut hosts) = (1_u64, 1, 20.0, 3);
-    let (mut program, mut folder, mut mutant) = (None, env::temp_dir(), None);
+    let (mut program, mut former_program) = (None, None);
+    let (mut folder, mut mutant) = (env::temp_dir(), None);
     let (mut passed_over, mut case) = (Vec::new(), None);
     while let Some(arg) = args.next()? {
         match arg {
@@ -21,6 +22,7 @@
             Long("seconds") => seconds = args.value()?.parse()?,
             Long("hosts") => hosts = args.value()?.parse()?,
             Long("program") => program = Some(PathBuf::from(args.value()?)),
+            Long("former") => former_program = Some(PathBuf::from(args.value()?)),
             Long("folder") => folder = PathBuf::from(args.value()?),
             Long("case") => {
                 let name = args.value()?.string()?;
@@ -48,6 +50,7 @@
     for seed in first_seed..first_seed + seed_count {
         let options = Options {
             program: program.clone(),
+            former_program: former_program.clone(),
             folder: folder.join(format!("mothvale-soak-{seed}-{}", std::process::id())),
             seed,
             hosts,
--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -2,7 +2,11 @@
 
 use std::{env, path::PathBuf, process, time::Duration};
 
-use mothvale_bench::soak::{self, Options, mutant, regressions};
+use mothvale_bench::soak::{
+    self, Options, mutant,
+    plan::{Action, Interruption},
+    regressions,
+};
 
 /// How long callers send requests in a run of a seed.
 const TIME: Duration = Duration::from_secs(10);
@@ -12,6 +16,7 @@
 fn options(seed: u64) -> Options {
     Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_mothvale")),
+        former_program: None,
         folder: env::temp_dir().join(format!("mothvale-soak-test-{seed}-{}", process::id())),
         seed,
         hosts: 3,
@@ -81,3 +86,17 @@
     assert_eq!(plans, again);
     assert!(plans.iter().any(|it| !it.is_empty()));
 }
+
+#[test]
+fn each_host_goes_over_to_the_other_program_and_back() {
+    let size = soak::plan::Size { hosts: 5, engines: 4, upstreams: 7, zones: 2, time: TIME };
+    for seed in 0..20 {
+        let faults = soak::plan::draw_upgrade(seed, &size);
+        assert!(faults.iter().all(|it| it.end < size.time), "{faults:?}");
+        let hosts: Vec<_> = faults.iter().map(|it| it.action).collect();
+        let replace = |it: usize| Action::Interrupt(it, Interruption::Replace);
+        for half in [&hosts[..5], &hosts[5..]] {
+            assert!((0..5).all(|it| half.contains(&replace(it))), "seed {seed}: {faults:?}");
+        }
+    }
+}
