rollout: give orders while all hosts shut down

What callers saw: all hosts were restarted, one second or less apart, as new weights were named.

Cause: a host that shuts down left the orders to the others at once, but its last requests take up to the grace period. If all hosts shut down, nobody was left.

Change: a host that shuts down leaves the orders to the others while any other one is registered; hosts remove their rows as they close. Once its requests have ended, it releases the lease before the process ends, for which it waits 0.4 s at most.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -771,6 +771,11 @@
         &self.hosts
     }
 
+    /// Returns whether other hosts are registered.
+    pub fn has_other_hosts(&self) -> bool {
+        self.hosts.iter().any(|it| *it != self.me)
+    }
+
     /// Returns the requests in flight from this host at upstreams of a service that have another build, with
     /// a row or without one.
     pub fn in_flight_beside(&self, service: &Service, build: &Build) -> u32 {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -66,6 +66,9 @@
     pub closing: CancellationToken,
     /// Cancelled when the grace period is over, right before the process ends with requests in progress.
     pub ending: CancellationToken,
+    /// Cancelled when the requests of a host that shuts down have ended: it hands over what it does for all
+    /// hosts, and the process ends.
+    pub handover: CancellationToken,
     /// Notified when upstreams may need to load newer weights.
     pub rollout_needed: Notify,
     /// Notified when operators have ordered that a service moves to a build, or no longer.
@@ -124,6 +127,8 @@
     pub loading: Vec<Upstream>,
     /// Upstreams that have loaded new weights, with the model and the weight version.
     pub loaded: Vec<(Upstream, Model, u32)>,
+    /// Whether this host holds the lease, as far as it knows.
+    pub holds_lease: bool,
 }
 
 impl<C> Gateway<C>
@@ -147,6 +152,7 @@
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
             ending: CancellationToken::new(),
+            handover: CancellationToken::new(),
             rollout_needed: Notify::new(),
             build_orders: Notify::new(),
             pins: Pins::default(),
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -46,6 +46,8 @@
 const SHUTDOWN_POLL: Duration = Duration::from_millis(50);
 /// Time for requests in progress to be answered or cut off, with a log line each, before the process ends.
 const ENDING_TIME: Duration = Duration::from_millis(100);
+/// Longest wait for the release of the lease for weights before the process ends.
+const HANDOVER_TIME: Duration = Duration::from_millis(400);
 /// Pause after a failed attempt to write the host's row.
 const REGISTER_RETRY: Duration = Duration::from_millis(700);
 /// Part of a heartbeat over which hosts spread the writes of their rows after the row store has come back
@@ -428,6 +430,11 @@
         gateway.ending.cancel();
         sleep(ENDING_TIME).await;
     }
+    gateway.handover.cancel();
+    let handover_end = TokioInstant::now() + HANDOVER_TIME;
+    while gateway.rollout().holds_lease && TokioInstant::now() < handover_end {
+        sleep(SHUTDOWN_POLL).await;
+    }
     log::info!(active = gateway.active_requests(), connections = gateway.unfinished_connections();
         "stopped");
     log_setup::flush();
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -283,11 +283,10 @@
     loop {
         gateway.rollout_needed.notified().await;
         worker.recover_target_times().await;
-        while !gateway.fleet().outdated().is_empty() && !gateway.draining.is_cancelled() {
-            if gateway.fleet().reaches_outdated() {
-                worker.run_under_lease().await;
-            } else {
-                worker.leave_to_others().await;
+        while !gateway.fleet().outdated().is_empty() && !gateway.handover.is_cancelled() {
+            match worker.reason_to_leave() {
+                None => worker.run_under_lease().await,
+                Some(reason) => worker.leave_to_others(reason).await,
             }
         }
         worker.release_lease().await;
@@ -323,13 +322,23 @@
         }
     }
 
-    /// Releases the lease, if it is held, as this host reaches no upstream that needs an order, and waits a
-    /// moment. Other hosts may reach them.
-    async fn leave_to_others(&mut self) {
+    /// Returns why this host gives no orders, or `None` if it may. One that shuts down goes on while no other
+    /// host is registered: if all hosts are restarted, none may be left for as long as their requests last.
+    fn reason_to_leave(&self) -> Option<&'static str> {
+        let (gateway, fleet) = (&self.gateway, self.gateway.fleet());
+        match () {
+            () if gateway.handover.is_cancelled() => Some("ends"),
+            () if gateway.draining.is_cancelled() && fleet.has_other_hosts() => Some("shuts_down"),
+            () if !fleet.reaches_outdated() => Some("out_of_reach"),
+            () => None,
+        }
+    }
+
+    /// Releases the lease, if it is held, as this host can give no orders, and waits a moment. Other hosts may
+    /// give them.
+    async fn leave_to_others(&mut self, reason: &str) {
         if self.lease.fencing_token(self.gateway.now()).is_some() {
-            log::warn!(
-                "upstreams with older weights are out of reach, orders are left to other hosts"
-            );
+            log::warn!(reason = reason; "orders to load weights are left to other hosts");
         }
         self.release_lease().await;
         sleep(OUT_OF_REACH_PAUSE).await;
@@ -349,13 +358,13 @@
             if !self.lease.is_former_holder(self.gateway.now()) {
                 sleep(self.rank_delay()).await;
             }
-            if self.gateway.draining.is_cancelled() || !self.gateway.fleet().reaches_outdated() {
+            if self.reason_to_leave().is_some() {
                 return;
             }
             self.acquire_lease().await;
         }
         while self.holds_lease() {
-            if self.gateway.draining.is_cancelled() || !self.gateway.fleet().reaches_outdated() {
+            if self.reason_to_leave().is_some() {
                 return;
             }
             self.record_targets();
@@ -494,6 +503,7 @@
                 }
                 self.lease.observe_clock(self.gateway.now(), clock);
                 self.lease.record_write(row, version, until, sent_at, clock);
+                self.gateway.rollout().holds_lease = true;
             }
             // The next read shows whether the row was written.
             None => {
