rollout: keep the lease while upstreams are gone for a moment

Cause: lost links and upstreams that crash together look the same at first, and the host left the orders to others at once.

Change: the holder keeps the lease, and gives no orders, until it has reached none of the upstreams for 1 s. The next holder waits from the last order on, so that the later release delays nobody.

--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -53,6 +53,10 @@
 /// Timeout of connecting to an upstream, and of each call to it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 const MAX_RESPONSE_BYTES: usize = 256 << 10;
+/// Time for which the holder of the lease keeps it without reaching any of the upstreams with older weights.
+/// Upstreams that crash together look the same for a moment. The next holder has to wait from the last order
+/// on, so that a later release costs nothing.
+const OUT_OF_REACH_PATIENCE: Duration = Duration::from_secs(1);
 /// Pause of a host that reaches none of the upstreams with older weights.
 const OUT_OF_REACH_PAUSE: Duration = Duration::from_millis(500);
 /// Attempts to read the lease row, which tells when targets were set before this host started.
@@ -278,8 +282,13 @@
         unix_millis(),
         host_settings.bounds.lease_takeover_delay,
     );
-    let mut worker =
-        Worker { gateway: gateway.clone(), row_store, lease, scheduler: Scheduler::default() };
+    let mut worker = Worker {
+        gateway: gateway.clone(),
+        row_store,
+        lease,
+        scheduler: Scheduler::default(),
+        out_of_reach_since: None,
+    };
     loop {
         gateway.rollout_needed.notified().await;
         worker.recover_target_times().await;
@@ -299,6 +308,7 @@
     row_store: L,
     lease: Lease,
     scheduler: Scheduler,
+    out_of_reach_since: Option<Instant>,
 }
 
 impl<C, L> Worker<C, L>
@@ -324,12 +334,20 @@
 
     /// Returns why this host gives no orders, or `None` if it may. One that shuts down goes on while no other
     /// host is registered: if all hosts are restarted, none may be left for as long as their requests last.
-    fn reason_to_leave(&self) -> Option<&'static str> {
+    fn reason_to_leave(&mut self) -> Option<&'static str> {
+        let now = self.gateway.now();
         let (gateway, fleet) = (&self.gateway, self.gateway.fleet());
+        let since = match fleet.reaches_outdated() {
+            true => None,
+            false => Some(self.out_of_reach_since.unwrap_or(now)),
+        };
+        self.out_of_reach_since = since;
+        let is_holder = self.lease.fencing_token(now).is_some();
+        let is_patient = |since: Instant| is_holder && now.since(since) < OUT_OF_REACH_PATIENCE;
         match () {
             () if gateway.handover.is_cancelled() => Some("ends"),
             () if gateway.draining.is_cancelled() && fleet.has_other_hosts() => Some("shuts_down"),
-            () if !fleet.reaches_outdated() => Some("out_of_reach"),
+            () if since.is_some_and(|it| !is_patient(it)) => Some("out_of_reach"),
             () => None,
         }
     }
@@ -375,6 +393,10 @@
             if outdated.is_empty() {
                 return;
             }
+            if self.out_of_reach_since.is_some() {
+                sleep(ROUND_PAUSE).await;
+                continue;
+            }
             let total = |model: &Model| self.gateway.fleet().count_with_model(model);
             let tasks = self.scheduler.tasks(self.gateway.now(), &outdated, total);
             self.gateway.rollout().loading = self.scheduler.loading(self.gateway.now());
