soak: a kill disturbs its host until the next process starts

Cause, of the soak: the disturbance of a kill was ended at the next look at a process without an open signal, which came before the process was gone. The new process was held to be in contact at once.

Change: the disturbance lasts while the kill is pending, and ends with the next start. Nothing else is excused: stops are counted as before.

--- a/bench/src/soak/conductor.rs
+++ b/bench/src/soak/conductor.rs
@@ -392,7 +392,10 @@
                 record.processes.push(Process { host: index, started: now, log_start });
                 *intent = Intent { started: Some(now), ..Intent::default() };
             }
-            if host.is_running() && intent.suspended.is_none() && intent.terminated.is_none() {
+            // A process that was killed runs until its end is seen.
+            let is_undisturbed =
+                intent.suspended.is_none() && intent.terminated.is_none() && !intent.killed;
+            if host.is_running() && is_undisturbed {
                 let of_process = [Scope::Host(index), Scope::Stop(index)];
                 let same = |it: &&mut Disturbance| of_process.contains(&it.scope);
                 let mut open = record.disturbances.iter_mut().filter(same);
--- a/bench/src/soak/regressions.rs
+++ b/bench/src/soak/regressions.rs
@@ -73,7 +73,21 @@
             fault(5000, 12_100, Action::Interrupt(1, Interruption::Suspend)),
         ],
     };
-    vec![target_set, key_revoked, cut_after_stop, ends_busy]
+    let kill = |start_ms, end_ms| {
+        (0..3).map(move |it| fault(start_ms, end_ms, Action::Interrupt(it, Interruption::Kill)))
+    };
+    let mut killed = vec![fault(2100, 2100, Action::NewWeights)];
+    killed.extend(kill(1800, 2300).chain(kill(5000, 5800)).chain(kill(8600, 10_900)));
+    killed.extend((0..4).map(|it| fault(2700, 20_000, Action::IgnoreOrders(it))));
+    killed.sort_by_key(|it| it.start);
+    let start_after_kill = Case {
+        name: "start-after-a-kill",
+        seed: 13_108,
+        cause: "not of the hosts: a kill counted as over before the process was gone, so that a host was held                 to be in contact right after its start",
+        time: Duration::from_secs(14),
+        faults: killed,
+    };
+    vec![target_set, key_revoked, cut_after_stop, ends_busy, start_after_kill]
 }
 
 fn fault(start_ms: u64, end_ms: u64, action: Action) -> Fault {
--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -78,6 +78,11 @@
     play_case("end-of-a-suspended-stop");
 }
 
+#[test]
+fn case_of_a_start_after_a_kill() {
+    play_case("start-after-a-kill");
+}
+
 #[test]
 fn the_same_seed_gives_the_same_faults() {
     let size = soak::plan::Size { hosts: 5, engines: 4, upstreams: 7, zones: 2, time: TIME };
