--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_gateway;
 mod test_group_commit;
 mod test_health_tracker;
+mod test_landed;
 mod test_lease;
 mod test_lease_era;
 mod test_log;
