--- a/bench/src/soak/regressions.rs
+++ b/bench/src/soak/regressions.rs
@@ -83,7 +83,8 @@
     let start_after_kill = Case {
         name: "start-after-a-kill",
         seed: 13_108,
-        cause: "not of the hosts: a kill counted as over before the process was gone, so that a host was held                 to be in contact right after its start",
+        cause: "not of the hosts: a kill counted as over before the process was gone, so that a host was \
+                held to be in contact right after its start",
         time: Duration::from_secs(14),
         faults: killed,
     };
