quarantine: log what a crash shows and what keeps a request away

The line about a break was written only for prompts with parts, so that for other requests neither the crashes that a host counted nor their source could be seen, and no line told when a request was found to crash upstreams. Now each break logs the request's fingerprint, whether the connection was a kept one and how long the upstream was silent, and the change itself is a line with its source.

--- a/lib/src/crash_causes.rs
+++ b/lib/src/crash_causes.rs
@@ -25,7 +25,7 @@
     /// Records that an upstream broke the connection while it ran a request, and queues that for the
     /// other hosts.
     pub fn record_break(&self, report: Break) {
-        let is_new_for_request = lock(&self.quarantine).record_crash(self.now(), &report.crash);
+        let is_new_for_request = self.record_crash("own connection", &report);
         self.apply_break("own connection", &report);
         if is_new_for_request || !report.parts.is_empty() {
             push_bounded(&mut lock(&self.breaks), report);
@@ -34,10 +34,24 @@
 
     /// Records a break that another host reported.
     pub fn record_remote_break(&self, peer: &Host, report: &Break) {
-        lock(&self.quarantine).record_crash(self.now(), &report.crash);
+        self.record_crash(peer.as_str(), report);
         self.apply_break(peer.as_str(), report);
     }
 
+    /// Records the crash for the whole request, and returns whether it was not known before.
+    fn record_crash(&self, source: &str, report: &Break) -> bool {
+        let (now, request) = (self.now(), report.crash.request);
+        let mut quarantine = lock(&self.quarantine);
+        let was_quarantined = quarantine.is_quarantined(now, request);
+        let is_new = quarantine.record_crash(now, &report.crash);
+        if !was_quarantined && quarantine.is_quarantined(now, request) {
+            log::warn!(source = source, fingerprint = request.to_string().as_str(),
+                upstream = report.crash.upstream.as_str();
+                "request that crashes upstreams is kept away from them");
+        }
+        is_new
+    }
+
     fn apply_break(&self, source: &str, report: &Break) {
         let answered = self.update_poison(source, |it| it.record_break(self.now(), report));
         self.tell_answered(&answered);
--- a/lib/src/fatal_prompt.rs
+++ b/lib/src/fatal_prompt.rs
@@ -74,12 +74,12 @@
     /// one that only ran beside that: its prompt parts, and whether an event of the response had arrived.
     pub(crate) fn report_break(&self, choice: &Choice, signs: Signs) {
         let start_time_ms = choice.incarnation.start_time_ms;
-        if !self.shared_parts.is_empty() {
-            log::info!(request = self.job.metadata.id.as_str(), upstream = choice.id.as_str(),
-                start_time_ms = start_time_ms, had_event = signs.had_event,
-                is_break = signs.is_break, parts = poison::format_keys(&self.shared_parts).as_str();
-                "upstream broke off");
-        }
+        log::info!(request = self.job.metadata.id.as_str(), upstream = choice.id.as_str(),
+            start_time_ms = start_time_ms, had_event = signs.had_event, is_break = signs.is_break,
+            pooled = signs.pooled, silence_ms = signs.silence.map(|it| it.as_millis() as u64),
+            fingerprint = self.job.fingerprint.to_string().as_str(),
+            parts = poison::format_keys(&self.shared_parts).as_str();
+            "upstream broke off");
         let may_be_cause = signs.is_break && !signs.had_event;
         self.gateway.record_break(Break {
             crash: Crash {
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of poison requests: a request during which several upstreams crashed is sent to no
 //! further one.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, fmt};
 
 use xxhash_rust::xxh3::Xxh3;
 
@@ -34,6 +34,12 @@
     }
 }
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A connection to an upstream that broke while the upstream ran a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
