--- a/lib/src/connection.rs
+++ b/lib/src/connection.rs
@@ -177,6 +177,12 @@
         timeout(max_wait, exchange).await.unwrap_or(Err(CallError(Fault::TIMEOUT)))
     }
 
+    /// Returns when the other side last showed on this connection that it lives: when it was opened, or when its last
+    /// response had ended.
+    pub(crate) fn idle_since(&self) -> TokioInstant {
+        self.idle_since
+    }
+
     /// Returns whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/lib/src/crash_causes.rs
+++ b/lib/src/crash_causes.rs
@@ -1,4 +1,4 @@
-//! What a host knows of the prompt parts that crash upstreams: takes what its own requests and other hosts
+//! What a host knows of the requests and prompt parts that crash upstreams: takes what its own requests and other hosts
 //! show, and tells the requests that must not be sent or must be withdrawn. `poison` decides.
 
 use tokio::time::timeout;
@@ -6,14 +6,18 @@
 use crate::{
     codec::Codec,
     gateway::{Gateway, lock},
-    poison::{self, Admission, Break, CauseReport, Detector, Key, Rejection},
+    poison::{
+        self, Admission, Break, CAUSE_TTL, CauseReport, Detector, Fingerprint, Key, Rejection,
+    },
     prelude::*,
 };
 
-/// How long after its start a host may hold a request whose prompt has shared parts, until another host has
-/// told it which parts crash upstreams.
+/// How long after its start a host may hold requests, until another host has told it what crashes upstreams.
 const CAUSES_WAIT: Duration = Duration::from_secs(1);
 
+/// Time by which the clock of crashes is ahead of the host's, so that crashes from before the host's start have a time.
+const CRASH_HISTORY: Duration = CAUSE_TTL;
+
 /// Largest number of breaks, and of answered parts, that wait to be told to other hosts. A host without any
 /// other one would collect them for ever.
 const MAX_UNSENT: usize = 1024;
@@ -22,62 +26,54 @@
 where
     C: Codec,
 {
+    /// Returns the current time on the clock of crashes and their causes.
+    pub fn crash_clock(&self) -> Instant {
+        self.now() + CRASH_HISTORY
+    }
+
     /// Records that an upstream broke the connection while it ran a request, and queues that for the
     /// other hosts.
     pub fn record_break(&self, report: Break) {
-        let is_new_for_request = self.record_crash("own connection", &report);
         self.apply_break("own connection", &report);
-        if is_new_for_request || !report.parts.is_empty() {
-            push_bounded(&mut lock(&self.breaks), report);
-        }
+        push_bounded(&mut lock(&self.breaks), report);
     }
 
     /// Records a break that another host reported.
     pub fn record_remote_break(&self, peer: &Host, report: &Break) {
-        self.record_crash(peer.as_str(), report);
         self.apply_break(peer.as_str(), report);
     }
 
-    /// Records the crash for the whole request, and returns whether it was not known before.
-    fn record_crash(&self, source: &str, report: &Break) -> bool {
-        let (now, request) = (self.now(), report.crash.request);
-        let mut quarantine = lock(&self.quarantine);
-        let was_quarantined = quarantine.is_quarantined(now, request);
-        let is_new = quarantine.record_crash(now, &report.crash);
-        if !was_quarantined && quarantine.is_quarantined(now, request) {
-            log::warn!(source = source, fingerprint = request.to_string().as_str(),
-                upstream = report.crash.upstream.as_str();
-                "request that crashes upstreams is kept away from them");
-        }
-        is_new
-    }
-
     fn apply_break(&self, source: &str, report: &Break) {
-        let answered = self.update_poison(source, |it| it.record_break(self.now(), report));
+        let now = self.crash_clock();
+        let answered = self.update_poison(source, |it| it.record_break(now, report));
         self.tell_answered(&answered);
-        let bystanders = lock(&self.poison).bystanders();
-        let mut quarantine = lock(&self.quarantine);
-        for (request, upstream) in bystanders {
-            quarantine.forgive(request, &upstream);
-        }
     }
 
     /// Records that an upstream began to answer a request whose prompt has these shared parts.
     pub fn record_answer(&self, parts: &[Key]) {
         if !parts.is_empty() {
-            let cleared = self.update_poison("answer", |it| it.record_answer(self.now(), parts));
+            let now = self.crash_clock();
+            let cleared = self.update_poison("answer", |it| it.record_answer(now, parts));
             self.tell_answered(&cleared);
         }
     }
 
-    /// Records that another host has seen a prompt part answered.
+    /// Records that an upstream answered a whole request.
+    pub fn record_whole_answer(&self, request: Fingerprint) {
+        let now = self.crash_clock();
+        let cleared = self.update_poison("answer", |it| it.record_whole_answer(now, request));
+        self.tell_answered(&cleared);
+    }
+
+    /// Records that another host has seen a request or a prompt part answered.
     pub fn record_remote_answer(&self, peer: &Host, part: Key, at: Instant) {
         self.update_poison(peer.as_str(), |it| it.clear(at, part));
     }
 
     /// Follows a cause of crashes that another host has found.
     pub fn follow_cause(&self, peer: &Host, report: &CauseReport) {
-        let answered = self.update_poison(peer.as_str(), |it| it.follow(self.now(), report));
+        let now = self.crash_clock();
+        let answered = self.update_poison(peer.as_str(), |it| it.follow(now, report));
         self.tell_answered(&answered);
     }
 
@@ -89,18 +85,18 @@
         }
     }
 
-    /// Returns whether this host knows which prompt parts crash upstreams, as far as any host does: it was
-    /// told, or has run for long enough.
+    /// Returns whether this host knows what crashes upstreams, as far as any host does: it was told, or has run for long
+    /// enough.
     pub fn knows_causes(&self) -> bool {
         *self.knows_causes.borrow() || self.now().since(Instant::ZERO) >= CAUSES_WAIT
     }
 
-    /// Holds a request with a part under suspicion while this host has just started, until another host has
-    /// told it which parts crash upstreams, or for [`CAUSES_WAIT`]: it may be the only one. Without a
+    /// Holds a request that is under suspicion, in whole or in part, while this host has just started, until another host
+    /// has told it what crashes upstreams, or for [`CAUSES_WAIT`]: it may be the only one. Without a
     /// suspicion nothing waits, because all hosts may have started together.
-    pub async fn wait_for_causes(&self, parts: &[Key]) {
+    pub async fn wait_for_causes(&self, keys: &[Key]) {
         let left = CAUSES_WAIT.saturating_sub(self.now().since(Instant::ZERO));
-        if left.is_zero() || !lock(&self.poison).is_suspected(parts) {
+        if left.is_zero() || !lock(&self.poison).is_any_suspected(keys) {
             return;
         }
         let mut known = self.knows_causes.subscribe();
@@ -109,29 +105,40 @@
         }
     }
 
-    /// Returns the prompt parts that are known to crash upstreams.
+    /// Returns what is known to crash upstreams.
     pub fn crash_causes(&self) -> Vec<CauseReport> {
-        lock(&self.poison).causes(self.now()).collect()
+        let now = self.crash_clock();
+        self.update_poison("evidence", |it| {
+            it.judge_due(now);
+            it.causes(now).collect()
+        })
     }
 
-    /// Decides whether a request whose prompt has these shared parts may be sent.
+    /// Decides whether a request with these keys may be sent.
     ///
     /// # Errors
     ///
     /// Returns what keeps it from being sent.
-    pub fn admit_parts(&self, parts: &[Key]) -> Result<Admission, Rejection> {
-        if parts.is_empty() {
-            return Ok(Admission::Ordinary);
-        }
+    pub fn admit(&self, keys: &[Key]) -> Result<Admission, Rejection> {
         let host_count = self.fleet().host_count();
-        let host = &self.host_settings.host;
-        lock(&self.poison).admit(self.now(), host, host_count, parts)
+        let (now, host) = (self.crash_clock(), &self.host_settings.host);
+        self.update_poison("evidence", |it| it.admit(now, host, host_count, keys))
+    }
+
+    /// Allows another trial soon in place of one that was not sent.
+    pub fn return_trial(&self, keys: &[Key]) {
+        lock(&self.poison).return_trial(self.crash_clock(), keys);
+    }
+
+    /// Returns whether a request with these keys is known to crash upstreams.
+    pub fn is_fatal(&self, keys: &[Key]) -> bool {
+        lock(&self.poison).is_fatal(keys)
     }
 
-    /// Waits until prompts with these parts are known to crash upstreams.
-    pub async fn wait_fatal(&self, parts: &[Key]) {
+    /// Waits until requests with these keys are known to crash upstreams.
+    pub async fn wait_fatal(&self, keys: &[Key]) {
         let mut changes = self.cause_changes.subscribe();
-        while parts.is_empty() || !lock(&self.poison).is_fatal(parts) {
+        while !self.is_fatal(keys) {
             if changes.changed().await.is_err() {
                 return std::future::pending().await;
             }
@@ -140,10 +147,11 @@
 
     /// Forgets evidence and causes that are too old.
     pub(crate) fn purge_causes(&self) {
-        self.update_poison("age", |it| it.purge(self.now()));
+        let now = self.crash_clock();
+        self.update_poison("age", |it| it.purge(now));
     }
 
-    /// Changes what is known of prompt parts that crash upstreams. A change of the causes is logged, and
+    /// Changes what is known to crash upstreams. A change of the causes is logged, and
     /// wakes the requests that wait for an answer.
     fn update_poison<F, R>(&self, source: &str, f: F) -> R
     where
@@ -153,11 +161,11 @@
         let before = detector.revision();
         let result = f(&mut detector);
         if detector.revision() != before {
-            let causes: Vec<_> = detector.causes(self.now()).collect();
+            let causes: Vec<_> = detector.causes(self.crash_clock()).collect();
             let parts: Vec<_> = causes.iter().map(|it| poison::format_keys(&it.parts)).collect();
             log::warn!(source = source, causes = parts.join(" ").as_str(),
                 crashes = detector.crash_count();
-                "prompt parts that crash upstreams have changed");
+                "requests or prompt parts that crash upstreams have changed");
             self.metrics.crash_causes.set(i64::try_from(causes.len()).unwrap_or(i64::MAX));
             self.cause_changes.send_replace(());
         }
@@ -165,7 +173,7 @@
     }
 
     fn tell_answered(&self, parts: &[Key]) {
-        let now = self.now();
+        let now = self.crash_clock();
         let mut answered = lock(&self.answered_parts);
         parts.iter().for_each(|it| push_bounded(&mut answered, (*it, now)));
     }
@@ -184,7 +192,7 @@
         breaks.for_each(|it| push_bounded(&mut unsent, it));
     }
 
-    /// Removes and returns the prompt parts that were answered after a crash, with the times of the
+    /// Removes and returns the keys that were answered after a crash, with the times of the
     /// answers, which have not been sent to the other hosts yet.
     pub fn take_answered_parts(&self) -> Vec<(Key, Instant)> {
         std::mem::take(&mut *lock(&self.answered_parts))
--- a/lib/src/crash_gossip.rs
+++ b/lib/src/crash_gossip.rs
@@ -8,9 +8,8 @@
     codec::Codec,
     gateway::Gateway,
     generated::peer::{self, Gossip},
-    poison::{Break, CauseReport, Key},
+    poison::{Break, CauseReport, Fingerprint, Key},
     prelude::*,
-    quarantine::{Crash, Fingerprint},
 };
 
 /// Adds what this host has to tell about crashes to a message. Breaks and answers are told once, causes
@@ -19,7 +18,7 @@
 where
     C: Codec,
 {
-    let now = gateway.now();
+    let now = gateway.crash_clock();
     gossip.crashes.extend(gateway.take_breaks().iter().map(|it| encode_break(now, it)));
     let answered = gateway.take_answered_parts().into_iter();
     gossip.answered_parts.extend(
@@ -49,7 +48,7 @@
 where
     C: Codec,
 {
-    let now = gateway.now();
+    let now = gateway.crash_clock();
     for it in &gossip.answered_parts {
         let at = now.saturating_sub(Duration::from_millis(it.age_ms));
         gateway.record_remote_answer(peer, Key(it.part), at);
@@ -94,11 +93,9 @@
 /// Decodes a break that a message of `sent_at` tells of.
 pub(crate) fn decode_break(sent_at: Instant, crash: &peer::Crash) -> Break {
     Break {
-        crash: Crash {
-            request: Fingerprint(crash.request),
-            upstream: Upstream::new(crash.upstream.clone()),
-            suspected: crash.suspected,
-        },
+        request: Fingerprint(crash.request),
+        upstream: Upstream::new(crash.upstream.clone()),
+        had_event: crash.suspected,
         start_time_ms: crash.start_time_ms,
         parts: crash.parts.iter().map(|it| Key(*it)).collect(),
         broke_at: sent_at.saturating_sub(Duration::from_millis(crash.age_ms)),
@@ -108,9 +105,9 @@
 
 fn encode_break(now: Instant, report: &Break) -> peer::Crash {
     peer::Crash {
-        request: report.crash.request.0,
-        upstream: FastStr::new(report.crash.upstream.as_str()),
-        suspected: report.crash.suspected,
+        request: report.request.0,
+        upstream: FastStr::new(report.upstream.as_str()),
+        suspected: report.had_event,
         start_time_ms: report.start_time_ms,
         parts: report.parts.iter().map(|it| it.0).collect(),
         age_ms: millis(now.since(report.broke_at)),
--- a/lib/src/fatal_prompt.rs
+++ b/lib/src/fatal_prompt.rs
@@ -1,17 +1,16 @@
-//! A request as far as its prompt may crash upstreams: what its attempts show of that, and how it ends
-//! because of it.
+//! A request as far as it may crash upstreams: what its attempts show of that, and how it ends because of it.
 
 use crate::{
     codec::Codec,
     fleet::{Choice, Outcome},
     forward::{AttemptError, Forwarder, InFlightAttempt},
-    poison::{self, Break},
+    poison::{self, Admission, Break},
     prelude::*,
-    quarantine::Crash,
 };
 
 /// Tells the caller why the request is not sent, or withdrawn.
-const FATAL_MESSAGE: &str = "prompts with the same part have crashed several upstreams";
+const FATAL_PART_MESSAGE: &str = "prompts with the same part have crashed several upstreams";
+const FATAL_REQUEST_MESSAGE: &str = "the request has crashed several upstreams";
 
 /// What an attempt showed of its upstream until it ended without a whole response.
 #[derive(Clone, Copy, Debug)]
@@ -22,8 +21,8 @@
     pub(crate) pooled: bool,
     /// Whether an event of the response had arrived.
     pub(crate) had_event: bool,
-    /// Time from the upstream's last sign of life on the connection; `None` if there was none since the
-    /// request was sent.
+    /// Time from the upstream's last sign of life on the connection: its opening, the end of the response before, or the
+    /// head of this one. `None` if the response was not valid.
     pub(crate) silence: Option<Duration>,
 }
 
@@ -37,10 +36,49 @@
 where
     C: Codec,
 {
-    /// Waits until prompts like this one are known to crash upstreams, unless this attempt is a trial.
+    /// Returns the keys of what other requests share with this one: its own, which repeats have, and those of its shared
+    /// prompt parts.
+    pub(crate) fn crash_keys(&self) -> poison::Keys {
+        self.shared_parts.iter().copied().chain([self.job.fingerprint.into()]).collect()
+    }
+
+    /// Waits until requests like this one are known to crash upstreams, unless this attempt is a trial.
     pub(crate) async fn wait_fatal(&self) {
-        let parts = if self.is_trial { &[] } else { &self.shared_parts[..] };
-        self.gateway.wait_fatal(parts).await;
+        if self.is_trial {
+            return std::future::pending().await;
+        }
+        self.gateway.wait_fatal(&self.crash_keys()).await;
+    }
+
+    /// Decides whether the request may be sent now. A trial that was not sent goes on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error for the caller if it may not.
+    pub(crate) fn check_admission(&mut self) -> Result<(), Error> {
+        if self.has_unsent_trial {
+            return Ok(());
+        }
+        match self.gateway.admit(&self.crash_keys()) {
+            Ok(admission) => {
+                self.is_trial = admission == Admission::Trial;
+                self.has_unsent_trial = self.is_trial;
+                Ok(())
+            }
+            Err(rejection) => Err(self.rejection_error(&rejection)),
+        }
+    }
+
+    /// Returns whether the request has been found to crash upstreams since it was admitted.
+    pub(crate) fn is_fatal(&self) -> bool {
+        !self.is_trial && self.gateway.is_fatal(&self.crash_keys())
+    }
+
+    /// Gives back a trial that was not sent.
+    pub(crate) fn return_unsent_trial(&mut self) {
+        if std::mem::take(&mut self.has_unsent_trial) {
+            self.gateway.return_trial(&self.crash_keys());
+        }
     }
 
     /// Gives up an attempt whose upstream would crash when it begins to respond. The upstream drops the
@@ -50,7 +88,7 @@
         self.runs += 1;
         self.count_withdrawal(&attempt.choice);
         attempt.complete(Outcome::Cancelled);
-        AttemptError::Fail(Error::new(Kind::UpstreamFailed, FATAL_MESSAGE))
+        AttemptError::Fail(Error::new(Kind::UpstreamFailed, self.fatal_message()))
     }
 
     /// Logs and counts an attempt that was given up because its upstream would crash.
@@ -59,15 +97,21 @@
         self.gateway.metrics.fatal_prompts.with_label_values(&["withdrawn"]).inc();
     }
 
-    /// Returns the error of a request whose prompt crashes upstreams.
-    pub(crate) fn rejection_error(&self, rejection: &poison::Rejection) -> Error {
+    /// Returns why the request is not sent, or withdrawn, for the caller.
+    fn fatal_message(&self) -> &'static str {
+        let is_part = self.gateway.is_fatal(&self.shared_parts);
+        if is_part { FATAL_PART_MESSAGE } else { FATAL_REQUEST_MESSAGE }
+    }
+
+    /// Returns the error of a request that crashes upstreams, in whole or by a part of its prompt.
+    fn rejection_error(&self, rejection: &poison::Rejection) -> Error {
         log::info!(request = self.job.metadata.id.as_str(),
             parts = poison::format_keys(&rejection.parts).as_str(),
             next_trial_ms = rejection.retry_after.as_millis() as u64;
-            "request holds prompt parts that crash upstreams");
+            "request crashes upstreams, or holds prompt parts that do");
         self.gateway.metrics.fatal_prompts.with_label_values(&["refused"]).inc();
         let kind = if self.runs == 0 { Kind::Quarantined } else { Kind::UpstreamFailed };
-        Error::new(kind, FATAL_MESSAGE).with_retry_after(rejection.retry_after)
+        Error::new(kind, self.fatal_message()).with_retry_after(rejection.retry_after)
     }
 
     /// Records that the upstream broke off, and logs what tells a request that may have crashed it from
@@ -80,16 +124,16 @@
             fingerprint = self.job.fingerprint.to_string().as_str(),
             parts = poison::format_keys(&self.shared_parts).as_str();
             "upstream broke off");
-        let may_be_cause = signs.is_break && !signs.had_event;
+        if !signs.is_break {
+            return;
+        }
         self.gateway.record_break(Break {
-            crash: Crash {
-                request: self.job.fingerprint,
-                upstream: choice.id.clone(),
-                suspected: signs.pooled || signs.had_event,
-            },
+            request: self.job.fingerprint,
+            upstream: choice.id.clone(),
             start_time_ms,
-            parts: if may_be_cause { self.shared_parts.clone() } else { poison::Keys::new() },
-            broke_at: self.gateway.now(),
+            parts: if signs.had_event { poison::Keys::new() } else { self.shared_parts.clone() },
+            had_event: signs.had_event,
+            broke_at: self.gateway.crash_clock(),
             silence: signs.silence,
         });
     }
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -24,9 +24,8 @@
     gateway::{Gateway, lock},
     hop_by_hop,
     memory_account::{Charge, Owner},
-    poison::{self, Admission},
+    poison::{self, Fingerprint},
     prelude::*,
-    quarantine::Fingerprint,
     response_body::Body,
     salt,
     stream::BEGIN_ANEW_WAIT,
@@ -222,8 +221,10 @@
     pub(crate) session_key: Option<u64>,
     /// The prompt parts that other requests may share.
     pub(crate) shared_parts: poison::Keys,
-    /// Whether the current attempt is to show whether the prompt still crashes upstreams.
+    /// Whether the current attempt is to show whether the request still crashes upstreams.
     pub(crate) is_trial: bool,
+    /// Whether it was admitted as a trial and nothing was sent since.
+    pub(crate) has_unsent_trial: bool,
     /// Upstreams that get no further attempt.
     pub(crate) tried: SmallVec<[Upstream; 4]>,
     /// Attempts that reached an upstream, whether it ran the request or not.
@@ -260,6 +261,7 @@
     C: Codec,
 {
     fn drop(&mut self) {
+        self.return_unsent_trial();
         // A request that ended within the latency objective without a first token, such as one
         // whose caller left early, says nothing about the load.
         if self.placed && self.job.received.elapsed() > self.job.route.latency_objective {
@@ -284,6 +286,7 @@
             session_key,
             shared_parts,
             is_trial: false,
+            has_unsent_trial: false,
             tried: SmallVec::new(),
             times_sent,
             runs,
@@ -378,15 +381,8 @@
             if last_event_id.is_none() {
                 self.check_time_left()?;
             }
-            if self.gateway.is_quarantined(self.job.fingerprint) {
-                return Err(self.refusal_error(Kind::Quarantined, Duration::from_secs(60)));
-            }
-            self.gateway.wait_for_causes(&self.shared_parts).await;
-            let admission = self.gateway.admit_parts(&self.shared_parts);
-            self.is_trial = match admission {
-                Ok(admission) => admission == Admission::Trial,
-                Err(rejection) => return Err(self.rejection_error(&rejection)),
-            };
+            self.gateway.wait_for_causes(&self.crash_keys()).await;
+            self.check_admission()?;
             let allowed = self.allowed_upstreams();
             self.needs_open_connection = allowed.is_some();
             let choice = self.choose(allowed.as_deref());
@@ -489,6 +485,13 @@
             attempt.complete(Outcome::Cancelled);
             return Err(AttemptError::Retry);
         }
+        if self.is_fatal() {
+            self.log_attempt(&choice, "not_sent_fatal");
+            let address = choice.incarnation.address;
+            self.gateway.pool().put_back(&choice.id, address, connection);
+            attempt.complete(Outcome::Cancelled);
+            return Err(AttemptError::Retry);
+        }
         if self.times_sent > 0 && !self.gateway.try_acquire_retry(&self.job.service) {
             self.log_attempt(&choice, "resend_quota_used_up");
             return Err(AttemptError::Fail(self.exhausted_error(Kind::Overloaded)));
@@ -496,6 +499,8 @@
         let (started, sent_at) = (TokioInstant::now(), self.gateway.now());
         let request = self.build_request(&choice, last_event_id).map_err(AttemptError::Fail)?;
         let limit = self.attempt_timeout();
+        let idle_since = connection.idle_since();
+        self.has_unsent_trial = false;
         let sent = tokio::select! {
             sent = timeout(limit, connection.send(request)) => sent,
             () = self.wait_fatal() => return Err(self.withdraw(attempt)),
@@ -525,7 +530,7 @@
             }
             Err(err) => {
                 let is_break = err.0.cause == Cause::Broken;
-                let silence = (!pooled).then(|| started.elapsed());
+                let silence = Some(idle_since.elapsed());
                 let signs = Signs { is_break, pooled, had_event: false, silence };
                 Err(self.handle_break(attempt, signs))
             }
@@ -687,11 +692,13 @@
             }
         };
         let choice = attempt.choice.clone();
-        self.gateway.forget_crashes(self.job.fingerprint);
-        // With an error, the upstream may never have looked at the prompt.
+        // With an error, the upstream may never have looked at the request.
         if head.status.is_success() {
             self.gateway.record_answer(&self.shared_parts);
         }
+        if is_whole_answer(head.status) {
+            self.gateway.record_whole_answer(self.job.fingerprint);
+        }
         self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let response = self.build_response(&head, Body::Buffered(Full::new(read)));
         if !head.status.is_server_error() {
@@ -902,6 +909,17 @@
     }
 }
 
+/// Returns whether a status shows that the upstream has run the request to its end. An upstream that turns requests away
+/// has not, and one that fails may not have.
+fn is_whole_answer(status: StatusCode) -> bool {
+    let turns_away = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    !status.is_server_error() && !turns_away.contains(&status)
+}
+
 /// Gives a response whose body is not at hand the length that the upstream has announced.
 pub(crate) fn keep_length(head: &Parts, response: &mut Response<Body>) {
     if let Some(length) = head.headers.get(header::CONTENT_LENGTH) {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -39,7 +39,6 @@
     pinned_tls::Pins,
     poison::{Break, Detector, Key},
     prelude::*,
-    quarantine::{Fingerprint, Quarantine},
     replica::Row,
     retry_budget::RetryBudget,
     row_reads::RowReads,
@@ -50,7 +49,7 @@
 };
 
 /// Shared state of a gateway: settings, configuration, upstreams, connections, cache index, retry
-/// budgets and quarantine.
+/// budgets and what crashes upstreams.
 #[derive(Debug)]
 pub struct Gateway<C> {
     /// The settings that this host was started with.
@@ -82,9 +81,8 @@
     pool: Mutex<Pool>,
     cache_index: Mutex<Index>,
     retry_budgets: Mutex<HashMap<Service, RetryBudget>>,
-    pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) poison: Mutex<Detector>,
-    /// Changed when prompt parts are found to crash upstreams, or no longer.
+    /// Changed when requests or prompt parts are found to crash upstreams, or no longer.
     pub(crate) cause_changes: watch::Sender<()>,
     /// Whether another host has told this one, since its start, which prompt parts crash upstreams.
     pub(crate) knows_causes: watch::Sender<bool>,
@@ -161,7 +159,6 @@
             pool: Mutex::default(),
             cache_index: Mutex::default(),
             retry_budgets: Mutex::default(),
-            quarantine: Mutex::default(),
             poison: Mutex::default(),
             cause_changes: watch::Sender::new(()),
             knows_causes: watch::Sender::new(false),
@@ -605,17 +602,7 @@
         f(budgets.entry(service.clone()).or_insert_with(new_budget))
     }
 
-    /// Returns whether a request is quarantined, that is, not sent to any upstream.
-    pub fn is_quarantined(&self, request: Fingerprint) -> bool {
-        lock(&self.quarantine).is_quarantined(self.now(), request)
-    }
-
-    /// Forgets the crashes of a request, because an upstream ran it to its end.
-    pub fn forget_crashes(&self, request: Fingerprint) {
-        lock(&self.quarantine).clear(request);
-    }
-
-    /// Drops expired connections, quarantine entries and responses' notices, and logs which weight
+    /// Drops expired connections, evidence of crashes and responses' notices, and logs which weight
     /// versions are no longer used for new requests.
     pub fn purge(&self) {
         for (model, min_version) in self.fleet().target_weights.take_expired(self.now()) {
@@ -623,7 +610,6 @@
                 "requests no longer start on older weights");
         }
         self.pool().purge();
-        lock(&self.quarantine).purge(self.now());
         self.purge_causes();
         lock(&self.stream_origins).purge(self.now());
         self.fleet().purge(self.now());
--- a/lib/src/gateway_server.rs
+++ b/lib/src/gateway_server.rs
@@ -29,8 +29,8 @@
     forward::{Forwarder, Job},
     gateway::{ConnectionGuard, Gateway},
     memory_account::Owner,
+    poison::Fingerprint,
     prelude::*,
-    quarantine::Fingerprint,
     response_body::Body,
 };
 
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -788,11 +788,11 @@
             hosts_era: known_hosts.era,
         };
         let crashes = pull.own.as_ref().map(|it| it.crashes.clone()).unwrap_or_default();
+        let written_at = gateway.crash_clock();
         let Some(bytes) = call(&connection, question::Body::Pull(pull)).await else {
             // Told again with the next pull.
-            gateway.return_breaks(
-                crashes.iter().map(|it| crash_gossip::decode_break(requested_at, it)),
-            );
+            let breaks = crashes.iter().map(|it| crash_gossip::decode_break(written_at, it));
+            gateway.return_breaks(breaks);
             return false;
         };
         let Ok(pulled) = peer::Pulled::decode(bytes) else { return false };
--- a/lib/src/pass_through.rs
+++ b/lib/src/pass_through.rs
@@ -53,8 +53,8 @@
                 Ok(None) => {
                     let (id, address) = (&attempt.choice.id, attempt.choice.incarnation.address);
                     self.gateway.pool().put(id, address, connection, &head.headers);
-                    self.gateway.forget_crashes(self.job.fingerprint);
                     self.gateway.record_answer(&self.shared_parts);
+                    self.gateway.record_whole_answer(self.job.fingerprint);
                     self.record_answer_time(started.elapsed());
                     attempt.complete(Outcome::Served(latency));
                     return;
--- a/lib/src/poison.rs
+++ b/lib/src/poison.rs
@@ -1,111 +1,75 @@
-//! Finds the prompt parts that crash upstreams, so that requests which hold one are sent to no further
-//! upstream. Does no I/O.
+//! Finds what crashes upstreams, so that requests which hold it are sent to no further upstream: a whole request that
+//! callers repeat, or a prompt part. Does no I/O.
 //!
-//! Load pattern: one part crashes every upstream that begins to answer a request with it. The requests
-//! differ in everything else, and sound requests share their key, their first part and their sessions.
+//! Load pattern: a request, or one part in requests that differ in everything else, crashes every upstream that begins
+//! to answer it. Sound requests share the key, the first part and the sessions.
 //!
-//! A request whose upstream breaks off before an event of the response has arrived puts all its shared
-//! parts under suspicion; so do the requests that only waited beside it. An answer clears the parts of
-//! its request, on all hosts. A part that is left after several separate crashes caused them, unless
-//! another part was there at all of its crashes and at others. Parts that were always there together
-//! are taken as one cause: only requests that hold all of them are kept away.
-
-use std::{
-    collections::{HashMap, VecDeque},
-    fmt,
-};
+//! A request whose upstream breaks off puts itself and, before an event of the response has arrived, all its shared
+//! parts under suspicion; so do the requests that only waited beside it. An answer clears them, on all hosts. What is
+//! left after several separate crashes caused them, unless something else was there at all of its crashes and at
+//! others. Parts that were always there together are taken as one cause: only requests that hold all of them are kept
+//! away. A whole request is one more part of itself.
 
-use xxhash_rust::xxh3::xxh3_64;
+use std::collections::VecDeque;
 
 use crate::{
+    crash_evidence::{Evidence, Occurrence},
     prelude::*,
-    quarantine::{Crash as RequestCrash, Fingerprint},
     rendezvous,
 };
 
+pub use crate::crash_evidence::{Break, Fingerprint, Key, Keys, format_keys};
+
 /// Largest number of parts of one request that are looked at.
 pub const MAX_REQUEST_PARTS: usize = 16;
-/// Separate crashes with a part, and no answer, after which the part is taken for their cause.
+/// The same with the key of the whole request.
+const MAX_KEYS: usize = MAX_REQUEST_PARTS + 1;
+/// Separate crashes with a part, and no answer, after which the part is taken for their cause. A whole request needs as many
+/// crashes, not all of which must be separate.
 const CRASH_LIMIT: usize = 3;
-/// Different requests that must be among them: one request that is sent again says nothing about which
-/// of its parts is the cause.
-const MIN_REQUESTS: usize = 2;
-/// Upstreams that lose power together break off within this time, seen from one host.
-const MIN_SEPARATION: Duration = Duration::from_millis(200);
-/// How long a crash counts as evidence.
-const EVIDENCE_TTL: Duration = Duration::from_secs(600);
-/// Largest number of crashes that are remembered; beyond it, the oldest is dropped.
-const MAX_CRASHES: usize = 64;
-/// Largest number of requests that are remembered of one crash.
-const MAX_BROKEN_REQUESTS: usize = 64;
-/// Pause before a request with a cause is sent as a trial, to learn whether the part is sound again.
-const FIRST_TRIAL_PAUSE: Duration = Duration::from_secs(20);
+/// Weight of a crash with a whole request, and of one after the upstream had begun to respond to it, so that another
+/// request may have caused it.
+const CRASH_WEIGHT: usize = 2;
+const LATE_CRASH_WEIGHT: usize = 1;
+/// Sum of the weights at which a whole request is taken for the cause. Few requests share it, and all its repeats do.
+const REQUEST_WEIGHT_LIMIT: usize = CRASH_LIMIT * CRASH_WEIGHT;
+/// Separate crashes that must be among them. An attempt and the one after it may meet upstreams that lose power together.
+const REQUEST_CRASH_LIMIT: usize = 2;
+/// Time from a crash until it is judged. Meanwhile the other requests that broke with it, and answers, become known.
+const JUDGE_DELAY: Duration = Duration::from_millis(100);
+/// Largest number of keys that wait to be judged.
+const MAX_UNJUDGED: usize = 256;
+/// Pause before a request with a cause is sent as a trial, to learn whether it is sound.
+const FIRST_TRIAL_PAUSE: Duration = Duration::from_secs(5);
 /// Factor by which the pause grows with each trial.
 const TRIAL_PAUSE_FACTOR: u32 = 4;
+/// Trials that are left out for a cause that many requests share, of which any may be the trial.
+const SHARED_CAUSE_TRIALS: u32 = 1;
 /// Longest pause between trials.
 const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(1800);
+/// Pause after a trial that was not sent, because no upstream was there to take it.
+const UNSENT_TRIAL_PAUSE: Duration = Duration::from_secs(1);
+/// Difference from which the earlier one of two times of a trial holds that hosts tell each other. Smaller ones come from
+/// the time that messages take.
+const TRIAL_SKEW: Duration = Duration::from_millis(500);
 /// Time, for each host, over which the hosts' trials are spread, so that one host tries first and the
 /// others learn of it.
 const TRIAL_SPREAD: Duration = Duration::from_millis(300);
+/// Longest time over which they are spread.
+const MAX_TRIAL_SPREAD: Duration = Duration::from_secs(10);
 /// How long a cause is remembered after its last crash.
-const CAUSE_TTL: Duration = Duration::from_secs(3600);
+pub(crate) const CAUSE_TTL: Duration = Duration::from_secs(3600);
 /// Largest number of remembered causes; beyond it, the one with the oldest crash is dropped.
 const MAX_CAUSES: usize = 64;
-/// Parts in one of the two generations in which answers are remembered.
-const MAX_ANSWERED_PARTS: usize = 4096;
-/// Times of answers that are remembered, and the shortest time between two of them.
-const MAX_ANSWER_TIMES: usize = 512;
-const ANSWER_TIME_STEP: Duration = Duration::from_millis(10);
-
-/// Identifies a prompt part: a hash of its id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Key(pub u64);
-
-impl Key {
-    /// Returns the key of the part with this id.
-    pub fn new(id: &str) -> Self {
-        Key(xxh3_64(id.as_bytes()))
-    }
-}
-
-impl fmt::Display for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
-/// Keys of parts, as one request holds them.
-pub type Keys = SmallVec<[Key; 4]>;
-
-/// Returns keys as text for logs.
-pub fn format_keys(keys: &[Key]) -> String {
-    keys.iter().map(Key::to_string).collect::<Vec<_>>().join(",")
-}
 
-/// A request whose upstream broke off before the response was complete.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Break {
-    /// The request and the upstream.
-    pub crash: RequestCrash,
-    /// Start of the upstream's process in Unix milliseconds; 0 if not known.
-    pub start_time_ms: u64,
-    /// The parts of the prompt that other requests may share; none if an event had arrived.
-    pub parts: Keys,
-    /// When the connection broke.
-    pub broke_at: Instant,
-    /// Time from the upstream's last sign of life on that connection until it broke; `None` if there
-    /// was none since the request was sent.
-    pub silence: Option<Duration>,
-}
-
-/// Parts that crash upstreams, as one host tells another.
+/// What crashes upstreams, as one host tells another.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CauseReport {
-    /// The parts; requests that hold all of them are kept away.
+    /// The keys of parts, or of a whole request; requests that hold all of them are kept away.
     pub parts: Keys,
     /// Time since the last crash.
     pub last_crash_age: Duration,
-    /// Trials so far.
+    /// Trials so far, with those that are left out.
     pub trials: u32,
     /// Time until the next trial.
     pub next_trial_in: Duration,
@@ -114,7 +78,7 @@
 /// What keeps a request from being sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rejection {
-    /// The parts that crash upstreams.
+    /// The keys of what crashes upstreams.
     pub parts: Keys,
     /// Time until a request with them may be sent as a trial.
     pub retry_after: Duration,
@@ -123,33 +87,16 @@
 /// Permission to send a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
-    /// The request holds no parts that are known to crash upstreams.
+    /// The request holds nothing that is known to crash upstreams.
     Ordinary,
-    /// It does, and tells whether they still do.
+    /// It does, and tells whether that still crashes them.
     Trial,
 }
 
-#[derive(Clone, Debug)]
-struct BrokenRequest {
-    request: Fingerprint,
-    parts: Keys,
-    broke_at: Instant,
-    /// When the upstream last showed that it was alive; the default if it did not since the request was
-    /// sent.
-    alive_at: Instant,
-}
-
-/// The end of one process of an upstream.
-#[derive(Clone, Debug)]
-struct Crash {
-    upstream: Upstream,
-    start_time_ms: u64,
-    /// Requests that waited for a first event there.
-    requests: Vec<BrokenRequest>,
-}
-
+/// Keys that crash upstreams when a request holds all of them.
 #[derive(Clone, Debug)]
 struct Cause {
+    /// In ascending order.
     parts: Keys,
     last_crash: Instant,
     trials: u32,
@@ -157,13 +104,9 @@
 }
 
 impl Cause {
-    fn new(parts: Keys, last_crash: Instant, now: Instant) -> Self {
-        Cause { parts, last_crash, trials: 0, next_trial: now + FIRST_TRIAL_PAUSE }
-    }
-
-    /// Returns whether a request with these parts holds all parts of the cause.
-    fn is_held_by(&self, parts: &[Key]) -> bool {
-        self.parts.iter().all(|it| parts.contains(it))
+    /// Returns whether a request with these keys holds all keys of the cause.
+    fn is_held_by(&self, keys: &[Key]) -> bool {
+        self.parts.iter().all(|it| keys.contains(it))
     }
 
     /// Returns when `host` may send a trial; a different time for each of `host_count` hosts.
@@ -171,129 +114,81 @@
         let key = self.parts.iter().fold(0, |sum: u64, it| sum.wrapping_add(it.0));
         let weight = rendezvous::weight(key, host.as_str());
         let spread = TRIAL_SPREAD * u32::try_from(host_count).unwrap_or(u32::MAX);
-        self.next_trial + spread.mul_f64(weight as f64 / u64::MAX as f64)
+        self.next_trial + spread.min(MAX_TRIAL_SPREAD).mul_f64(weight as f64 / u64::MAX as f64)
     }
 }
 
-/// When parts were last answered. Two generations bound the memory: the older one is dropped when the
-/// newer one is full.
-#[derive(Debug, Default)]
-struct Answered {
-    newer: HashMap<Key, Instant>,
-    older: HashMap<Key, Instant>,
-}
-
-impl Answered {
-    fn record(&mut self, key: Key, at: Instant) {
-        if self.newer.len() >= MAX_ANSWERED_PARTS && !self.newer.contains_key(&key) {
-            self.older = std::mem::take(&mut self.newer);
-        }
-        let entry = self.newer.entry(key).or_insert(at);
-        *entry = at.max(*entry);
-    }
-
-    fn last(&self, key: Key) -> Option<Instant> {
-        self.newer.get(&key).copied().max(self.older.get(&key).copied())
-    }
+/// Returns the pause before the next trial after so many.
+fn trial_pause(trials: u32) -> Duration {
+    let factor = TRIAL_PAUSE_FACTOR.saturating_pow(trials);
+    FIRST_TRIAL_PAUSE.saturating_mul(factor).min(MAX_TRIAL_PAUSE)
 }
 
-/// A crash as it counts for one part.
-struct Occurrence {
-    /// Index of the crash.
-    crash: usize,
-    broke_at: Instant,
-    alive_at: Instant,
-}
-
-/// The evidence against prompt parts, and the parts that were found to crash upstreams.
+/// The evidence against requests and prompt parts, and those that were found to crash upstreams.
 #[derive(Debug, Default)]
 pub struct Detector {
-    crashes: VecDeque<Crash>,
+    evidence: Evidence,
+    /// Keys that may be the cause of a crash, each with a request that holds it, from when on they are judged.
+    unjudged: VecDeque<(Instant, Fingerprint, Key)>,
     causes: Vec<Cause>,
-    answered: Answered,
-    /// When upstreams answered any request of this host, in order.
-    answer_times: VecDeque<Instant>,
     /// Number of changes of the causes.
     revision: u64,
 }
 
 impl Detector {
-    /// Records a request whose upstream broke off. Returns the parts that this host has seen answered
+    /// Records a request whose upstream broke off. Returns the keys that this host has seen answered
     /// since, of which the reporting host does not know that.
     pub fn record_break(&mut self, now: Instant, report: &Break) -> Keys {
-        let broke_at = report.broke_at;
-        let is_answered = |key: &Key| self.answered.last(*key).is_some_and(|it| it >= broke_at);
-        let (answered, parts): (Keys, Keys) = report.parts.iter().copied().partition(is_answered);
-        if parts.is_empty() {
-            return answered;
+        let (keys, answered) = self.evidence.record(report);
+        for cause in self.causes.iter_mut().filter(|it| it.is_held_by(&keys)) {
+            cause.last_crash = cause.last_crash.max(report.broke_at);
         }
-        let alive_at = report.silence.map(|it| broke_at.saturating_sub(it)).unwrap_or_default();
-        let broken = BrokenRequest {
-            request: report.crash.request,
-            parts: parts.clone(),
-            broke_at,
-            alive_at,
-        };
-        let is_same = |it: &Crash| {
-            it.upstream == report.crash.upstream && it.start_time_ms == report.start_time_ms
-        };
-        match self.crashes.iter_mut().find(|it| is_same(it)) {
-            Some(crash) => {
-                // Other hosts may report it more than once.
-                let is_known = crash
-                    .requests
-                    .iter()
-                    .any(|it| it.request == broken.request && it.parts == broken.parts);
-                if !is_known && crash.requests.len() < MAX_BROKEN_REQUESTS {
-                    crash.requests.push(broken);
-                }
+        self.judge_due(now);
+        for key in keys {
+            let is_waiting = self.unjudged.iter().any(|it| it.2 == key);
+            let may_be_cause = self.evidence.request_count(key) >= CRASH_LIMIT;
+            if may_be_cause && !is_waiting && self.unjudged.len() < MAX_UNJUDGED {
+                self.unjudged.push_back((now + JUDGE_DELAY, report.request, key));
             }
-            None => {
-                if self.crashes.len() >= MAX_CRASHES {
-                    self.crashes.pop_front();
-                }
-                self.crashes.push_back(Crash {
-                    upstream: report.crash.upstream.clone(),
-                    start_time_ms: report.start_time_ms,
-                    requests: vec![broken],
-                });
-            }
-        }
-        for cause in self.causes.iter_mut().filter(|it| it.is_held_by(&parts)) {
-            cause.last_crash = cause.last_crash.max(broke_at);
-        }
-        for key in parts {
-            self.judge(now, key);
         }
         answered
     }
 
-    /// Records an answer to a request with these parts. Returns those that were under suspicion, which
-    /// other hosts should be told.
-    pub fn record_answer(&mut self, now: Instant, parts: &[Key]) -> Keys {
-        let last = self.answer_times.back();
-        if last.is_none_or(|it| now.since(*it) >= ANSWER_TIME_STEP) {
-            if self.answer_times.len() >= MAX_ANSWER_TIMES {
-                self.answer_times.pop_front();
-            }
-            self.answer_times.push_back(now);
+    /// Judges the crashes that happened long enough ago.
+    pub fn judge_due(&mut self, now: Instant) {
+        while let Some((_, request, key)) = self.unjudged.pop_front_if(|it| it.0 <= now) {
+            self.judge(now, request, key);
         }
+    }
+
+    /// Records that an upstream began to answer a request with these parts. Returns those that were under suspicion,
+    /// which other hosts should be told.
+    pub fn record_answer(&mut self, now: Instant, parts: &[Key]) -> Keys {
+        self.evidence.record_answer_time(now);
         parts.iter().copied().filter(|it| self.clear(now, *it)).collect()
     }
 
-    /// Clears a part that was answered at `at`. Returns whether it was under suspicion.
-    pub fn clear(&mut self, at: Instant, key: Key) -> bool {
-        self.answered.record(key, at);
-        let mut was_suspected = false;
-        for crash in &mut self.crashes {
-            for request in crash.requests.iter_mut().filter(|it| it.broke_at <= at) {
-                let before = request.parts.len();
-                request.parts.retain(|it| *it != key);
-                was_suspected |= request.parts.len() < before;
-            }
-            crash.requests.retain(|it| !it.parts.is_empty());
+    /// Records that an upstream answered a whole request, however the answer of the prompt began. Returns its key if it
+    /// was under suspicion.
+    pub fn record_whole_answer(&mut self, now: Instant, request: Fingerprint) -> Keys {
+        self.evidence.record_answer_time(now);
+        let key = Key::from(request);
+        let was_suspected = self.forget(now, key);
+        if was_suspected {
+            // Only then: most requests never come again.
+            self.evidence.remember_answer(now, key);
         }
-        self.crashes.retain(|it| !it.requests.is_empty());
+        was_suspected.then_some(key).into_iter().collect()
+    }
+
+    /// Clears a key that was answered at `at`. Returns whether it was under suspicion.
+    pub fn clear(&mut self, at: Instant, key: Key) -> bool {
+        self.evidence.remember_answer(at, key);
+        self.forget(at, key)
+    }
+
+    fn forget(&mut self, at: Instant, key: Key) -> bool {
+        let mut was_suspected = self.evidence.clear(at, key);
         for cause in self.causes.iter_mut().filter(|it| it.last_crash <= at) {
             let before = cause.parts.len();
             cause.parts.retain(|it| *it != key);
@@ -306,7 +201,7 @@
         was_suspected
     }
 
-    /// Decides whether a request with these parts may be sent.
+    /// Decides whether a request with these keys may be sent.
     ///
     /// # Errors
     ///
@@ -316,10 +211,11 @@
         now: Instant,
         host: &Host,
         host_count: usize,
-        parts: &[Key],
+        keys: &[Key],
     ) -> Result<Admission, Rejection> {
+        self.judge_due(now);
         let mut admission = Admission::Ordinary;
-        for cause in self.causes.iter().filter(|it| it.is_held_by(parts)) {
+        for cause in self.causes.iter().filter(|it| it.is_held_by(keys)) {
             let next_trial = cause.next_trial_of(host, host_count);
             if next_trial > now {
                 let retry_after = next_trial.since(now);
@@ -327,23 +223,28 @@
             }
             admission = Admission::Trial;
         }
-        for cause in self.causes.iter_mut().filter(|it| it.is_held_by(parts)) {
-            cause.trials += 1;
-            let factor = TRIAL_PAUSE_FACTOR.saturating_pow(cause.trials);
-            cause.next_trial = now + FIRST_TRIAL_PAUSE.saturating_mul(factor).min(MAX_TRIAL_PAUSE);
+        for cause in self.causes.iter_mut().filter(|it| it.is_held_by(keys)) {
+            cause.trials = cause.trials.saturating_add(1);
+            cause.next_trial = now + trial_pause(cause.trials);
         }
         Ok(admission)
     }
 
-    /// Returns whether a request with these parts is known to crash upstreams.
-    pub fn is_fatal(&self, parts: &[Key]) -> bool {
-        self.causes.iter().any(|it| it.is_held_by(parts))
+    /// Allows another trial soon in place of one that was not sent.
+    pub fn return_trial(&mut self, now: Instant, keys: &[Key]) {
+        for cause in self.causes.iter_mut().filter(|it| it.is_held_by(keys)) {
+            cause.next_trial = cause.next_trial.min(now + UNSENT_TRIAL_PAUSE);
+        }
+    }
+
+    /// Returns whether a request with these keys is known to crash upstreams.
+    pub fn is_fatal(&self, keys: &[Key]) -> bool {
+        self.causes.iter().any(|it| it.is_held_by(keys))
     }
 
-    /// Returns whether one of these parts is under suspicion.
-    pub fn is_suspected(&self, parts: &[Key]) -> bool {
-        let requests = self.crashes.iter().flat_map(|it| &it.requests);
-        requests.flat_map(|it| &it.parts).any(|it| parts.contains(it))
+    /// Returns whether one of these keys is under suspicion.
+    pub fn is_any_suspected(&self, keys: &[Key]) -> bool {
+        self.evidence.holds_any(keys)
     }
 
     /// Returns the known causes, to tell other hosts.
@@ -356,18 +257,23 @@
         })
     }
 
-    /// Follows a cause that another host has found. Returns the parts that this host has seen answered
+    /// Returns all requests that are under suspicion, to tell a host that has missed some.
+    pub fn breaks(&self) -> impl Iterator<Item = Break> {
+        self.evidence.reports()
+    }
+
+    /// Follows a cause that another host has found. Returns the keys that this host has seen answered
     /// since the last crash, which the other host does not know.
     pub fn follow(&mut self, now: Instant, report: &CauseReport) -> Keys {
         let last_crash = now.saturating_sub(report.last_crash_age);
         if report.last_crash_age >= CAUSE_TTL {
             return Keys::new();
         }
-        let is_answered = |key: &Key| self.answered.last(*key).is_some_and(|it| it > last_crash);
+        let is_answered = |key: &Key| self.evidence.is_answered_after(last_crash, *key);
         let (answered, mut parts): (Keys, Keys) =
             report.parts.iter().copied().partition(is_answered);
         parts.sort();
-        parts.truncate(MAX_REQUEST_PARTS);
+        parts.truncate(MAX_KEYS);
         if parts.is_empty() {
             return answered;
         }
@@ -377,7 +283,9 @@
         match known {
             Some(cause) => {
                 cause.last_crash = cause.last_crash.max(last_crash);
-                if report.trials > cause.trials {
+                let is_returned =
+                    report.trials == cause.trials && next_trial + TRIAL_SKEW < cause.next_trial;
+                if report.trials > cause.trials || is_returned {
                     (cause.trials, cause.next_trial) = (report.trials, next_trial);
                 }
             }
@@ -386,23 +294,9 @@
         answered
     }
 
-    /// Returns the other requests that broke in crashes which a known cause explains.
-    pub fn bystanders(&self) -> Vec<(Fingerprint, Upstream)> {
-        let explained = self
-            .crashes
-            .iter()
-            .filter(|crash| crash.requests.iter().any(|it| self.is_fatal(&it.parts)));
-        let bystanders = explained.flat_map(|crash| {
-            let others = crash.requests.iter().filter(|it| !self.is_fatal(&it.parts));
-            others.map(|it| (it.request, crash.upstream.clone()))
-        });
-        bystanders.collect()
-    }
-
     /// Forgets evidence and causes that are too old.
     pub fn purge(&mut self, now: Instant) {
-        self.crashes
-            .retain(|it| it.requests.iter().any(|it| now.since(it.broke_at) < EVIDENCE_TTL));
+        self.evidence.purge(now);
         let before = self.causes.len();
         self.causes.retain(|it| now.since(it.last_crash) < CAUSE_TTL);
         self.revision += u64::from(self.causes.len() < before);
@@ -415,41 +309,54 @@
 
     /// Returns the number of remembered crashes.
     pub fn crash_count(&self) -> usize {
-        self.crashes.len()
+        self.evidence.crash_count()
     }
 
-    /// Adds a part, with those that were always there together with it, to the causes if the evidence
-    /// suffices.
-    fn judge(&mut self, now: Instant, key: Key) {
+    /// Adds a key of a request that broke, with those that were always there together with it, to the causes if the
+    /// evidence suffices.
+    fn judge(&mut self, now: Instant, request: Fingerprint, key: Key) {
+        let is_request = key == request.into();
         let occurrences = self.occurrences(key);
-        if self.count_separate(&occurrences) < CRASH_LIMIT
-            || self.count_requests(key, &occurrences) < MIN_REQUESTS
-        {
+        if !self.suffices(is_request, &occurrences) {
             return;
         }
-        let crashes: Vec<_> = occurrences.iter().map(|it| it.crash).collect();
         let mut parts = Keys::from_slice(&[key]);
-        for other in self.parts_of(crashes[0]) {
+        for other in self.evidence.common_keys(&occurrences) {
             if other == key {
                 continue;
             }
-            let of_other: Vec<_> = self.occurrences(other).iter().map(|it| it.crash).collect();
-            if !crashes.iter().all(|it| of_other.contains(it)) {
-                continue;
-            }
-            if of_other.len() > crashes.len() {
-                // The other part explains these crashes and more.
-                return;
+            let has_more = self.occurrences(other).len() > occurrences.len();
+            let is_same_request =
+                occurrences.iter().all(|it| self.evidence.is_shared(it.crash, key, other));
+            match (is_same_request, has_more) {
+                // All repeats of a request hold its parts, whatever else they are at.
+                (true, _) if is_request => parts.push(other),
+                (true, false) => parts.push(other),
+                // The other one explains these crashes and more.
+                (_, true) => return,
+                // Two requests that were always there together: a trial tells which one it is.
+                (false, false) => {}
             }
-            parts.push(other);
         }
         parts.sort();
-        parts.truncate(MAX_REQUEST_PARTS);
+        parts.truncate(MAX_KEYS);
         if self.causes.iter().any(|it| it.is_held_by(&parts)) {
             return;
         }
         let last_crash = occurrences.iter().map(|it| it.broke_at).max().unwrap_or(now);
-        self.add(Cause::new(parts, last_crash, now));
+        let is_shared = !parts.contains(&request.into());
+        let trials = if is_shared { SHARED_CAUSE_TRIALS } else { 0 };
+        self.add(Cause { parts, last_crash, trials, next_trial: now + trial_pause(trials) });
+    }
+
+    /// Returns whether these crashes show that a whole request, or a part, caused them.
+    fn suffices(&self, is_request: bool, occurrences: &[Occurrence]) -> bool {
+        if !is_request {
+            return self.evidence.count_separate(occurrences) >= CRASH_LIMIT;
+        }
+        let weight = |it: &Occurrence| if it.had_event { LATE_CRASH_WEIGHT } else { CRASH_WEIGHT };
+        occurrences.iter().map(weight).sum::<usize>() >= REQUEST_WEIGHT_LIMIT
+            && self.evidence.count_separate(occurrences) >= REQUEST_CRASH_LIMIT
     }
 
     /// Adds a cause, in place of those that it includes.
@@ -465,63 +372,23 @@
         self.revision += 1;
     }
 
-    /// Returns the crashes in which a part is under suspicion, in the order of their times. Those that a
-    /// known cause without this part explains do not count.
+    /// Returns the crashes in which a key is under suspicion, in the order of their times. Those that a known cause
+    /// without this key explains do not count, unless the key was at all crashes of that cause and so explains them as
+    /// well.
     fn occurrences(&self, key: Key) -> SmallVec<[Occurrence; 8]> {
-        let mut occurrences: SmallVec<[Occurrence; 8]> = SmallVec::new();
-        for (index, crash) in self.crashes.iter().enumerate() {
-            let with_part = crash.requests.iter().filter(|it| it.parts.contains(&key));
-            let Some(last) = with_part.max_by_key(|it| it.alive_at) else { continue };
-            let is_explained = self.causes.iter().any(|cause| {
-                !cause.parts.contains(&key)
-                    && crash.requests.iter().any(|it| cause.is_held_by(&it.parts))
-            });
-            if !is_explained {
-                let (broke_at, alive_at) = (last.broke_at, last.alive_at);
-                occurrences.push(Occurrence { crash: index, broke_at, alive_at });
-            }
-        }
-        occurrences.sort_by_key(|it| it.broke_at);
-        occurrences
-    }
-
-    /// Returns how many crashes are separate events. A crash is separate from the one before it if its
-    /// upstream was alive after that, or if other requests were answered between the two. So upstreams
-    /// that lose power together count once, also when nothing is left that could answer.
-    fn count_separate(&self, occurrences: &[Occurrence]) -> usize {
-        let mut count = 0;
-        let mut last: Option<Instant> = None;
-        for it in occurrences {
-            let is_separate = last.is_none_or(|last| {
-                let answered = self.answer_times.partition_point(|time| *time <= last);
-                let answered =
-                    self.answer_times.get(answered).is_some_and(|time| *time < it.broke_at);
-                it.alive_at > last || answered && it.broke_at.since(last) >= MIN_SEPARATION
-            });
-            if is_separate {
-                count += 1;
-                last = Some(it.broke_at);
-            }
-        }
-        count
-    }
-
-    /// Returns how many different requests with a part broke in these crashes.
-    fn count_requests(&self, key: Key, occurrences: &[Occurrence]) -> usize {
-        let requests = occurrences.iter().flat_map(|it| &self.crashes[it.crash].requests);
-        let mut requests: Vec<_> =
-            requests.filter(|it| it.parts.contains(&key)).map(|it| it.request).collect();
-        requests.sort();
-        requests.dedup();
-        requests.len()
-    }
-
-    /// Returns all parts that are under suspicion in a crash.
-    fn parts_of(&self, crash: usize) -> Vec<Key> {
-        let requests = self.crashes[crash].requests.iter();
-        let mut parts: Vec<_> = requests.flat_map(|it| it.parts.iter().copied()).collect();
-        parts.sort();
-        parts.dedup();
-        parts
+        let crashes = 0..self.evidence.crash_count();
+        let explaining: SmallVec<[&Cause; 4]> = self
+            .causes
+            .iter()
+            .filter(|it| !it.parts.contains(&key))
+            .filter(|cause| {
+                let mut at =
+                    crashes.clone().filter(|it| self.evidence.holds_all(*it, &cause.parts));
+                at.any(|it| !self.evidence.holds(it, key))
+            })
+            .collect();
+        self.evidence.occurrences(key, |crash| {
+            !explaining.iter().any(|it| self.evidence.holds_all(crash, &it.parts))
+        })
     }
 }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -255,7 +255,7 @@
             }
         }
         let choice = attempt.choice.clone();
-        self.gateway.forget_crashes(self.job.fingerprint);
+        self.gateway.record_whole_answer(self.job.fingerprint);
         self.gateway.pool().put(&choice.id, choice.incarnation.address, connection, &head.headers);
         let first_event_time = first_event_time.unwrap_or_else(|| started.elapsed());
         let route = self.job.route.name.as_str();
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -1,4 +1,4 @@
-//! Unit tests of the gateway: row replicas, events, retry budgets, quarantine, routes, host shares,
+//! Unit tests of the gateway: row replicas, events, retry budgets, routes, host shares,
 //! headers and weight rollouts.
 
 use std::time::Duration;
@@ -9,7 +9,6 @@
     configuration::Route,
     hop_by_hop,
     prelude::*,
-    quarantine::{Crash, Fingerprint, Quarantine},
     replica::{Replica, Revision, Row},
     retry_budget::RetryBudget,
     rollout::{Scheduler, Task, WeightState},
@@ -129,71 +128,6 @@
     assert!(budget.has_room_after_error(at(11_500), 0.2, 6.0));
 }
 
-#[test]
-fn request_that_crashes_upstreams_is_quarantined_on_all_hosts() {
-    let mut quarantine = Quarantine::default();
-    let request = Fingerprint::new("/a", Some("key"), b"body");
-    let crash = |upstream| Crash { request, upstream: Upstream::new(upstream), suspected: false };
-    assert!(quarantine.record_crash(at(0), &crash("engine0")));
-    // The same crash, as another host reports it.
-    assert!(!quarantine.record_crash(at(10), &crash("engine0")));
-    assert!(!quarantine.is_quarantined(at(20), request));
-    assert!(quarantine.record_crash(at(30), &crash("engine1")));
-    assert!(quarantine.is_quarantined(at(40), request));
-    assert!(!quarantine.is_quarantined(at(40), Fingerprint::new("/a", Some("key"), b"other")));
-    assert!(!quarantine.is_quarantined(at(130_000), request));
-}
-
-#[test]
-fn crashes_are_forgotten_once_an_upstream_completes_the_request() {
-    let mut quarantine = Quarantine::default();
-    let request = Fingerprint::new("/a", None, b"");
-    for upstream in ["engine0", "engine1"] {
-        quarantine.record_crash(
-            at(0),
-            &Crash { request, upstream: Upstream::new(upstream), suspected: false },
-        );
-    }
-    quarantine.clear(request);
-    assert!(!quarantine.is_quarantined(at(10), request));
-}
-
-/// Connections from the pool may have been closed while idle. A few of these do not keep a request from
-/// all upstreams; many do.
-#[test]
-fn broken_pooled_connections_count_half() {
-    let mut quarantine = Quarantine::default();
-    let request = Fingerprint::new("/a", None, b"");
-    let crash = |index: u32, suspected| Crash {
-        request,
-        upstream: Upstream::new(format!("engine{index}")),
-        suspected,
-    };
-    for index in 0..3 {
-        quarantine.record_crash(at(0), &crash(index, true));
-        assert!(!quarantine.is_quarantined(at(10), request));
-    }
-    // The first one turns out to be a crash.
-    assert!(quarantine.record_crash(at(20), &crash(0, false)));
-    assert!(quarantine.is_quarantined(at(30), request));
-}
-
-#[test]
-fn quarantine_forgets_the_oldest_crash_when_it_is_full() {
-    let mut quarantine = Quarantine::default();
-    let request = |index: u64| Fingerprint(index);
-    for index in 0..5_000 {
-        for upstream in ["engine0", "engine1"] {
-            let upstream = Upstream::new(upstream);
-            let crash = Crash { request: request(index), upstream, suspected: false };
-            quarantine.record_crash(at(index), &crash);
-        }
-    }
-    assert_eq!(quarantine.len(), 4_096);
-    assert!(!quarantine.is_quarantined(at(5_000), request(0)));
-    assert!(quarantine.is_quarantined(at(5_000), request(4_999)));
-}
-
 #[test]
 fn longest_prefix_wins() {
     let configuration = configuration();
--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -4,9 +4,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use mothvale_lib::{
-    poison::{Admission, Break, CauseReport, Detector, Key, Keys},
+    poison::{Admission, Break, CauseReport, Detector, Fingerprint, Key, Keys},
     prelude::*,
-    quarantine::{Crash, Fingerprint},
     rendezvous::mix64,
 };
 use mothvale_testutils::gateway::at;
@@ -29,13 +28,11 @@
 /// A request that had waited for 50 ms when the process `upstream` ended at `millis`.
 fn broken(millis: u64, upstream: &'static str, request: u64, parts: &[&str]) -> Break {
     Break {
-        crash: Crash {
-            request: Fingerprint(request),
-            upstream: Upstream::new(upstream),
-            suspected: false,
-        },
+        request: Fingerprint(request),
+        upstream: Upstream::new(upstream),
         start_time_ms: 1,
         parts: keys(parts),
+        had_event: false,
         broke_at: at(millis),
         silence: Some(Duration::from_millis(50)),
     }
@@ -57,6 +54,7 @@
         record(&mut detector, &broken(1000 * (index as u64 + 1), upstream, index as u64, &parts));
         detector.record_answer(at(1000 * (index as u64 + 1) + 10), &keys(&["first"]));
     }
+    detector.judge_due(at(3100));
     detector
 }
 
@@ -74,17 +72,33 @@
     }
 }
 
+/// Connections that were open when the process ended may be seen to break one after the other.
 #[test]
 fn same_process_counts_once() {
     let mut detector = Detector::default();
     for request in 0..9 {
-        let report = broken(1000 + 400 * request, "e0", request, &["first", "bad"]);
+        let report = Break {
+            silence: Some(Duration::from_millis(50 + 400 * request)),
+            ..broken(1000 + 400 * request, "e0", request, &["first", "bad"])
+        };
         record(&mut detector, &report);
     }
     assert!(!is_rejected(&mut detector, 5000, &["first", "bad"]));
 }
 
-/// The exact request is the business of the quarantine; which of its parts is to blame is not known.
+/// Guards against crashes that count once for each upstream: it may come back under its id, and the time of its start
+/// may not be known.
+#[test]
+fn process_that_comes_back_counts_again() {
+    let mut detector = Detector::default();
+    for request in 0..3 {
+        assert!(!is_rejected(&mut detector, 3000 * request, &["first", "bad"]));
+        record(&mut detector, &broken(1000 + 3000 * request, "e0", request, &["first", "bad"]));
+    }
+    assert!(is_rejected(&mut detector, 7100, &["first", "bad"]));
+}
+
+/// Which of its parts is to blame is not known.
 #[test]
 fn one_request_that_is_sent_again_blames_no_part() {
     let mut detector = Detector::default();
@@ -92,6 +106,9 @@
         record(&mut detector, &broken(1000 * (index as u64 + 1), upstream, 7, &["first", "s0"]));
     }
     assert!(!is_rejected(&mut detector, 6000, &["first", "s0"]));
+    let mut repeat = keys(&["first", "s0"]);
+    repeat.push(Fingerprint(7).into());
+    assert!(detector.admit(at(6000), &host(), 1, &repeat).is_err());
 }
 
 /// Upstreams that lose power together say nothing about what they ran, whether or not others answer.
@@ -180,15 +197,16 @@
         let (millis, request) = (1000 * (index as u64 + 1), 10 * index as u64);
         // A session whose requests wait beside the fatal ones, after the first crash.
         if index > 0 {
-            record(&mut detector, &broken(millis, upstream, request + 1, &["unlucky"]));
+            record(&mut detector, &broken(millis, upstream, 99, &["unlucky"]));
         }
         record(&mut detector, &broken(millis, upstream, request, &["bad"]));
     }
     assert!(is_rejected(&mut detector, 4100, &["bad"]));
     assert!(!is_rejected(&mut detector, 4100, &["unlucky"]));
-    let bystanders = detector.bystanders();
-    assert_eq!(bystanders.len(), 3);
-    assert!(bystanders.iter().all(|it| it.0.0 % 10 == 1), "{bystanders:?}");
+    // Nor are the requests that only ran beside it.
+    let mut bystander = keys(&["unlucky"]);
+    bystander.push(Fingerprint(99).into());
+    assert!(!detector.is_fatal(&bystander));
 }
 
 /// One request crashes upstreams again and again, so none of its parts is blamed yet. It explains the
@@ -282,6 +300,8 @@
     assert_eq!(answered, keys(&["first"]));
     assert_eq!(detector.record_answer(at(2200), &keys(&["first"])), Keys::new());
     assert_eq!(detector.record_answer(at(2300), &keys(&["s0"])), keys(&["s0"]));
+    let request = Fingerprint(1);
+    assert_eq!(detector.record_whole_answer(at(2400), request).as_slice(), [request.into()]);
     assert_eq!(detector.crash_count(), 0);
 }
 
@@ -311,11 +331,9 @@
     for index in 0..20_000_u64 {
         let parts: Keys = (0..4).map(|it| Key(index * 4 + it)).collect();
         let report = Break {
-            crash: Crash {
-                request: Fingerprint(index),
-                upstream: Upstream::new(format!("e{}", index % 5000)),
-                suspected: false,
-            },
+            request: Fingerprint(index),
+            upstream: Upstream::new(format!("e{}", index % 5000)),
+            had_event: false,
             parts: parts.clone(),
             ..broken(index, "e", 0, &[])
         };
@@ -479,7 +497,9 @@
     fn send(&mut self, host: usize, id: u64, parts: &Keys, retries_left: u32) {
         let is_fatal = parts.contains(&key("bad"));
         let name = Host::new(format!("host{host}"));
-        let admitted = self.hosts[host].admit(at(self.now), &name, 9, parts).is_ok();
+        let mut keys = parts.clone();
+        keys.push(Fingerprint(id).into());
+        let admitted = self.hosts[host].admit(at(self.now), &name, 9, &keys).is_ok();
         if !is_fatal {
             self.sound += 1;
             self.sound_rejected += u64::from(!admitted);
@@ -514,11 +534,9 @@
         self.engines[engine].up_at = self.now + 3300;
         for it in lost {
             let report = Break {
-                crash: Crash {
-                    request: Fingerprint(it.id),
-                    upstream: Upstream::new(format!("e{engine}")),
-                    suspected: false,
-                },
+                request: Fingerprint(it.id),
+                upstream: Upstream::new(format!("e{engine}")),
+                had_event: false,
                 start_time_ms: start,
                 parts: it.parts.clone(),
                 broke_at: at(self.now),
@@ -540,7 +558,11 @@
             let now = self.now;
             let hosts = &self.hosts;
             // Hosts withdraw requests that they know to be fatal.
-            self.engines[engine].requests.retain(|it| !hosts[it.host].is_fatal(&it.parts));
+            self.engines[engine].requests.retain(|it| {
+                let keys: Vec<_> =
+                    it.parts.iter().copied().chain([Fingerprint(it.id).into()]).collect();
+                !hosts[it.host].is_fatal(&keys)
+            });
             let due = self.engines[engine].requests.extract_if(.., |it| it.begins_at <= now);
             let due: Vec<_> = due.collect();
             let crashes = due.iter().any(|it| it.parts.contains(&key("bad")));
@@ -549,7 +571,9 @@
                     self.engines[engine].requests.push(it);
                     continue;
                 }
-                let cleared = self.hosts[it.host].record_answer(at(now), &it.parts);
+                let mut cleared = self.hosts[it.host].record_answer(at(now), &it.parts);
+                cleared
+                    .extend(self.hosts[it.host].record_whole_answer(at(now), Fingerprint(it.id)));
                 self.tell_answered(it.host, &cleared);
             }
             if crashes {
@@ -583,6 +607,7 @@
             self.begin();
             if self.now.is_multiple_of(50) {
                 for host in 0..self.hosts.len() {
+                    self.hosts[host].judge_due(at(self.now));
                     let reports: Vec<_> = self.hosts[host].causes(at(self.now)).collect();
                     self.tell(host, || Message::Causes(reports.clone()));
                 }
