mesh: hosts that start, were suspended or cut off learn what others know of crashes

A host was told of a crash in one message. One that started later, was suspended or missed the message counted from the beginning, and the deadly request had to crash upstreams anew; after a suspension it was sent before the first message had come.

Cause: a fact that lasts was told as news, once. Now a break, and an answer to what was under suspicion, is told four times within 4 s, longer than a connection outlives silence, unless it no longer matters. Hosts that become connected ask each other for all of it, also what happened before their start: the clock of crashes runs an hour ahead of the host's. A host holds requests when it may lack what others know: for a second at most after its start, and for 600 ms at most, once, when its loops had no turn or no host was heard for 1.5 s. It asks at once, and only an answer to that ends it, since messages that waited during a suspension may be old. A host of an earlier build does not answer, and is not needed.

--- a/lib/src/crash_causes.rs
+++ b/lib/src/crash_causes.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     codec::Codec,
+    crash_contact::Contact,
     gateway::{Gateway, lock},
     poison::{
         self, Admission, Break, CAUSE_TTL, CauseReport, Detector, Fingerprint, Key, Rejection,
@@ -12,15 +13,11 @@
     prelude::*,
 };
 
-/// How long after its start a host may hold requests, until another host has told it what crashes upstreams.
-const CAUSES_WAIT: Duration = Duration::from_secs(1);
-
 /// Time by which the clock of crashes is ahead of the host's, so that crashes from before the host's start have a time.
 const CRASH_HISTORY: Duration = CAUSE_TTL;
 
-/// Largest number of breaks, and of answered parts, that wait to be told to other hosts. A host without any
-/// other one would collect them for ever.
-const MAX_UNSENT: usize = 1024;
+/// Most requests of which a host is told that may have missed news.
+const MAX_TOLD_BREAKS: usize = 1024;
 
 impl<C> Gateway<C>
 where
@@ -35,7 +32,9 @@
     /// other hosts.
     pub fn record_break(&self, report: Break) {
         self.apply_break("own connection", &report);
-        push_bounded(&mut lock(&self.breaks), report);
+        if !lock(&self.breaks).push(self.crash_clock(), report) {
+            log::debug!("break cannot be told to other hosts and is dropped");
+        }
     }
 
     /// Records a break that another host reported.
@@ -70,38 +69,70 @@
         self.update_poison(peer.as_str(), |it| it.clear(at, part));
     }
 
-    /// Follows a cause of crashes that another host has found.
-    pub fn follow_cause(&self, peer: &Host, report: &CauseReport) {
+    /// Follows a cause of crashes that another host has found, or the row store holds.
+    pub fn follow_cause(&self, source: &str, report: &CauseReport) {
         let now = self.crash_clock();
-        let answered = self.update_poison(peer.as_str(), |it| it.follow(now, report));
+        let answered = self.update_poison(source, |it| it.follow(now, report));
         self.tell_answered(&answered);
     }
 
     /// Records that another host has told all causes of crashes that it knows.
-    pub fn set_knows_causes(&self) {
-        if !self.knows_causes.send_replace(true) {
-            log::info!(since_start_ms = self.now().since(Instant::ZERO).as_millis() as u64;
-                "causes of crashes are known from another host");
-        }
+    pub fn record_crash_word(&self) {
+        let now = self.now();
+        self.update_contact(|it| it.record_word(now));
+    }
+
+    /// Records an answer about crashes to what this host asked at `asked_at`: from another host, or from the row store.
+    pub fn record_crash_answer(&self, asked_at: Instant) {
+        self.update_contact(|it| it.record_answer(asked_at));
+    }
+
+    /// Records a turn of the loop that exchanges messages with other hosts.
+    pub(crate) fn record_crash_turn(&self) {
+        let now = self.now();
+        self.update_contact(|it| it.record_turn(now));
+    }
+
+    /// Changes how well this host keeps up with what others know of crashes, and wakes the requests that wait for it.
+    fn update_contact<F>(&self, f: F)
+    where
+        F: FnOnce(&mut Contact),
+    {
+        let now = self.now();
+        self.crash_contact.send_if_modified(|contact| {
+            let was_held = contact.held_until(now, true).is_some();
+            f(contact);
+            was_held && contact.held_until(now, false).is_none()
+        });
     }
 
-    /// Returns whether this host knows what crashes upstreams, as far as any host does: it was told, or has run for long
-    /// enough.
+    /// Returns whether this host knows what crashes upstreams, as far as any host does: it was told, or has waited for
+    /// that for long enough.
     pub fn knows_causes(&self) -> bool {
-        *self.knows_causes.borrow() || self.now().since(Instant::ZERO) >= CAUSES_WAIT
+        self.crash_hold(&[]).is_none()
     }
 
-    /// Holds a request that is under suspicion, in whole or in part, while this host has just started, until another host
-    /// has told it what crashes upstreams, or for [`CAUSES_WAIT`]: it may be the only one. Without a
-    /// suspicion nothing waits, because all hosts may have started together.
+    /// Returns until when a request with these keys is held for what other hosts know of crashes, or `None` if it is not.
+    fn crash_hold(&self, keys: &[Key]) -> Option<Instant> {
+        let (now, mut until) = (self.now(), None);
+        let is_suspected = lock(&self.poison).is_any_suspected(keys);
+        self.crash_contact.send_if_modified(|contact| {
+            until = contact.held_until(now, is_suspected);
+            false
+        });
+        until
+    }
+
+    /// Holds a request while this host may lack what others know of crashes, for a short time at most.
     pub async fn wait_for_causes(&self, keys: &[Key]) {
-        let left = CAUSES_WAIT.saturating_sub(self.now().since(Instant::ZERO));
-        if left.is_zero() || !lock(&self.poison).is_any_suspected(keys) {
-            return;
-        }
-        let mut known = self.knows_causes.subscribe();
-        if timeout(left, known.wait_for(|it| *it)).await.is_err() {
-            log::info!("no other host has told the causes of crashes");
+        let mut contact = self.crash_contact.subscribe();
+        let mut is_asked = false;
+        while let Some(until) = self.crash_hold(keys) {
+            if !std::mem::replace(&mut is_asked, true) {
+                self.crash_news_wanted.notify_one();
+            }
+            // The sender is part of `self`, so it cannot be gone.
+            let _ = timeout(until.since(self.now()), contact.changed()).await;
         }
     }
 
@@ -172,38 +203,31 @@
         result
     }
 
-    fn tell_answered(&self, parts: &[Key]) {
+    fn tell_answered(&self, keys: &[Key]) {
         let now = self.crash_clock();
         let mut answered = lock(&self.answered_parts);
-        parts.iter().for_each(|it| push_bounded(&mut answered, (*it, now)));
+        if !keys.iter().all(|it| answered.push(now, (*it, now))) {
+            log::debug!("answers cannot be told to other hosts and are dropped");
+        }
     }
 
-    /// Removes and returns the breaks that have not been sent to the other hosts yet.
+    /// Returns the breaks that are to be told to the other hosts now.
     pub fn take_breaks(&self) -> Vec<Break> {
-        std::mem::take(&mut *lock(&self.breaks))
+        let detector = lock(&self.poison);
+        let is_suspected = |it: &Break| detector.is_any_suspected(&it.keys());
+        lock(&self.breaks).take_due(self.crash_clock(), is_suspected)
     }
 
-    /// Puts breaks back that could not be sent to the other hosts.
-    pub fn return_breaks<I>(&self, breaks: I)
-    where
-        I: Iterator<Item = Break>,
-    {
-        let mut unsent = lock(&self.breaks);
-        breaks.for_each(|it| push_bounded(&mut unsent, it));
-    }
-
-    /// Removes and returns the keys that were answered after a crash, with the times of the
-    /// answers, which have not been sent to the other hosts yet.
+    /// Returns the keys that were answered after a crash, with the times of the answers, which are to be told to the other
+    /// hosts now.
     pub fn take_answered_parts(&self) -> Vec<(Key, Instant)> {
-        std::mem::take(&mut *lock(&self.answered_parts))
+        lock(&self.answered_parts).take_due(self.crash_clock(), |_| true)
     }
-}
 
-/// Adds an item, unless there are [`MAX_UNSENT`] already.
-fn push_bounded<T>(unsent: &mut Vec<T>, item: T) {
-    if unsent.len() < MAX_UNSENT {
-        unsent.push(item);
-    } else {
-        log::debug!("news about crashes cannot be told to other hosts and is dropped");
+    /// Returns the latest requests that are under suspicion, for a host that may not know of them.
+    pub fn all_breaks(&self) -> Vec<Break> {
+        let mut breaks: Vec<_> = lock(&self.poison).breaks().collect();
+        breaks.sort_by_key(|it| it.broke_at);
+        breaks.split_off(breaks.len().saturating_sub(MAX_TOLD_BREAKS))
     }
 }
--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -99,6 +99,16 @@
     pub silence: Option<Duration>,
 }
 
+impl Break {
+    /// Returns the keys that the break puts under suspicion, in ascending order.
+    pub fn keys(&self) -> Keys {
+        let mut keys: Keys = self.parts.iter().copied().chain([self.request.into()]).collect();
+        keys.sort();
+        keys.dedup();
+        keys
+    }
+}
+
 #[derive(Clone, Debug)]
 struct BrokenRequest {
     request: Fingerprint,
@@ -194,10 +204,8 @@
     /// host has seen answered since.
     pub(crate) fn record(&mut self, report: &Break) -> (Keys, Keys) {
         let broke_at = report.broke_at;
-        let mut all: Keys = report.parts.iter().copied().chain([report.request.into()]).collect();
-        all.sort();
-        all.dedup();
-        let (answered, keys): (Keys, Keys) = all
+        let (answered, keys): (Keys, Keys) = report
+            .keys()
             .into_iter()
             .partition(|it| self.answered.last(*it).is_some_and(|it| it >= broke_at));
         if keys.is_empty() {
--- a/lib/src/crash_gossip.rs
+++ b/lib/src/crash_gossip.rs
@@ -1,5 +1,5 @@
-//! The part of gossip that is about crashes of upstreams: requests whose upstream broke off, prompt
-//! parts that were answered since, and prompt parts that crash upstreams.
+//! The part of gossip that is about crashes of upstreams: requests whose upstream broke off, what was answered since, and
+//! what crashes upstreams. A host that may have missed some of it asks for all.
 //!
 //! Times travel as ages, because hosts have no common clock. A relay adds the time for which it kept a
 //! message.
@@ -12,7 +12,7 @@
     prelude::*,
 };
 
-/// Adds what this host has to tell about crashes to a message. Breaks and answers are told once, causes
+/// Adds what this host has to tell about crashes to a message. Breaks and answers are told a few times, causes
 /// in every message.
 pub(crate) fn write<C>(gateway: &Gateway<C>, gossip: &mut Gossip)
 where
@@ -34,12 +34,54 @@
     C: Codec,
 {
     gossip.knows_causes = gateway.knows_causes();
-    gossip.causes.extend(gateway.crash_causes().into_iter().map(|it| peer::Cause {
-        parts: it.parts.iter().map(|it| it.0).collect(),
-        last_crash_age_ms: millis(it.last_crash_age),
-        trials: it.trials,
-        next_trial_ms: millis(it.next_trial_in),
-    }));
+    gossip.causes.extend(gateway.crash_causes().iter().map(encode_cause));
+}
+
+/// Returns all that this host knows of crashes, for a host that may have missed some of it.
+pub(crate) fn news<C>(gateway: &Gateway<C>) -> peer::CrashNews
+where
+    C: Codec,
+{
+    let now = gateway.crash_clock();
+    peer::CrashNews {
+        crashes: gateway.all_breaks().iter().map(|it| encode_break(now, it)).collect(),
+        causes: gateway.crash_causes().iter().map(encode_cause).collect(),
+        knows_causes: gateway.knows_causes(),
+    }
+}
+
+/// Applies what another host knows of crashes, as the answer to a question of `asked_at`.
+pub(crate) fn apply_news<C>(
+    gateway: &Gateway<C>,
+    peer: &Host,
+    asked_at: Instant,
+    news: &peer::CrashNews,
+) where
+    C: Codec,
+{
+    apply_crashes(gateway, peer, &news.crashes, &news.causes);
+    if news.knows_causes {
+        gateway.record_crash_answer(asked_at);
+    }
+}
+
+fn apply_crashes<C>(
+    gateway: &Gateway<C>,
+    peer: &Host,
+    crashes: &[peer::Crash],
+    causes: &[peer::Cause],
+) where
+    C: Codec,
+{
+    let now = gateway.crash_clock();
+    for crash in crashes {
+        log::debug!(peer = peer.as_str(), upstream = crash.upstream.as_str(),
+            fingerprint = crash.request; "another host reported an upstream crash");
+        gateway.record_remote_break(peer, &decode_break(now, crash));
+    }
+    for cause in causes {
+        gateway.follow_cause(peer.as_str(), &decode_cause(cause));
+    }
 }
 
 /// Applies what another host tells about crashes. Answers come first: they may be newer than a cause
@@ -53,22 +95,9 @@
         let at = now.saturating_sub(Duration::from_millis(it.age_ms));
         gateway.record_remote_answer(peer, Key(it.part), at);
     }
-    for crash in &gossip.crashes {
-        log::debug!(peer = peer.as_str(), upstream = crash.upstream.as_str(),
-            fingerprint = crash.request; "another host reported an upstream crash");
-        gateway.record_remote_break(peer, &decode_break(now, crash));
-    }
-    for cause in &gossip.causes {
-        let report = CauseReport {
-            parts: cause.parts.iter().map(|it| Key(*it)).collect(),
-            last_crash_age: Duration::from_millis(cause.last_crash_age_ms),
-            trials: cause.trials,
-            next_trial_in: Duration::from_millis(cause.next_trial_ms),
-        };
-        gateway.follow_cause(peer, &report);
-    }
+    apply_crashes(gateway, peer, &gossip.crashes, &gossip.causes);
     if gossip.knows_causes {
-        gateway.set_knows_causes();
+        gateway.record_crash_word();
     }
 }
 
@@ -90,6 +119,26 @@
     );
 }
 
+/// Encodes a cause of crashes, with times as of now.
+pub(crate) fn encode_cause(report: &CauseReport) -> peer::Cause {
+    peer::Cause {
+        parts: report.parts.iter().map(|it| it.0).collect(),
+        last_crash_age_ms: millis(report.last_crash_age),
+        trials: report.trials,
+        next_trial_ms: millis(report.next_trial_in),
+    }
+}
+
+/// Decodes a cause of crashes.
+pub(crate) fn decode_cause(cause: &peer::Cause) -> CauseReport {
+    CauseReport {
+        parts: cause.parts.iter().map(|it| Key(*it)).collect(),
+        last_crash_age: Duration::from_millis(cause.last_crash_age_ms),
+        trials: cause.trials,
+        next_trial_in: Duration::from_millis(cause.next_trial_ms),
+    }
+}
+
 /// Decodes a break that a message of `sent_at` tells of.
 pub(crate) fn decode_break(sent_at: Instant, crash: &peer::Crash) -> Break {
     Break {
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -374,6 +374,7 @@
         last_event_id: Option<u64>,
     ) -> Result<UpstreamResponse<C>, Error> {
         loop {
+            self.gateway.wait_for_causes(&self.crash_keys()).await;
             if self.job.time_left().is_zero() {
                 return Err(self.deadline_error());
             }
@@ -381,7 +382,6 @@
             if last_event_id.is_none() {
                 self.check_time_left()?;
             }
-            self.gateway.wait_for_causes(&self.crash_keys()).await;
             self.check_admission()?;
             let allowed = self.allowed_upstreams();
             self.needs_open_connection = allowed.is_some();
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -26,6 +26,7 @@
     codec::{Codec, OperatorUpdate},
     configuration::Configuration,
     connection::Pool,
+    crash_contact::{Contact, START_HOLD},
     detour::Detours,
     detour_link::Link,
     era_watch::Sighting,
@@ -36,6 +37,7 @@
     memory_account::{Account, Owner},
     metric::Metrics,
     obstacle::Obstacle,
+    outbox::Outbox,
     pinned_tls::Pins,
     poison::{Break, Detector, Key},
     prelude::*,
@@ -84,12 +86,14 @@
     pub(crate) poison: Mutex<Detector>,
     /// Changed when requests or prompt parts are found to crash upstreams, or no longer.
     pub(crate) cause_changes: watch::Sender<()>,
-    /// Whether another host has told this one, since its start, which prompt parts crash upstreams.
-    pub(crate) knows_causes: watch::Sender<bool>,
-    /// Breaks that were not sent to the other hosts yet.
-    pub(crate) breaks: Mutex<Vec<Break>>,
-    /// Prompt parts that were answered after a crash, of which the other hosts were not told yet.
-    pub(crate) answered_parts: Mutex<Vec<(Key, Instant)>>,
+    /// How well this host keeps up with what others know of crashes; changed when it may know more.
+    pub(crate) crash_contact: watch::Sender<Contact>,
+    /// Notified when requests wait for what other hosts know of crashes.
+    pub(crate) crash_news_wanted: Notify,
+    /// Breaks that are told to the other hosts.
+    pub(crate) breaks: Mutex<Outbox<Break>>,
+    /// What was answered after a crash, with the times of the answers, which is told to the other hosts.
+    pub(crate) answered_parts: Mutex<Outbox<(Key, Instant)>>,
     rollout: Mutex<Rollout>,
     store_history: Mutex<History>,
     store_era: Mutex<Sighting>,
@@ -161,7 +165,8 @@
             retry_budgets: Mutex::default(),
             poison: Mutex::default(),
             cause_changes: watch::Sender::new(()),
-            knows_causes: watch::Sender::new(false),
+            crash_contact: watch::Sender::new(Contact::default()),
+            crash_news_wanted: Notify::new(),
             breaks: Mutex::default(),
             answered_parts: Mutex::default(),
             rollout: Mutex::default(),
@@ -235,6 +240,7 @@
         !self.draining.is_cancelled()
             && self.configuration.load().is_some()
             && !self.fleet().has_no_active()
+            && (self.now() >= Instant::ZERO + START_HOLD || self.knows_causes())
     }
 
     /// Starts to shut down. What is in progress at `deadline` is ended then.
--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -82,6 +82,10 @@
 const ORIGIN_ROUND: Duration = Duration::from_millis(250);
 /// Hosts that are asked at once where a stream began.
 const MAX_ORIGIN_SOURCES: usize = 4;
+/// How often a host is asked for what it knows of crashes until it answers.
+const MAX_CRASH_QUESTIONS: usize = 3;
+/// Hosts that are asked at once for what they know of crashes.
+const MAX_CRASH_SOURCES: usize = 3;
 /// Pause between rounds of catching up.
 const CATCH_UP_PERIOD: Duration = Duration::from_millis(300);
 
@@ -172,6 +176,7 @@
             self.clone().catch_up(),
             self.clone().pull_from_leader(),
             self.clone().ask_origins(),
+            self.clone().answer_crash_questions(),
         );
     }
 
@@ -332,6 +337,7 @@
     async fn serve_connection(self: Arc<Self>, host: Host, connection: Connection) {
         log::info!(peer = host.as_str(); "host is connected");
         self.connections().insert(host.clone(), connection.clone());
+        tokio::spawn(self.clone().ask_crashes(host.clone(), connection.clone()));
         loop {
             tokio::select! {
                 datagram = connection.read_datagram() => match datagram {
@@ -355,6 +361,8 @@
                             question::Body::Origin(origin) => encode(
                                 &mesh.table_sync.gateway.answer_origin(&origin).await,
                             ),
+                            question::Body::Crashes(_) =>
+                                encode(&crash_gossip::news(&mesh.table_sync.gateway)),
                             question::Body::Gossip(gossip) => {
                                 mesh.apply_gossip(&requester, gossip);
                                 Bytes::new()
@@ -551,6 +559,7 @@
         let gateway = &self.table_sync.gateway;
         loop {
             sleep(GOSSIP_PERIOD).await;
+            gateway.record_crash_turn();
             let rows = self.host_rows();
             if rows.len() <= FULL_MESH_PEERS + 1 {
                 let connected: Vec<_> = self.connections().keys().cloned().collect();
@@ -708,6 +717,41 @@
         }
     }
 
+    /// Asks a host for what it knows of crashes, of which this one may have missed some while they were not connected.
+    async fn ask_crashes(self: Arc<Self>, host: Host, connection: Connection) {
+        let gateway = &self.table_sync.gateway;
+        for _ in 0..MAX_CRASH_QUESTIONS {
+            let asked_at = gateway.now();
+            let body = question::Body::Crashes(peer::CrashQuestion {});
+            let answer = call(&connection, body).await;
+            // A host of an earlier build does not answer.
+            if let Some(news) = answer.and_then(|it| peer::CrashNews::decode(it).ok()) {
+                crash_gossip::apply_news(gateway, &host, asked_at, &news);
+                return;
+            }
+            if connection.close_reason().is_some() {
+                return;
+            }
+            sleep(DIAL_PERIOD).await;
+        }
+    }
+
+    /// Asks a few hosts for what they know of crashes whenever requests wait for it.
+    async fn answer_crash_questions(self: Arc<Self>) {
+        loop {
+            self.table_sync.gateway.crash_news_wanted.notified().await;
+            let connections: Vec<_> = self
+                .connections()
+                .iter()
+                .take(MAX_CRASH_SOURCES)
+                .map(|(host, connection)| (host.clone(), connection.clone()))
+                .collect();
+            for (host, connection) in connections {
+                tokio::spawn(self.clone().ask_crashes(host, connection));
+            }
+        }
+    }
+
     /// Asks other hosts where streams began that callers resume here.
     async fn ask_origins(self: Arc<Self>) {
         let Some(mut questions) = self.table_sync.gateway.origin_questions.take_receiver() else {
@@ -787,14 +831,8 @@
             hosts: known_hosts.version,
             hosts_era: known_hosts.era,
         };
-        let crashes = pull.own.as_ref().map(|it| it.crashes.clone()).unwrap_or_default();
-        let written_at = gateway.crash_clock();
-        let Some(bytes) = call(&connection, question::Body::Pull(pull)).await else {
-            // Told again with the next pull.
-            let breaks = crashes.iter().map(|it| crash_gossip::decode_break(written_at, it));
-            gateway.return_breaks(breaks);
-            return false;
-        };
+        // What is lost with a failed call is told again.
+        let Some(bytes) = call(&connection, question::Body::Pull(pull)).await else { return false };
         let Ok(pulled) = peer::Pulled::decode(bytes) else { return false };
         let age = Duration::from_millis(pulled.age_ms);
         if age > gateway.host_settings.bounds.drain.mul_f64(MAX_AGE_FRACTION) {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_cache_index;
 mod test_claim;
 mod test_connection;
+mod test_crash_news;
 mod test_crashing_request;
 mod test_departure;
 mod test_detour;
