crash_store: a row of the store keeps what crashes upstreams

After all hosts were killed at once nobody knew the deadly request, and it crashed four to six more upstreams; after a restart of all hosts a fatal prompt part crashed five more. What must outlive all hosts was kept by hosts only.

The leaders of the zones keep one row with the causes, as of the store's clock: written within 0.6 s of a change, with the row's version, and only by a host that has waited its part of 0.4 s and still finds it different. A host reads the row once, at its start, and is ready when it has, another host has told it, or after a second. Later it knows better: a row that a copy of the store brings back is written over, and a cause that was released is taken back by the hosts that saw the answer. A store that is away, or a row that cannot be read, only means that nothing is known from it. Nothing on a request's way touches the store.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod crash_contact;
 pub mod crash_evidence;
 mod crash_gossip;
+pub mod crash_store;
 pub mod departure;
 pub mod detour;
 mod detour_forward;
--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -26,6 +26,8 @@
     Builds,
     /// The builds at which streams began.
     Streams,
+    /// What crashes upstreams.
+    Crashes,
     /// What gateway hosts tell operators of their orders.
     Status,
 }
@@ -40,6 +42,7 @@
             Table::Leases => "leases",
             Table::Builds => "builds",
             Table::Streams => "streams",
+            Table::Crashes => "crashes",
             Table::Status => "status",
         }
     }
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     codec::Codec,
+    crash_store,
     gateway::Gateway,
     ledger_sync,
     prelude::*,
@@ -175,6 +176,7 @@
             self.sync_table(Table::Upstreams, upstreams_interval),
             self.purge_expired(),
             ledger_sync::run(&self.gateway, &self.row_store, &self.replicas),
+            crash_store::run(&self.gateway, &self.row_store, &self.replicas),
         );
     }
 
@@ -192,7 +194,8 @@
             | Table::Leases
             | Table::Status
             | Table::Builds
-            | Table::Streams => LONG_POLL_WAIT,
+            | Table::Streams
+            | Table::Crashes => LONG_POLL_WAIT,
         }
     }
 
@@ -309,9 +312,12 @@
             Table::Upstreams => true,
             // Without any row, this host does not know whom to pull from.
             Table::Hosts => !self.replicas.table(table).is_unknown(),
-            Table::Operators | Table::Leases | Table::Status | Table::Builds | Table::Streams => {
-                false
-            }
+            Table::Operators
+            | Table::Leases
+            | Table::Status
+            | Table::Builds
+            | Table::Streams
+            | Table::Crashes => false,
         }
     }
 
@@ -371,7 +377,12 @@
                 self.gateway.cache_index().set_host_count(hosts.len());
                 self.gateway.fleet().set_hosts(self.gateway.now(), hosts);
             }
-            Table::Hosts | Table::Leases | Table::Status | Table::Builds | Table::Streams => {}
+            Table::Hosts
+            | Table::Leases
+            | Table::Status
+            | Table::Builds
+            | Table::Streams
+            | Table::Crashes => {}
         }
     }
 
--- a/lib/tests/test_crash_news.rs
+++ b/lib/tests/test_crash_news.rs
@@ -1,15 +1,26 @@
-//! Tests of how news of crashes reaches hosts that start, are suspended or cut off: what is told again, and when requests
-//! are held.
+//! Tests of how news of crashes reaches hosts that start, are suspended or cut off: what is told again, when requests are
+//! held, and the row that outlives all hosts.
 
 use std::time::Duration;
 
 use mothvale_lib::{
     crash_contact::{Contact, MAX_HOLD, START_HOLD},
+    crash_store::{parse_row, state, to_row},
     outbox::Outbox,
+    poison::{CauseReport, Key},
     prelude::*,
 };
 use mothvale_testutils::gateway::at;
 
+fn cause(key: u64, trials: u32) -> CauseReport {
+    CauseReport {
+        parts: [Key(key), Key(key + 1)].into_iter().collect(),
+        last_crash_age: Duration::from_secs(5),
+        trials,
+        next_trial_in: Duration::from_secs(20),
+    }
+}
+
 /// Guards against news that is lost with one message: the receiver was suspended, or the link dropped it.
 #[test]
 fn news_is_told_again_for_longer_than_a_connection_outlives_silence() {
@@ -112,3 +123,25 @@
     contact.record_turn(at(63_500));
     assert!(contact.held_until(at(64_000), false).is_some());
 }
+
+#[test]
+fn row_is_read_as_of_the_time_at_which_it_was_written() {
+    let causes = [cause(7, 1), cause(3, 2)];
+    let row = to_row(&causes, Duration::from_secs(100));
+    let read = parse_row(&row, Duration::from_secs(108)).unwrap();
+    assert_eq!(state(&read), state(&causes));
+    assert_eq!(read[0].last_crash_age, Duration::from_secs(13));
+    assert_eq!(read[0].next_trial_in, Duration::from_secs(12));
+    // The store came back from a copy whose clock is behind.
+    let earlier = parse_row(&row, Duration::from_secs(90)).unwrap();
+    assert_eq!(earlier[0].last_crash_age, Duration::from_secs(5));
+    assert_eq!(parse_row(&row, Duration::from_secs(500)).unwrap()[0].next_trial_in, Duration::ZERO);
+    assert_eq!(parse_row(&Bytes::from_static(b"\xff\xff"), Duration::ZERO), None);
+}
+
+#[test]
+fn state_of_causes_does_not_depend_on_their_order() {
+    assert_eq!(state(&[cause(3, 0), cause(7, 1)]), state(&[cause(7, 1), cause(3, 0)]));
+    assert_ne!(state(&[cause(3, 0)]), state(&[cause(3, 1)]));
+    assert!(state(&[]).is_empty());
+}
