forward, client: a status that ends no exchange is no answer

Here 000 and 099 cannot be parsed and became 502, but 101, 600 and 999 of an upstream were passed on to callers, directly, over another host, and by plain services of `mothvale serve`: HTTP libraries read any three digits, and nothing asked whether the status exists and ends an exchange. A response whose status is not between 200 and 599 is now treated as one that is not valid; in `mothvale serve` its outcome is unknown.

--- a/lib/src/client.rs
+++ b/lib/src/client.rs
@@ -13,7 +13,10 @@
     response::Response,
 };
 
-use crate::{fault::Fault, prelude::*};
+use crate::{
+    fault::{Fault, is_final},
+    prelude::*,
+};
 
 /// Largest number of idle connections to one address. Each stream holds a connection, so a
 /// smaller pool would open connections at the rate of requests.
@@ -104,7 +107,12 @@
         }
         let response = request.body(Body::from(call.body)).send::<Body>();
         match tokio::time::timeout(call.timeout, response).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) if is_final(response.status()) => Ok(response),
+            Ok(Ok(response)) => {
+                log::warn!(status = response.status().as_u16();
+                    "response has a status that ends no exchange");
+                Err(Fault::PROTOCOL)
+            }
             Ok(Err(err)) => Err(classify_error(&err)),
             Err(_) => Err(Fault::TIMEOUT),
         }
--- a/lib/src/fault.rs
+++ b/lib/src/fault.rs
@@ -1,6 +1,7 @@
 //! Why a call failed and whether the other side may have acted on it. Every client reports its
 //! failures as a [`Fault`], and retry decisions rest on it.
 
+use http::StatusCode;
 use thiserror::Error;
 
 /// Whether a failed call can have reached the other side.
@@ -37,6 +38,11 @@
     pub cause: Cause,
 }
 
+/// Returns whether a status exists and ends an exchange. HTTP libraries read any three digits.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl Fault {
     /// No connection could be established, so nothing was sent.
     pub const CONNECT: Fault = Fault { delivery: Delivery::NotSent, cause: Cause::Connect };
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -19,7 +19,7 @@
     connection::Connection,
     detour_link::Terms,
     fatal_prompt::Signs,
-    fault::{Cause, Delivery},
+    fault::{Cause, Delivery, is_final},
     fleet::{Choice, Denial, Outcome, Query},
     gateway::{Gateway, lock},
     hop_by_hop,
@@ -573,8 +573,8 @@
             Some(id) => *id != self.job.metadata.id,
             None => is_refusal && !self.job.metadata.id.is_empty(),
         };
-        if wrong_id {
-            return Err(self.handle_invalid_head(attempt, wrong_id, metadata.signed));
+        if wrong_id || !is_final(head.status) {
+            return Err(self.handle_invalid_head(attempt, head.status, wrong_id, metadata.signed));
         }
         self.record_weight_version(&choice, &metadata);
         // The chosen upstream itself also rejects a request as misdirected if it does not have
@@ -600,7 +600,7 @@
             return Err(self.retry_or_refuse(self.refusals < MAX_REFUSALS, Kind::Overloaded));
         }
         if head.status.is_success() && !metadata.signed {
-            return Err(self.handle_invalid_head(attempt, wrong_id, metadata.signed));
+            return Err(self.handle_invalid_head(attempt, head.status, wrong_id, metadata.signed));
         }
         self.runs += 1;
         if !self.may_retry() {
@@ -610,15 +610,17 @@
         Ok(UpstreamResponse { attempt, connection, head, body, started, head_at, pause_requested })
     }
 
-    /// Handles a response head that is unsigned or for another request.
+    /// Handles a response head that is unsigned, for another request, or has a status that ends no exchange.
     fn handle_invalid_head(
         &mut self,
         attempt: InFlightAttempt<C>,
+        status: StatusCode,
         wrong_id: bool,
         signed: bool,
     ) -> AttemptError {
         log::warn!(request = self.job.metadata.id.as_str(), upstream = attempt.choice.id.as_str(),
-            strange = wrong_id, signed = signed; "response is unsigned or for another request");
+            status = status.as_u16(), strange = wrong_id, signed = signed;
+            "response is unsigned or for another request");
         // Counted again in `handle_break`.
         self.times_sent -= 1;
         self.handle_break(attempt, Signs::INVALID_RESPONSE)
--- a/lib/tests/test_adapters.rs
+++ b/lib/tests/test_adapters.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use mothvale_lib::{
-    client::Client,
+    client::{Call, Client},
     engine::{Endpoint, Engine as _, Frames, HttpEngine},
     fault::{Cause, Delivery, Fault},
     generated::wire::{
@@ -28,6 +28,10 @@
 };
 use sha2::{Digest, Sha256};
 use socket2::{Domain, Socket, Type};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 /// Starts a stand-in engine and returns it with a client.
 async fn start_engine() -> (Running<Engine>, HttpEngine, Endpoint) {
@@ -192,3 +196,24 @@
     let table = HttpTable::new(Client::pooled(), address, Duration::from_secs(1));
     assert_eq!(table.read("k").await.unwrap_err(), Fault::CONNECT);
 }
+
+/// Guards against a status that does not exist as the answer of a plain service (report of other operators: MIXED).
+#[tokio::test]
+async fn response_with_a_status_that_ends_no_exchange_is_a_fault() {
+    for status in ["000", "101", "600", "999"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serving = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4096];
+            let _ = stream.read(&mut buffer).await;
+            let response = format!("HTTP/1.1 {status} ?\r\ncontent-length: 4\r\n\r\ntext");
+            stream.write_all(response.as_bytes()).await.unwrap();
+        });
+        let call = Call::new(address, http::Method::GET, "/", Duration::from_secs(2));
+        let response = Client::unpooled().send_buffered(call).await;
+        let fault = response.expect_err(status);
+        assert_eq!(fault.delivery, Delivery::Unknown, "{status}");
+        serving.await.unwrap();
+    }
+}
