poison: find a request that alone was at two separate crashes

A request is now found at its second separate crash if nothing else was at both; if another request was, the third crash or a trial tells them apart. Only crashes whose reports are all in count, so that one that was half reported cannot make a request look alone (`part_that_another_one_explains_is_no_cause` failed without that).

--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -125,6 +125,8 @@
 struct Crash {
     upstream: Upstream,
     start_time_ms: u64,
+    /// When this host first heard of it.
+    known_at: Instant,
     /// Requests that were under way there.
     requests: Vec<BrokenRequest>,
 }
@@ -177,6 +179,17 @@
     }
 }
 
+/// What a break has added to the evidence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Addition {
+    /// Keys that are under suspicion now.
+    pub(crate) suspected: Keys,
+    /// Keys that this host has seen answered since the break.
+    pub(crate) answered: Keys,
+    /// When this host first heard of the crash.
+    pub(crate) known_at: Instant,
+}
+
 /// A crash as it counts for one key.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Occurrence {
@@ -200,16 +213,17 @@
 }
 
 impl Evidence {
-    /// Records a request whose upstream broke off. Returns the keys that it puts under suspicion, and those that this
-    /// host has seen answered since.
-    pub(crate) fn record(&mut self, report: &Break) -> (Keys, Keys) {
+    /// Records a request whose upstream broke off.
+    pub(crate) fn record(&mut self, now: Instant, report: &Break) -> Addition {
         let broke_at = report.broke_at;
-        let (answered, keys): (Keys, Keys) = report
+        let (answered, suspected): (Keys, Keys) = report
             .keys()
             .into_iter()
             .partition(|it| self.answered.last(*it).is_some_and(|it| it >= broke_at));
+        let mut addition = Addition { suspected, answered, known_at: now };
+        let keys = &addition.suspected;
         if keys.is_empty() {
-            return (keys, answered);
+            return addition;
         }
         let alive_at = report.silence.map(|it| broke_at.saturating_sub(it)).unwrap_or_default();
         let broken = BrokenRequest {
@@ -226,8 +240,9 @@
                     .requests
                     .iter()
                     .any(|it| it.request == broken.request && it.keys == broken.keys);
+                addition.known_at = crash.known_at;
                 if is_known || crash.requests.len() >= MAX_BROKEN_REQUESTS {
-                    return (keys, answered);
+                    return addition;
                 }
                 crash.requests.push(broken);
             }
@@ -239,12 +254,15 @@
                 self.crashes.push_back(Crash {
                     upstream: report.upstream.clone(),
                     start_time_ms: report.start_time_ms,
+                    known_at: now,
                     requests: vec![broken],
                 });
             }
         }
-        keys.iter().for_each(|it| *self.suspected.entry(*it).or_default() += 1);
-        (keys, answered)
+        for key in &addition.suspected {
+            *self.suspected.entry(*key).or_default() += 1;
+        }
+        addition
     }
 
     /// Records that an upstream answered a request of this host.
@@ -398,6 +416,11 @@
         requests.any(|it| it.keys.contains(&first) && it.keys.contains(&second))
     }
 
+    /// Returns when this host first heard of a crash.
+    pub(crate) fn known_at(&self, crash: usize) -> Instant {
+        self.crashes[crash].known_at
+    }
+
     /// Returns whether a key is under suspicion in a crash.
     pub(crate) fn holds(&self, crash: usize, key: Key) -> bool {
         self.crashes[crash].holds(key)
--- a/lib/src/poison.rs
+++ b/lib/src/poison.rs
@@ -24,15 +24,16 @@
 pub const MAX_REQUEST_PARTS: usize = 16;
 /// The same with the key of the whole request.
 const MAX_KEYS: usize = MAX_REQUEST_PARTS + 1;
-/// Separate crashes with a part, and no answer, after which the part is taken for their cause. A whole request needs as many
-/// crashes, not all of which must be separate.
+/// Separate crashes with a part, and no answer, after which the part is taken for their cause.
 const CRASH_LIMIT: usize = 3;
 /// Weight of a crash with a whole request, and of one after the upstream had begun to respond to it, so that another
 /// request may have caused it.
 const CRASH_WEIGHT: usize = 2;
 const LATE_CRASH_WEIGHT: usize = 1;
-/// Sum of the weights at which a whole request is taken for the cause. Few requests share it, and all its repeats do.
-const REQUEST_WEIGHT_LIMIT: usize = CRASH_LIMIT * CRASH_WEIGHT;
+/// Sum of the weights at which a whole request is taken for the cause, if other requests were at the same crashes.
+const REQUEST_WEIGHT_LIMIT: usize = 3 * CRASH_WEIGHT;
+/// The same if no other one was.
+const LONE_REQUEST_WEIGHT_LIMIT: usize = 2 * CRASH_WEIGHT;
 /// Separate crashes that must be among them. An attempt and the one after it may meet upstreams that lose power together.
 const REQUEST_CRASH_LIMIT: usize = 2;
 /// Time from a crash until it is judged. Meanwhile the other requests that broke with it, and answers, become known.
@@ -128,7 +129,7 @@
 #[derive(Debug, Default)]
 pub struct Detector {
     evidence: Evidence,
-    /// Keys that may be the cause of a crash, each with a request that holds it, from when on they are judged.
+    /// Keys that may be the cause of a crash, each with a request that holds it and when the crash became known.
     unjudged: VecDeque<(Instant, Fingerprint, Key)>,
     causes: Vec<Cause>,
     /// Number of changes of the causes.
@@ -139,24 +140,27 @@
     /// Records a request whose upstream broke off. Returns the keys that this host has seen answered
     /// since, of which the reporting host does not know that.
     pub fn record_break(&mut self, now: Instant, report: &Break) -> Keys {
-        let (keys, answered) = self.evidence.record(report);
-        for cause in self.causes.iter_mut().filter(|it| it.is_held_by(&keys)) {
+        self.judge_due(now);
+        let addition = self.evidence.record(now, report);
+        let keys = &addition.suspected;
+        for cause in self.causes.iter_mut().filter(|it| it.is_held_by(keys)) {
             cause.last_crash = cause.last_crash.max(report.broke_at);
         }
-        self.judge_due(now);
-        for key in keys {
-            let is_waiting = self.unjudged.iter().any(|it| it.2 == key);
-            let may_be_cause = self.evidence.request_count(key) >= CRASH_LIMIT;
+        let known_at = addition.known_at;
+        for key in addition.suspected {
+            let is_waiting = self.unjudged.iter().any(|it| it.0 == known_at && it.2 == key);
+            let may_be_cause = self.evidence.request_count(key) >= REQUEST_CRASH_LIMIT;
             if may_be_cause && !is_waiting && self.unjudged.len() < MAX_UNJUDGED {
-                self.unjudged.push_back((now + JUDGE_DELAY, report.request, key));
+                self.unjudged.push_back((known_at, report.request, key));
             }
         }
-        answered
+        addition.answered
     }
 
-    /// Judges the crashes that happened long enough ago.
+    /// Judges the crashes that became known long enough ago.
     pub fn judge_due(&mut self, now: Instant) {
-        while let Some((_, request, key)) = self.unjudged.pop_front_if(|it| it.0 <= now) {
+        let is_due = |it: &mut (Instant, Fingerprint, Key)| it.0 + JUDGE_DELAY <= now;
+        while let Some((_, request, key)) = self.unjudged.pop_front_if(is_due) {
             self.judge(now, request, key);
         }
     }
@@ -316,16 +320,16 @@
     /// evidence suffices.
     fn judge(&mut self, now: Instant, request: Fingerprint, key: Key) {
         let is_request = key == request.into();
-        let occurrences = self.occurrences(key);
-        if !self.suffices(is_request, &occurrences) {
+        let occurrences = self.occurrences(now, key);
+        if self.evidence.count_separate(&occurrences) < REQUEST_CRASH_LIMIT {
             return;
         }
-        let mut parts = Keys::from_slice(&[key]);
+        let (mut parts, mut is_lone) = (Keys::from_slice(&[key]), true);
         for other in self.evidence.common_keys(&occurrences) {
             if other == key {
                 continue;
             }
-            let has_more = self.occurrences(other).len() > occurrences.len();
+            let has_more = self.occurrences(now, other).len() > occurrences.len();
             let is_same_request =
                 occurrences.iter().all(|it| self.evidence.is_shared(it.crash, key, other));
             match (is_same_request, has_more) {
@@ -335,9 +339,12 @@
                 // The other one explains these crashes and more.
                 (_, true) => return,
                 // Two requests that were always there together: a trial tells which one it is.
-                (false, false) => {}
+                (false, false) => is_lone = false,
             }
         }
+        if !self.suffices(is_request, is_lone, &occurrences) {
+            return;
+        }
         parts.sort();
         parts.truncate(MAX_KEYS);
         if self.causes.iter().any(|it| it.is_held_by(&parts)) {
@@ -349,14 +356,15 @@
         self.add(Cause { parts, last_crash, trials, next_trial: now + trial_pause(trials) });
     }
 
-    /// Returns whether these crashes show that a whole request, or a part, caused them.
-    fn suffices(&self, is_request: bool, occurrences: &[Occurrence]) -> bool {
+    /// Returns whether crashes, enough of which are separate for a whole request, show that it or a part caused them.
+    /// `is_lone` is whether nothing else was at all of them.
+    fn suffices(&self, is_request: bool, is_lone: bool, occurrences: &[Occurrence]) -> bool {
         if !is_request {
             return self.evidence.count_separate(occurrences) >= CRASH_LIMIT;
         }
         let weight = |it: &Occurrence| if it.had_event { LATE_CRASH_WEIGHT } else { CRASH_WEIGHT };
-        occurrences.iter().map(weight).sum::<usize>() >= REQUEST_WEIGHT_LIMIT
-            && self.evidence.count_separate(occurrences) >= REQUEST_CRASH_LIMIT
+        let limit = if is_lone { LONE_REQUEST_WEIGHT_LIMIT } else { REQUEST_WEIGHT_LIMIT };
+        occurrences.iter().map(weight).sum::<usize>() >= limit
     }
 
     /// Adds a cause, in place of those that it includes.
@@ -372,11 +380,12 @@
         self.revision += 1;
     }
 
-    /// Returns the crashes in which a key is under suspicion, in the order of their times. Those that a known cause
-    /// without this key explains do not count, unless the key was at all crashes of that cause and so explains them as
-    /// well.
-    fn occurrences(&self, key: Key) -> SmallVec<[Occurrence; 8]> {
-        let crashes = 0..self.evidence.crash_count();
+    /// Returns the crashes in which a key is under suspicion, in the order of their times. Those of the last moment do not
+    /// count yet: other reports of them may still come. Nor do those that a known cause without this key explains, unless
+    /// the key was at all crashes of that cause and so explains them as well.
+    fn occurrences(&self, now: Instant, key: Key) -> SmallVec<[Occurrence; 8]> {
+        let is_settled = |crash: usize| self.evidence.known_at(crash) + JUDGE_DELAY <= now;
+        let crashes = (0..self.evidence.crash_count()).filter(|it| is_settled(*it));
         let explaining: SmallVec<[&Cause; 4]> = self
             .causes
             .iter()
@@ -388,7 +397,8 @@
             })
             .collect();
         self.evidence.occurrences(key, |crash| {
-            !explaining.iter().any(|it| self.evidence.holds_all(crash, &it.parts))
+            is_settled(crash)
+                && !explaining.iter().any(|it| self.evidence.holds_all(crash, &it.parts))
         })
     }
 }
