poison: find a whole request at its second separate crash, also beside others

Requests that were at both are all kept away now until an answer or the trial after 5 s tells them apart; those that callers repeat often are answered between two crashes and so are not among them.

--- a/lib/src/poison.rs
+++ b/lib/src/poison.rs
@@ -30,12 +30,12 @@
 /// request may have caused it.
 const CRASH_WEIGHT: usize = 2;
 const LATE_CRASH_WEIGHT: usize = 1;
-/// Sum of the weights at which a whole request is taken for the cause, if other requests were at the same crashes.
-const REQUEST_WEIGHT_LIMIT: usize = 3 * CRASH_WEIGHT;
-/// The same if no other one was.
-const LONE_REQUEST_WEIGHT_LIMIT: usize = 2 * CRASH_WEIGHT;
-/// Separate crashes that must be among them. An attempt and the one after it may meet upstreams that lose power together.
+/// Separate crashes with a whole request, and no answer, after which it may be taken for their cause. Its repeats alone are
+/// kept away then, and few callers send the same request. An attempt and the one after it may meet upstreams that lose
+/// power together.
 const REQUEST_CRASH_LIMIT: usize = 2;
+/// Sum of the weights of its crashes that is needed as well.
+const REQUEST_WEIGHT_LIMIT: usize = REQUEST_CRASH_LIMIT * CRASH_WEIGHT;
 /// Time from a crash until it is judged. Meanwhile the other requests that broke with it, and answers, become known.
 const JUDGE_DELAY: Duration = Duration::from_millis(100);
 /// Largest number of keys that wait to be judged.
@@ -321,10 +321,10 @@
     fn judge(&mut self, now: Instant, request: Fingerprint, key: Key) {
         let is_request = key == request.into();
         let occurrences = self.occurrences(now, key);
-        if self.evidence.count_separate(&occurrences) < REQUEST_CRASH_LIMIT {
+        if !self.suffices(is_request, &occurrences) {
             return;
         }
-        let (mut parts, mut is_lone) = (Keys::from_slice(&[key]), true);
+        let mut parts = Keys::from_slice(&[key]);
         for other in self.evidence.common_keys(&occurrences) {
             if other == key {
                 continue;
@@ -339,12 +339,9 @@
                 // The other one explains these crashes and more.
                 (_, true) => return,
                 // Two requests that were always there together: a trial tells which one it is.
-                (false, false) => is_lone = false,
+                (false, false) => {}
             }
         }
-        if !self.suffices(is_request, is_lone, &occurrences) {
-            return;
-        }
         parts.sort();
         parts.truncate(MAX_KEYS);
         if self.causes.iter().any(|it| it.is_held_by(&parts)) {
@@ -356,15 +353,15 @@
         self.add(Cause { parts, last_crash, trials, next_trial: now + trial_pause(trials) });
     }
 
-    /// Returns whether crashes, enough of which are separate for a whole request, show that it or a part caused them.
-    /// `is_lone` is whether nothing else was at all of them.
-    fn suffices(&self, is_request: bool, is_lone: bool, occurrences: &[Occurrence]) -> bool {
+    /// Returns whether these crashes show that a whole request, or a part, caused them.
+    fn suffices(&self, is_request: bool, occurrences: &[Occurrence]) -> bool {
+        let separate = self.evidence.count_separate(occurrences);
         if !is_request {
-            return self.evidence.count_separate(occurrences) >= CRASH_LIMIT;
+            return separate >= CRASH_LIMIT;
         }
         let weight = |it: &Occurrence| if it.had_event { LATE_CRASH_WEIGHT } else { CRASH_WEIGHT };
-        let limit = if is_lone { LONE_REQUEST_WEIGHT_LIMIT } else { REQUEST_WEIGHT_LIMIT };
-        occurrences.iter().map(weight).sum::<usize>() >= limit
+        separate >= REQUEST_CRASH_LIMIT
+            && occurrences.iter().map(weight).sum::<usize>() >= REQUEST_WEIGHT_LIMIT
     }
 
     /// Adds a cause, in place of those that it includes.
