--- a/lib/src/crash_causes.rs
+++ b/lib/src/crash_causes.rs
@@ -100,9 +100,16 @@
     {
         let now = self.now();
         self.crash_contact.send_if_modified(|contact| {
+            let (had_word, held_since) = (contact.has_word(), contact.held_since());
             let was_held = contact.held_until(now, true).is_some();
             f(contact);
-            was_held && contact.held_until(now, false).is_none()
+            let is_released = was_held && contact.held_until(now, false).is_none();
+            if !had_word && contact.has_word() {
+                log::info!(since_start_ms = now.since(Instant::ZERO).as_millis() as u64;
+                    "causes of crashes are known from another host");
+            }
+            log_hold(held_since, contact);
+            is_released
         });
     }
 
@@ -117,7 +124,9 @@
         let (now, mut until) = (self.now(), None);
         let is_suspected = lock(&self.poison).is_any_suspected(keys);
         self.crash_contact.send_if_modified(|contact| {
+            let held_since = contact.held_since();
             until = contact.held_until(now, is_suspected);
+            log_hold(held_since, contact);
             false
         });
         until
@@ -231,3 +240,10 @@
         breaks.split_off(breaks.len().saturating_sub(MAX_TOLD_BREAKS))
     }
 }
+
+/// Logs that requests are held since now, if they were not at `held_since`.
+fn log_hold(held_since: Option<Instant>, contact: &Contact) {
+    if contact.held_since().is_some_and(|it| held_since != Some(it)) {
+        log::info!("requests wait for what other hosts know of crashes");
+    }
+}
--- a/lib/src/crash_contact.rs
+++ b/lib/src/crash_contact.rs
@@ -66,6 +66,16 @@
         self.hold.map(|it| it.until).or(waits_for_word.then_some(start_hold))
     }
 
+    /// Returns whether another host has told what it knows since the start.
+    pub fn has_word(&self) -> bool {
+        self.told_at.is_some()
+    }
+
+    /// Returns since when requests are held, if they are.
+    pub fn held_since(&self) -> Option<Instant> {
+        self.hold.map(|it| it.began_at)
+    }
+
     fn end_hold(&mut self, asked_at: Instant) {
         self.hold = self.hold.filter(|it| it.began_at > asked_at);
     }
