mesh: requests that wait for news of crashes share the questions

A host that goes on after a suspension may have hundreds of requests that wait, and each of them made it ask three hosts for all they know of crashes. One round in 100 ms serves all of them. Found by reading; the tests of crash news and of the mesh pass.

--- a/lib/src/mesh.rs
+++ b/lib/src/mesh.rs
@@ -84,6 +84,8 @@
 const MAX_ORIGIN_SOURCES: usize = 4;
 /// How often a host is asked for what it knows of crashes until it answers.
 const MAX_CRASH_QUESTIONS: usize = 3;
+/// Shortest time between two rounds of such questions.
+const CRASH_QUESTION_PAUSE: Duration = Duration::from_millis(100);
 /// Hosts that are asked at once for what they know of crashes.
 const MAX_CRASH_SOURCES: usize = 3;
 /// Pause between rounds of catching up.
@@ -176,7 +178,7 @@
             self.clone().catch_up(),
             self.clone().pull_from_leader(),
             self.clone().ask_origins(),
-            self.clone().answer_crash_questions(),
+            self.clone().ask_wanted_crash_news(),
         );
     }
 
@@ -737,7 +739,7 @@
     }
 
     /// Asks a few hosts for what they know of crashes whenever requests wait for it.
-    async fn answer_crash_questions(self: Arc<Self>) {
+    async fn ask_wanted_crash_news(self: Arc<Self>) {
         loop {
             self.table_sync.gateway.crash_news_wanted.notified().await;
             let connections: Vec<_> = self
@@ -749,6 +751,8 @@
             for (host, connection) in connections {
                 tokio::spawn(self.clone().ask_crashes(host, connection));
             }
+            // Requests that begin to wait meanwhile share the answers.
+            sleep(CRASH_QUESTION_PAUSE).await;
         }
     }
 
