poison: tell of a cause while it changes or keeps requests away

A cause is now in messages for 5 s after it changed or kept a request away; hosts that become connected, were suspended or start get all of them anyway. The log line names the latest eight.

--- a/lib/src/crash_causes.rs
+++ b/lib/src/crash_causes.rs
@@ -16,6 +16,9 @@
 /// Time by which the clock of crashes is ahead of the host's, so that crashes from before the host's start have a time.
 const CRASH_HISTORY: Duration = CAUSE_TTL;
 
+/// Most causes in a log line, the latest ones.
+const MAX_LOGGED_CAUSES: usize = 8;
+
 /// Most requests of which a host is told that may have missed news.
 const MAX_TOLD_BREAKS: usize = 1024;
 
@@ -145,6 +148,15 @@
         }
     }
 
+    /// Returns the part of what is known to crash upstreams that is to be told to the other hosts now.
+    pub fn cause_news(&self) -> Vec<CauseReport> {
+        let now = self.crash_clock();
+        self.update_poison("evidence", |it| {
+            it.judge_due(now);
+            it.cause_news(now).collect()
+        })
+    }
+
     /// Returns what is known to crash upstreams.
     pub fn crash_causes(&self) -> Vec<CauseReport> {
         let now = self.crash_clock();
@@ -202,8 +214,9 @@
         let result = f(&mut detector);
         if detector.revision() != before {
             let causes: Vec<_> = detector.causes(self.crash_clock()).collect();
-            let parts: Vec<_> = causes.iter().map(|it| poison::format_keys(&it.parts)).collect();
-            log::warn!(source = source, causes = parts.join(" ").as_str(),
+            let latest = causes.iter().rev().take(MAX_LOGGED_CAUSES);
+            let parts: Vec<_> = latest.map(|it| poison::format_keys(&it.parts)).collect();
+            log::warn!(source = source, causes = parts.join(" ").as_str(), count = causes.len(),
                 crashes = detector.crash_count();
                 "requests or prompt parts that crash upstreams have changed");
             self.metrics.crash_causes.set(i64::try_from(causes.len()).unwrap_or(i64::MAX));
--- a/lib/src/crash_gossip.rs
+++ b/lib/src/crash_gossip.rs
@@ -13,7 +13,7 @@
 };
 
 /// Adds what this host has to tell about crashes to a message. Breaks and answers are told a few times, causes
-/// in every message.
+/// while they change or keep requests away.
 pub(crate) fn write<C>(gateway: &Gateway<C>, gossip: &mut Gossip)
 where
     C: Codec,
@@ -28,13 +28,13 @@
     write_causes(gateway, gossip);
 }
 
-/// Adds the prompt parts that this host knows to crash upstreams to a message.
+/// Adds what this host knows to crash upstreams, as far as other hosts may need it now, to a message.
 pub(crate) fn write_causes<C>(gateway: &Gateway<C>, gossip: &mut Gossip)
 where
     C: Codec,
 {
     gossip.knows_causes = gateway.knows_causes();
-    gossip.causes.extend(gateway.crash_causes().iter().map(encode_cause));
+    gossip.causes.extend(gateway.cause_news().iter().map(encode_cause));
 }
 
 /// Returns all that this host knows of crashes, for a host that may have missed some of it.
--- a/lib/src/poison.rs
+++ b/lib/src/poison.rs
@@ -60,6 +60,9 @@
 const MAX_TRIAL_SPREAD: Duration = Duration::from_secs(10);
 /// How long a cause is remembered after its last crash.
 pub(crate) const CAUSE_TTL: Duration = Duration::from_secs(3600);
+/// How long hosts tell each other of a cause after it changed or kept a request away. Most whole requests never come again;
+/// a host that missed it asks.
+const CAUSE_NEWS_WINDOW: Duration = Duration::from_secs(5);
 /// Largest number of remembered causes; beyond it, the one with the oldest crash is dropped.
 const MAX_CAUSES: usize = 64;
 
@@ -102,6 +105,8 @@
     last_crash: Instant,
     trials: u32,
     next_trial: Instant,
+    /// When it last changed, or kept a request away here.
+    active_at: Instant,
 }
 
 impl Cause {
@@ -110,6 +115,15 @@
         self.parts.iter().all(|it| keys.contains(it))
     }
 
+    fn report(&self, now: Instant) -> CauseReport {
+        CauseReport {
+            parts: self.parts.clone(),
+            last_crash_age: now.since(self.last_crash),
+            trials: self.trials,
+            next_trial_in: self.next_trial.since(now),
+        }
+    }
+
     /// Returns when `host` may send a trial; a different time for each of `host_count` hosts.
     fn next_trial_of(&self, host: &Host, host_count: usize) -> Instant {
         let key = self.parts.iter().fold(0, |sum: u64, it| sum.wrapping_add(it.0));
@@ -219,7 +233,8 @@
     ) -> Result<Admission, Rejection> {
         self.judge_due(now);
         let mut admission = Admission::Ordinary;
-        for cause in self.causes.iter().filter(|it| it.is_held_by(keys)) {
+        for cause in self.causes.iter_mut().filter(|it| it.is_held_by(keys)) {
+            cause.active_at = now;
             let next_trial = cause.next_trial_of(host, host_count);
             if next_trial > now {
                 let retry_after = next_trial.since(now);
@@ -238,6 +253,7 @@
     pub fn return_trial(&mut self, now: Instant, keys: &[Key]) {
         for cause in self.causes.iter_mut().filter(|it| it.is_held_by(keys)) {
             cause.next_trial = cause.next_trial.min(now + UNSENT_TRIAL_PAUSE);
+            cause.active_at = now;
         }
     }
 
@@ -251,14 +267,16 @@
         self.evidence.holds_any(keys)
     }
 
-    /// Returns the known causes, to tell other hosts.
+    /// Returns the known causes.
     pub fn causes(&self, now: Instant) -> impl Iterator<Item = CauseReport> {
-        self.causes.iter().map(move |it| CauseReport {
-            parts: it.parts.clone(),
-            last_crash_age: now.since(it.last_crash),
-            trials: it.trials,
-            next_trial_in: it.next_trial.since(now),
-        })
+        self.causes.iter().map(move |it| it.report(now))
+    }
+
+    /// Returns the causes that have changed, or kept requests away here, a moment ago, to tell other hosts.
+    pub fn cause_news(&self, now: Instant) -> impl Iterator<Item = CauseReport> {
+        let active =
+            self.causes.iter().filter(move |it| now.since(it.active_at) < CAUSE_NEWS_WINDOW);
+        active.map(move |it| it.report(now))
     }
 
     /// Returns all requests that are under suspicion, to tell a host that has missed some.
@@ -291,9 +309,13 @@
                     report.trials == cause.trials && next_trial + TRIAL_SKEW < cause.next_trial;
                 if report.trials > cause.trials || is_returned {
                     (cause.trials, cause.next_trial) = (report.trials, next_trial);
+                    cause.active_at = now;
                 }
             }
-            None => self.add(Cause { parts, last_crash, trials: report.trials, next_trial }),
+            None => {
+                let trials = report.trials;
+                self.add(Cause { parts, last_crash, trials, next_trial, active_at: now });
+            }
         }
         answered
     }
@@ -350,7 +372,8 @@
         let last_crash = occurrences.iter().map(|it| it.broke_at).max().unwrap_or(now);
         let is_shared = !parts.contains(&request.into());
         let trials = if is_shared { SHARED_CAUSE_TRIALS } else { 0 };
-        self.add(Cause { parts, last_crash, trials, next_trial: now + trial_pause(trials) });
+        let next_trial = now + trial_pause(trials);
+        self.add(Cause { parts, last_crash, trials, next_trial, active_at: now });
     }
 
     /// Returns whether these crashes show that a whole request, or a part, caused them.
--- a/lib/tests/test_crashing_request.rs
+++ b/lib/tests/test_crashing_request.rs
@@ -239,3 +239,24 @@
     assert!(detector.crash_count() <= 64);
     assert!(detector.breaks().count() <= 64 * 64);
 }
+
+/// Guards against gossip that grows with each request that was found and never comes again.
+#[test]
+fn cause_is_told_while_it_changes_or_keeps_requests_away() {
+    let mut detector = with_cause();
+    let told = |detector: &Detector, millis| detector.cause_news(at(millis)).count();
+    assert_eq!((told(&detector, 7110), told(&detector, 11_000)), (1, 1));
+    assert_eq!((told(&detector, 13_000), detector.causes(at(13_000)).count()), (0, 1));
+    // The trial, and a request that is kept away.
+    assert_eq!(admit(&mut detector, 14_000, DEADLY), Some(Admission::Trial));
+    assert_eq!((told(&detector, 15_000), told(&detector, 20_000)), (1, 0));
+    assert_eq!(admit(&mut detector, 21_000, DEADLY), None);
+    assert_eq!((told(&detector, 22_000), told(&detector, 27_000)), (1, 0));
+    // A host that follows tells it as long, and does not keep the others telling it.
+    let report = detector.causes(at(27_000)).next().unwrap();
+    let mut other = Detector::default();
+    for millis in (27_000..33_000).step_by(50) {
+        other.follow(at(millis), &report);
+    }
+    assert_eq!(told(&other, 33_000), 0);
+}
