poison, crash_evidence: judge a crash once, and look up what a cause explains

Each report that was told again made its keys be judged again, and each judgement went through all causes, crashes and requests. A known report is not judged now, and the crashes of each cause are looked up once for all keys that are due.

--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -135,12 +135,12 @@
     /// Returns whether a break is of this end of the process. An upstream may come back under its id without telling
     /// the time of its start.
     fn includes(&self, report: &Break, alive_at: Instant) -> bool {
+        if self.upstream != report.upstream || self.start_time_ms != report.start_time_ms {
+            return false;
+        }
         let broke_at = self.requests.iter().map(|it| it.broke_at).min().unwrap_or_default();
         let last_alive_at = self.requests.iter().map(|it| it.alive_at).max().unwrap_or_default();
-        self.upstream == report.upstream
-            && self.start_time_ms == report.start_time_ms
-            && alive_at <= broke_at + CRASH_SKEW
-            && last_alive_at <= report.broke_at + CRASH_SKEW
+        alive_at <= broke_at + CRASH_SKEW && last_alive_at <= report.broke_at + CRASH_SKEW
     }
 
     fn holds(&self, key: Key) -> bool {
@@ -182,7 +182,7 @@
 /// What a break has added to the evidence.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Addition {
-    /// Keys that are under suspicion now.
+    /// Keys that it puts under suspicion; none if it was known, as most reports are that hosts tell again.
     pub(crate) suspected: Keys,
     /// Keys that this host has seen answered since the break.
     pub(crate) answered: Keys,
@@ -221,14 +221,13 @@
             .into_iter()
             .partition(|it| self.answered.last(*it).is_some_and(|it| it >= broke_at));
         let mut addition = Addition { suspected, answered, known_at: now };
-        let keys = &addition.suspected;
-        if keys.is_empty() {
+        if addition.suspected.is_empty() {
             return addition;
         }
         let alive_at = report.silence.map(|it| broke_at.saturating_sub(it)).unwrap_or_default();
         let broken = BrokenRequest {
             request: report.request,
-            keys: keys.clone(),
+            keys: addition.suspected.clone(),
             had_event: report.had_event,
             broke_at,
             alive_at,
@@ -242,6 +241,7 @@
                     .any(|it| it.request == broken.request && it.keys == broken.keys);
                 addition.known_at = crash.known_at;
                 if is_known || crash.requests.len() >= MAX_BROKEN_REQUESTS {
+                    addition.suspected.clear();
                     return addition;
                 }
                 crash.requests.push(broken);
@@ -426,9 +426,13 @@
         self.crashes[crash].holds(key)
     }
 
-    /// Returns whether a request in a crash holds all of these keys.
-    pub(crate) fn holds_all(&self, crash: usize, keys: &[Key]) -> bool {
-        let mut requests = self.crashes[crash].requests.iter();
-        requests.any(|it| keys.iter().all(|key| it.keys.contains(key)))
+    /// Returns the crashes in which a request holds all of these keys.
+    pub(crate) fn crashes_with(&self, keys: &[Key]) -> SmallVec<[usize; 4]> {
+        if !keys.iter().all(|it| self.suspected.contains_key(it)) {
+            return SmallVec::new();
+        }
+        let holds_all = |it: &BrokenRequest| keys.iter().all(|key| it.keys.contains(key));
+        let crashes = self.crashes.iter().enumerate();
+        crashes.filter(|it| it.1.requests.iter().any(holds_all)).map(|it| it.0).collect()
     }
 }
--- a/lib/src/poison.rs
+++ b/lib/src/poison.rs
@@ -174,8 +174,12 @@
     /// Judges the crashes that became known long enough ago.
     pub fn judge_due(&mut self, now: Instant) {
         let is_due = |it: &mut (Instant, Fingerprint, Key)| it.0 + JUDGE_DELAY <= now;
+        let mut explained = None;
         while let Some((_, request, key)) = self.unjudged.pop_front_if(is_due) {
-            self.judge(now, request, key);
+            let explained_crashes = explained.get_or_insert_with(|| self.explained());
+            if self.judge(now, request, key, explained_crashes) {
+                explained = None;
+            }
         }
     }
 
@@ -338,20 +342,36 @@
         self.evidence.crash_count()
     }
 
+    /// Returns the crashes with each cause, for [`occurrences`](Self::occurrences).
+    fn explained(&self) -> Vec<(Keys, SmallVec<[usize; 4]>)> {
+        let causes = self.causes.iter().map(|it| &it.parts);
+        causes.map(|it| (it.clone(), self.evidence.crashes_with(it))).collect()
+    }
+
     /// Adds a key of a request that broke, with those that were always there together with it, to the causes if the
-    /// evidence suffices.
-    fn judge(&mut self, now: Instant, request: Fingerprint, key: Key) {
+    /// evidence suffices. Returns whether the causes have changed.
+    fn judge(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        key: Key,
+        explained: &[(Keys, SmallVec<[usize; 4]>)],
+    ) -> bool {
         let is_request = key == request.into();
-        let occurrences = self.occurrences(now, key);
+        let limit = if is_request { REQUEST_CRASH_LIMIT } else { CRASH_LIMIT };
+        if self.evidence.request_count(key) < limit {
+            return false;
+        }
+        let occurrences = self.occurrences(now, key, explained);
         if !self.suffices(is_request, &occurrences) {
-            return;
+            return false;
         }
         let mut parts = Keys::from_slice(&[key]);
         for other in self.evidence.common_keys(&occurrences) {
             if other == key {
                 continue;
             }
-            let has_more = self.occurrences(now, other).len() > occurrences.len();
+            let has_more = self.occurrences(now, other, explained).len() > occurrences.len();
             let is_same_request =
                 occurrences.iter().all(|it| self.evidence.is_shared(it.crash, key, other));
             match (is_same_request, has_more) {
@@ -359,7 +379,7 @@
                 (true, _) if is_request => parts.push(other),
                 (true, false) => parts.push(other),
                 // The other one explains these crashes and more.
-                (_, true) => return,
+                (_, true) => return false,
                 // Two requests that were always there together: a trial tells which one it is.
                 (false, false) => {}
             }
@@ -367,13 +387,14 @@
         parts.sort();
         parts.truncate(MAX_KEYS);
         if self.causes.iter().any(|it| it.is_held_by(&parts)) {
-            return;
+            return false;
         }
         let last_crash = occurrences.iter().map(|it| it.broke_at).max().unwrap_or(now);
         let is_shared = !parts.contains(&request.into());
         let trials = if is_shared { SHARED_CAUSE_TRIALS } else { 0 };
         let next_trial = now + trial_pause(trials);
         self.add(Cause { parts, last_crash, trials, next_trial, active_at: now });
+        true
     }
 
     /// Returns whether these crashes show that a whole request, or a part, caused them.
@@ -403,22 +424,20 @@
     /// Returns the crashes in which a key is under suspicion, in the order of their times. Those of the last moment do not
     /// count yet: other reports of them may still come. Nor do those that a known cause without this key explains, unless
     /// the key was at all crashes of that cause and so explains them as well.
-    fn occurrences(&self, now: Instant, key: Key) -> SmallVec<[Occurrence; 8]> {
+    fn occurrences(
+        &self,
+        now: Instant,
+        key: Key,
+        explained: &[(Keys, SmallVec<[usize; 4]>)],
+    ) -> SmallVec<[Occurrence; 8]> {
         let is_settled = |crash: usize| self.evidence.known_at(crash) + JUDGE_DELAY <= now;
-        let crashes = (0..self.evidence.crash_count()).filter(|it| is_settled(*it));
-        let explaining: SmallVec<[&Cause; 4]> = self
-            .causes
-            .iter()
-            .filter(|it| !it.parts.contains(&key))
-            .filter(|cause| {
-                let mut at =
-                    crashes.clone().filter(|it| self.evidence.holds_all(*it, &cause.parts));
-                at.any(|it| !self.evidence.holds(it, key))
-            })
-            .collect();
+        let explains = |(parts, crashes): &&(Keys, SmallVec<[usize; 4]>)| {
+            let mut settled = crashes.iter().filter(|it| is_settled(**it));
+            !parts.contains(&key) && settled.any(|it| !self.evidence.holds(*it, key))
+        };
         self.evidence.occurrences(key, |crash| {
             is_settled(crash)
-                && !explaining.iter().any(|it| self.evidence.holds_all(crash, &it.parts))
+                && !explained.iter().filter(|it| it.1.contains(&crash)).any(|it| explains(&it))
         })
     }
 }
