crash_causes: tell of an answer once for all reports that it answers

A host that has seen a part answered since a crash tells so whenever a report of that crash arrives. Reports now come several times, and each made it queue the answer for four more tellings, which others relayed: messages multiplied with the number of hosts. An answer that is still to be told takes the later time instead.

`news_that_replaces_other_news_is_told_no_more_often` shows the bound.

--- a/lib/src/crash_causes.rs
+++ b/lib/src/crash_causes.rs
@@ -228,8 +228,12 @@
     fn tell_answered(&self, keys: &[Key]) {
         let now = self.crash_clock();
         let mut answered = lock(&self.answered_parts);
-        if !keys.iter().all(|it| answered.push(now, (*it, now))) {
-            log::debug!("answers cannot be told to other hosts and are dropped");
+        for key in keys {
+            // Each report of a crash that comes again asks for the same answer.
+            let is_told = answered.replace((*key, now), |it| it.0 == *key);
+            if !is_told && !answered.push(now, (*key, now)) {
+                log::debug!("answer cannot be told to other hosts and is dropped");
+            }
         }
     }
 
--- a/lib/src/outbox.rs
+++ b/lib/src/outbox.rs
@@ -46,6 +46,16 @@
         has_room
     }
 
+    /// Puts an item in place of one that is still to be told and for which `is_same` returns true. Returns false if there
+    /// is none.
+    pub fn replace<F>(&mut self, item: T, is_same: F) -> bool
+    where
+        F: Fn(&T) -> bool,
+    {
+        let entry = self.entries.iter_mut().find(|it| is_same(&it.item));
+        entry.map(|it| it.item = item).is_some()
+    }
+
     /// Returns the items that are due. One that was told before is dropped if `is_current` returns false for it.
     pub fn take_due<F>(&mut self, now: Instant, is_current: F) -> Vec<T>
     where
--- a/lib/tests/test_crash_news.rs
+++ b/lib/tests/test_crash_news.rs
@@ -45,6 +45,22 @@
     assert!(outbox.is_empty());
 }
 
+/// Guards against messages that multiply: an answer is told again for each report that it answers, and each report comes
+/// several times.
+#[test]
+fn news_that_replaces_other_news_is_told_no_more_often() {
+    let mut outbox = Outbox::default();
+    let mut told = Vec::new();
+    for millis in (1000..10_000).step_by(50) {
+        if millis < 4000 && !outbox.replace(("key", millis), |it| it.0 == "key") {
+            outbox.push(at(millis), ("key", millis));
+        }
+        told.extend(outbox.take_due(at(millis), |_| true));
+    }
+    assert!(told.len() <= 8 && told.is_sorted(), "{told:?}");
+    assert!(told.last().unwrap().1 > 3900, "{told:?}");
+}
+
 #[test]
 fn news_stays_bounded() {
     let mut outbox = Outbox::default();
