review: a prompt part that crashes runners after their first event is never found

review/6: 3 of 40 requests a second share a prompt part on which each runner falls over right after the first event of its answer.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
     echo "run the build of deploy/system.toml and review/build-2.sh first"
     exit 2
 }
-exec target/review-2/rig builds review/6
+exec target/review-2/rig part review/6
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -1,6 +1,7 @@
 //! Runs one script of `review/`. The first argument names it, the second one is the folder of its record.
 
 mod builds;
+mod part;
 mod parts;
 
 fn main() {
@@ -9,6 +10,7 @@
     let folder = arguments.get(2).map_or(".", String::as_str);
     match name {
         "builds" => builds::run(folder),
+        "part" => part::run(folder),
         _ => {
             eprintln!("no such script: {name}");
             std::process::exit(2);
