--- a/review/harness-2/parts.rs
+++ b/review/harness-2/parts.rs
@@ -447,7 +447,7 @@
     Good,
     /// Answers each call with 503.
     Busy,
-    /// Answers nothing.
+    /// Answers no call that comes now.
     Silent,
 }
 
@@ -561,12 +561,9 @@
         match health {
             Health::Good => {}
             Health::Busy => return reply(stream, 503, "{}"),
+            // The call gets no answer, and its channel delivers nothing more.
             Health::Silent => loop {
-                thread::sleep(Duration::from_millis(100));
-                if self.state.lock().unwrap().health != Health::Silent {
-                    // What was not answered then is answered no more.
-                    return Err(io::ErrorKind::TimedOut.into());
-                }
+                thread::sleep(Duration::from_secs(1));
             },
         }
         if request.path() == "/v1/rows-tx" {
@@ -585,9 +582,17 @@
         let deadline = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
-            if state.health != Health::Good {
-                drop(state);
-                return reply(stream, 503, "{}");
+            match state.health {
+                Health::Good => {}
+                Health::Busy => {
+                    drop(state);
+                    return reply(stream, 503, "{}");
+                }
+                // A call that waits is answered later, if it waits for so long.
+                Health::Silent => {
+                    state = self.changed.wait(state).unwrap();
+                    continue;
+                }
             }
             if is_feed && (after > state.version || state.era != era) {
                 let era = state.era;
