--- a/review/harness-2/part.rs
+++ b/review/harness-2/part.rs
@@ -16,6 +16,8 @@
 const PAUSE: Duration = Duration::from_millis(40);
 /// The part that crashes runners, in the middle of prompts.
 const FATAL: &str = "fa7a1fa7:300";
+/// Time from the first event until the runner falls over.
+const CRASH_DELAY: Duration = Duration::from_millis(15);
 /// How long a runner that has crashed is away, and cold afterwards.
 const AWAY: Duration = Duration::from_millis(3000);
 const COLD: Duration = Duration::from_millis(3000);
@@ -53,7 +55,7 @@
         let text = format!("id: {event}\ndata: {}\n\n", runner.id);
         stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
         if is_fatal {
-            thread::sleep(Duration::from_millis(3));
+            thread::sleep(CRASH_DELAY);
             runner
                 .record
                 .line(&format!("runner {} has begun to write an answer to {id}", runner.id));
@@ -85,7 +87,7 @@
     let files = Folder::new();
     let ips = free_ips(3);
     let store = Store::new();
-    let address = store.serve("127.0.0.1:0", Vec::new());
+    let address = store.serve("127.0.0.1:0");
     let zones = ["nbo-westlands", "nbo-industrial", "nbo-karen"];
     let runners: Vec<_> = (0..9)
         .map(|at| {
