--- a/review/harness-2/builds.rs
+++ b/review/harness-2/builds.rs
@@ -50,7 +50,7 @@
     let files = Folder::new();
     let ips = free_ips(3);
     let store = Store::new();
-    let address = store.serve("127.0.0.1:0", Vec::new());
+    let address = store.serve("127.0.0.1:0");
     let zones = ["nbo-westlands", "nbo-industrial", "nbo-karen"];
     let runners: Vec<_> = (0..9)
         .map(|at| {
