--- a/review/harness-2/parts.rs
+++ b/review/harness-2/parts.rs
@@ -313,7 +313,7 @@
 {
     let listener = TcpListener::bind(address).unwrap_or_else(|err| {
         eprintln!("{address}: {err}");
-        std::process::exit(2);
+        quit();
     });
     let bound = listener.local_addr().expect("a bound socket has an address");
     let handler = Arc::new(handler);
@@ -418,7 +418,7 @@
     pub fn new(path: &str) -> Arc<Self> {
         let file = File::create(path).unwrap_or_else(|err| {
             eprintln!("{path}: {err}");
-            std::process::exit(2);
+            quit();
         });
         Arc::new(Record { file: Mutex::new(file), start: Instant::now() })
     }
@@ -807,6 +807,19 @@
 
 // ---------------------------------------------------------------------------------------------- Gateway
 
+/// Ids of the processes of the gateway that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the script because the case cannot run, and all processes that it has started.
+pub fn quit() -> ! {
+    let running = RUNNING.lock().map(|it| it.clone()).unwrap_or_default();
+    for id in running {
+        let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+    }
+    let _ = fs::remove_dir_all(folder_path());
+    std::process::exit(2);
+}
+
 /// A process of the gateway.
 pub struct Gateway {
     pub name: String,
@@ -817,16 +830,19 @@
     child: Option<Child>,
 }
 
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("mothvale-review-{}", std::process::id()))
+}
+
 /// A folder for settings and logs, removed at the end.
 pub struct Folder(pub PathBuf);
 
 impl Folder {
     pub fn new() -> Self {
-        let base = std::env::temp_dir();
-        let path = base.join(format!("mothvale-review-{}", std::process::id()));
+        let path = folder_path();
         if let Err(err) = fs::create_dir_all(&path) {
             eprintln!("{}: {err}", path.display());
-            std::process::exit(2);
+            quit();
         }
         Folder(path)
     }
@@ -861,7 +877,7 @@
         }
     }
     eprintln!("no free loopback addresses");
-    std::process::exit(2);
+    quit();
 }
 
 /// Settings of the hosts that differ from the sheet.
@@ -908,7 +924,7 @@
         );
         if let Err(err) = fs::write(&conf, text) {
             eprintln!("{}: {err}", conf.display());
-            std::process::exit(2);
+            quit();
         }
         let address = |port: u16| format!("{ip}:{port}").parse().expect("a valid address");
         let mut gateway =
@@ -920,8 +936,8 @@
     /// Starts the process, also again after it has ended.
     pub fn spawn(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
-        let Ok(log) = log else { std::process::exit(2) };
-        let errors = log.try_clone().unwrap_or_else(|_| std::process::exit(2));
+        let Ok(log) = log else { quit() };
+        let errors = log.try_clone().unwrap_or_else(|_| quit());
         let child = Command::new("target/release/mothvale")
             .arg("gateway")
             .env_clear()
@@ -931,12 +947,15 @@
             .stderr(errors)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                RUNNING.lock().unwrap().push(child.id());
+                self.child = Some(child);
+            }
             Err(err) => {
                 eprintln!(
                     "target/release/mothvale: {err}; run the build of deploy/system.toml first"
                 );
-                std::process::exit(2);
+                quit();
             }
         }
     }
@@ -953,6 +972,7 @@
 
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            RUNNING.lock().unwrap().retain(|it| *it != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -977,7 +997,7 @@
         thread::sleep(Duration::from_millis(100));
     }
     eprintln!("the hosts do not become ready");
-    std::process::exit(2);
+    quit();
 }
 
 /// Returns whether the script is to run with its disruption.
