store_silence, table_sync: calls that were lost while the store was silent are repeated in time

Cause: the call that waits for changes of the operators' table had been sent into the silence. It was given up only after the staleness bound and 1.3 s more, and followed by a pause, although other calls had failed and were answered again. A host that reads for itself anew kept the wait of 20 s it had while another one read for it.

Change: once a call is answered that was sent after one without a response, those that were sent before it are given up and made again, at all users of the row store. A host that reads for itself waits 1.5 s less than the staleness bound, so that a call which alone was lost is repeated within it. The long wait ends with the delegation. No pause follows a call that got no response.

These failed without the change: call_that_was_lost_in_a_silence_is_repeated_once_ another_one_is_answered, call_for_changes_may_be_repeated_within_the_staleness_bound, long_wait_ends_when_no_other_host_reads_any_more.

--- a/bench/src/soak/regressions.rs
+++ b/bench/src/soak/regressions.rs
@@ -51,6 +51,16 @@
             fault(6000, 14_000, Action::Revoke),
         ],
     };
+    let key_revoked_at_once = Case {
+        name: "key-revoked-right-after-silent-store",
+        seed: 2049,
+        cause: "a call for changes that was lost in the silence is waited for beyond the staleness bound",
+        time: Duration::from_secs(13),
+        faults: vec![
+            fault(2000, 7000, Action::Store(Health::Silent)),
+            fault(7200, 14_000, Action::Revoke),
+        ],
+    };
     let cut_after_stop = Case {
         name: "upstream-cuts-after-a-stop",
         seed: 660_102,
@@ -88,7 +98,7 @@
         time: Duration::from_secs(14),
         faults: killed,
     };
-    vec![target_set, key_revoked, cut_after_stop, ends_busy, start_after_kill]
+    vec![target_set, key_revoked, key_revoked_at_once, cut_after_stop, ends_busy, start_after_kill]
 }
 
 fn fault(start_ms: u64, end_ms: u64, action: Action) -> Fault {
--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -68,6 +68,11 @@
     play_case("key-revoked-after-silent-store");
 }
 
+#[test]
+fn case_of_a_key_revoked_right_after_a_silent_store() {
+    play_case("key-revoked-right-after-silent-store");
+}
+
 #[test]
 fn case_of_an_upstream_that_cuts_after_a_stop() {
     play_case("upstream-cuts-after-a-stop");
--- a/lib/src/gateway_process.rs
+++ b/lib/src/gateway_process.rs
@@ -30,6 +30,7 @@
     prelude::*,
     reach_watch, rendezvous, rollout,
     row_store::{RowStore, RowStoreError, Table, Write, WriteOutcome},
+    store_silence,
     table_sync::{Replicas, TableSync},
 };
 
@@ -148,6 +149,7 @@
         thread::Builder::new().name("control".into()).spawn(move || {
             let row_store = connect(gateway.host_settings.store_address);
             let row_store = Watched { gateway: gateway.clone(), row_store };
+            let row_store = store_silence::Client::new(gateway.clone(), row_store);
             control.block_on(run_control(gateway, row_store, &control_identity, detour_address));
         })?;
         traffic.block_on(async move {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -113,6 +113,7 @@
 pub mod store_history;
 pub mod store_latency;
 pub mod store_link;
+pub mod store_silence;
 pub mod stream;
 pub mod stream_ledger;
 pub mod stream_origin;
--- a/lib/src/row_store.rs
+++ b/lib/src/row_store.rs
@@ -11,6 +11,9 @@
     replica::{Revision, Row},
 };
 
+/// Longest wait for a response, in addition to the time for which the store may hold a call for changes.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1300);
+
 /// Tables of the row store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Table {
@@ -122,7 +125,7 @@
 /// Client of the row store.
 pub trait RowStore: Clone + Send + Sync + 'static {
     /// Returns the changes of a table after version `after`; waits up to `wait` while there are
-    /// none.
+    /// none, and [`RESPONSE_TIMEOUT`] longer for the response.
     fn changes(
         &self,
         table: Table,
--- a/lib/src/table_sync.rs
+++ b/lib/src/table_sync.rs
@@ -19,11 +19,15 @@
     prelude::*,
     rendezvous,
     replica::{Replica, Revision, Row},
-    row_store::{Page, RowStore, RowStoreError, Table},
+    row_store::{Page, RESPONSE_TIMEOUT, RowStore, RowStoreError, Table},
 };
 
 /// Longest wait of one long-poll call, for tables that change rarely.
 const LONG_POLL_WAIT: Duration = Duration::from_secs(20);
+/// Time, of the staleness bound, that is left for another call after one that got no response.
+const REPEATED_CALL_TIME: Duration = Duration::from_millis(200);
+/// Shortest wait of a call for changes of the operators' table.
+const MIN_LONG_POLL_WAIT: Duration = Duration::from_millis(200);
 /// Interval between reads of the upstreams table, as a fraction of the drain bound. The rest
 /// of the bound leaves time for slow responses and one failed read.
 const UPSTREAMS_POLL_FRACTION: f64 = 0.4;
@@ -186,9 +190,7 @@
             Table::Upstreams => Duration::ZERO,
             // A connection may be silent without an error. A host that reads for others finds that out
             // within the staleness bound, and the others hear of changes from it.
-            Table::Operators if !self.replicas.is_delegated(self.gateway.now()) => {
-                LONG_POLL_WAIT.min(self.gateway.host_settings.bounds.max_staleness)
-            }
+            Table::Operators if !self.replicas.is_delegated(self.gateway.now()) => self.own_wait(),
             Table::Operators
             | Table::Hosts
             | Table::Leases
@@ -199,6 +201,28 @@
         }
     }
 
+    /// Returns how long a call for changes waits at a host that no other one reads for, so that a call that got no
+    /// response is repeated within the staleness bound.
+    fn own_wait(&self) -> Duration {
+        let bound = self.gateway.host_settings.bounds.max_staleness;
+        let wait = bound.saturating_sub(RESPONSE_TIMEOUT + REPEATED_CALL_TIME);
+        wait.clamp(MIN_LONG_POLL_WAIT, LONG_POLL_WAIT)
+    }
+
+    /// Waits until this host has to read a table for itself and a call of `requested_at` would have been answered, if it
+    /// had known that.
+    async fn wait_overdue(&self, requested_at: Instant) {
+        loop {
+            let delegated_until = *self.replicas.delegated_until();
+            let due = delegated_until.max(requested_at + self.own_wait() + RESPONSE_TIMEOUT);
+            let now = self.gateway.now();
+            if due <= now {
+                return;
+            }
+            sleep(due.since(now)).await;
+        }
+    }
+
     /// Keeps the replica of one table up to date, with a pause of `poll_interval` between calls.
     async fn sync_table(&self, table: Table, poll_interval: Duration) {
         let mut read_snapshot = true;
@@ -229,6 +253,7 @@
                     sleep(self.whole_read_delay(table)).await;
                     continue;
                 }
+                () = self.wait_overdue(requested_at), if table == Table::Operators => continue,
             };
             match result {
                 Ok(page) => {
@@ -277,7 +302,9 @@
                     }
                     self.replicas.sync_needed.notify_one();
                     let delay = RETRY_DELAY * 2_u32.pow(failures.min(4));
-                    self.pause(table, delay.min(MAX_RETRY_DELAY)).await;
+                    // A call that got no response has taken its time.
+                    let elapsed = self.gateway.now().since(requested_at);
+                    self.pause(table, delay.min(MAX_RETRY_DELAY).saturating_sub(elapsed)).await;
                     failures += 1;
                 }
             }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_store_era;
 mod test_store_history;
 mod test_store_link;
+mod test_store_silence;
 mod test_stream_ledger;
 mod test_stream_origin;
 mod test_streams;
