stream: a run that adds nothing to a stream and ends as it should is no crash of its upstream

Callers could find sound engines kept away and their streams cut: when a stream was cut after its last event, the run that went on with it had nothing to add and ended as it should. It was reported as a break, so that the engine counted as crashed, for the search for what crashes upstreams as well.

Cause: the end of a body and an error in it went the same way once the run had brought no event. Change: only an error, or an end within an event, is a break. The stream still counts as cut, as before.

--- a/lib/src/sse.rs
+++ b/lib/src/sse.rs
@@ -43,6 +43,11 @@
         Some(Event { bytes, id })
     }
 
+    /// Returns whether there are no bytes of an incomplete event.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Removes and returns the bytes of an incomplete event.
     pub fn take_remaining(&mut self) -> Bytes {
         (self.line_start, self.searched) = (0, 0);
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -213,15 +213,13 @@
                     frame.into_data().unwrap_or_default()
                 }
                 // A run that goes on with a stream and has no event does not show that the stream is complete.
-                Ok(None)
-                    if decoder.take_remaining().is_empty()
-                        && (is_first || first_event_time.is_some()) =>
-                {
+                Ok(None) if decoder.is_empty() && (is_first || first_event_time.is_some()) => {
                     break;
                 }
-                Ok(None | Some(Err(_))) => {
+                Ok(end @ (None | Some(Err(_)))) => {
                     let signs = Signs {
-                        is_break: true,
+                        // A run without events ends as it should.
+                        is_break: end.is_some() || !decoder.is_empty(),
                         pooled: false,
                         ran,
                         silence: Some(head_at.elapsed()),
