fleet, stream: the build of an upstream whose process has ended is unknown until a later row tells it

Cause: the build comes from a row of the former process, although each host had seen the connections break since.

Change: breaks of requests (also those that other hosts report), refused connections and idle connections that are closed early show that a process may have ended. Until rows are read that were written later, for a store that was away two heartbeats after its return, no stream goes on at that upstream, one that begins there is not resumed elsewhere, and the rows do not tell where streams of unknown origin began. While the store can be read, the read before a stream goes on settles it, as before.

--- a/lib/src/attempt_connection.rs
+++ b/lib/src/attempt_connection.rs
@@ -90,6 +90,7 @@
         };
         loop {
             let pooled = self.gateway.pool().take(&choice.id, choice.incarnation.address, max_idle);
+            self.gateway.record_closed_early();
             let Some(mut pooled) = pooled else { break };
             if connection::wait_ready(&mut pooled).await {
                 return Ok((pooled, true));
--- a/lib/src/choice.rs
+++ b/lib/src/choice.rs
@@ -46,6 +46,8 @@
     pub zone: Zone,
     /// Version of its software.
     pub build: Build,
+    /// Whether only an upstream of this build may take the request.
+    pub is_bound: bool,
     /// The last known weight version of the request's model on this upstream.
     pub weight_version: Option<u32>,
     /// How long the request may wait there before it starts.
--- a/lib/src/connection.rs
+++ b/lib/src/connection.rs
@@ -5,7 +5,10 @@
 //! twice has to know which connection it uses, how long that one was idle, and whether any byte
 //! was written.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
 
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -240,6 +243,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: HashMap<(Upstream, SocketAddr), Vec<Connection>>,
+    /// Upstreams that have closed connections earlier than they announced, until they are taken.
+    closed_early: HashSet<Upstream>,
 }
 
 impl Pool {
@@ -261,10 +266,19 @@
                 connections.push(connection);
                 return None;
             }
+            if idle < connection.idle_limit {
+                self.closed_early.insert(id.clone());
+            }
         }
         None
     }
 
+    /// Returns the upstreams that have closed idle connections early since the last call, so that their processes may
+    /// have ended.
+    pub fn take_closed_early(&mut self) -> HashSet<Upstream> {
+        std::mem::take(&mut self.closed_early)
+    }
+
     /// Keeps a connection whose response has been read to its end, for as long as the response
     /// headers allow.
     pub fn put(
@@ -296,8 +310,14 @@
 
     /// Drops connections that are closed or have been idle for too long.
     pub fn purge(&mut self) {
-        for connections in self.idle.values_mut() {
-            connections.retain(|it| !it.is_closed() && it.idle_since.elapsed() < it.idle_limit);
+        for ((id, _), connections) in &mut self.idle {
+            connections.retain(|it| {
+                let is_in_time = it.idle_since.elapsed() < it.idle_limit;
+                if is_in_time && it.is_closed() {
+                    self.closed_early.insert(id.clone());
+                }
+                is_in_time && !it.is_closed()
+            });
         }
         self.idle.retain(|_, connections| !connections.is_empty());
     }
--- a/lib/src/crash_causes.rs
+++ b/lib/src/crash_causes.rs
@@ -48,6 +48,8 @@
 
     fn apply_break(&self, source: &str, report: &Break) {
         let now = self.crash_clock();
+        let ended_at = self.now().saturating_sub(now.since(report.broke_at));
+        self.fleet().record_end(ended_at, &report.upstream, report.start_time_ms, source);
         let answered = self.update_poison(source, |it| it.record_break(now, report));
         self.tell_answered(&answered, Proof::Whole);
     }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -12,6 +12,7 @@
     build_share::Shares,
     configuration::{Configuration, EngineEntry, ServiceEntry},
     departure::Departures,
+    holdover::REWRITE_HEARTBEATS,
     missing_rows::MissingRows,
     obstacle::Obstacle,
     pause::{self, Pauses},
@@ -123,6 +124,8 @@
     pub limits: Limits,
     /// The builds that services have had lately.
     pub builds: Builds,
+    /// Time within which upstreams write their rows once the row store is back.
+    rewrite_time: Duration,
     /// The services whose upstreams this host reaches.
     pub reach: Reach,
     /// The services whose upstreams bear few refusals.
@@ -157,6 +160,7 @@
             builds: Builds::new(host_settings.bounds.drain.mul_f64(MAX_ROWS_AGE_FRACTION)),
             reach: Reach::default(),
             refusal_limits: RefusalLimits::default(),
+            rewrite_time: host_settings.heartbeat.saturating_mul(REWRITE_HEARTBEATS),
             build_shares: Shares::new(host_settings.bounds.exposure),
             retry_allowance: Allowance::new(
                 host_settings.bounds.retry_slack,
@@ -209,6 +213,10 @@
     /// Records that the known rows of the upstreams are those of the time `at`.
     pub fn set_rows_as_of(&mut self, at: Instant) {
         self.builds.record_rows(at);
+        for state in self.states.values_mut() {
+            let is_told = |it: &Instant| self.builds.tell_restart_since(*it, self.rewrite_time);
+            state.ended_at = state.ended_at.filter(|it| !is_told(it));
+        }
         let oldest = self.oldest_weight_versions();
         self.target_weights.update_oldest(at, oldest);
     }
@@ -480,6 +488,7 @@
             incarnation: state.row.incarnation(),
             zone: state.row.zone.clone(),
             build: state.row.build.clone(),
+            is_bound: query.build.is_some(),
             weight_version,
             id,
             reason,
@@ -494,13 +503,14 @@
         choice: &Choice,
         model: Option<&Model>,
     ) -> Option<Obstacle> {
-        let Some(State { row, .. }) = self.states.get(&choice.id) else {
+        let Some(State { row, ended_at, .. }) = self.states.get(&choice.id) else {
             return Some(Obstacle::Removed);
         };
         let min_version =
             model.map_or(0, |it| self.target_weights.min_version(now, choice.max_wait, it));
         match () {
             () if row.incarnation() != choice.incarnation => Some(Obstacle::Restarted),
+            () if choice.is_bound && ended_at.is_some() => Some(Obstacle::BuildUnknown),
             () if row.draining => Some(Obstacle::Draining),
             () if self.departures.contains(row) => Some(Obstacle::Leaving),
             () if self.pauses.until(now, row).is_some() => Some(Obstacle::Paused),
@@ -551,6 +561,30 @@
         state.record_outcome(now, service, outcome, may_eject_faulty);
     }
 
+    /// Records that a process of an upstream ended at `at`, by a sign for the log; `start_time_ms` is its start, 0 if not
+    /// known.
+    pub fn record_end(&mut self, at: Instant, id: &Upstream, start_time_ms: u64, sign: &str) {
+        let state = self.states.get_mut(id);
+        let Some(state) = state.or_else(|| self.missing_rows.get_mut(id)) else { return };
+        let known = state.row.start_time_ms;
+        let is_same = known == start_time_ms || known == 0 || start_time_ms == 0;
+        if is_same && !self.builds.tell_restart_since(at, self.rewrite_time) {
+            state.record_end(at, sign);
+        }
+    }
+
+    /// Returns whether the build of the process that was chosen is known.
+    pub fn knows_build(&self, choice: &Choice) -> bool {
+        self.states
+            .get(&choice.id)
+            .is_some_and(|it| it.ended_at.is_none() && it.row.incarnation() == choice.incarnation)
+    }
+
+    /// Returns whether the builds are known that the upstreams of a service had at a time.
+    pub fn knows_builds_of(&self, at: Instant, service: &Service) -> bool {
+        self.live(service).all(|it| it.ended_at.is_none_or(|ended_at| ended_at > at))
+    }
+
     /// Records whether a connection to an upstream could be established.
     pub fn record_connection(&mut self, now: Instant, id: &Upstream, succeeded: bool) {
         let Some(service) = self.states.get(id).map(|it| it.row.service.clone()) else { return };
@@ -714,7 +748,7 @@
                 || self.limits.wait(now, &state.row).is_some()
                 || query.tried.contains(id)
                 || query.connected.is_some_and(|it| !it.contains(id))
-                || query.build.is_some_and(|it| *it != state.row.build)
+                || query.build.is_some_and(|it| !state.has_build(it))
                 || self.evacuated.contains(&state.row.zone)
                 || state.ejected_until > now
                 || state.backoff_until > now
@@ -809,7 +843,7 @@
     fn denial(&self, now: Instant, query: &Query<'_>) -> Denial {
         let mut has_other_builds = false;
         let live = self.live(query.service).filter(|it| {
-            let fits = query.build.is_none_or(|build| *build == it.row.build);
+            let fits = query.build.is_none_or(|build| it.has_build(build));
             has_other_builds |= !fits;
             fits
         });
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -251,6 +251,8 @@
     pub(crate) wait_reported: bool,
     /// The build at which the stream began, once it has. Only upstreams of this build can go on with it.
     pub(crate) build: Option<Build>,
+    /// Whether the stream began at an upstream whose build is not known, so that no other one can go on with it.
+    pub(crate) is_build_unknown: bool,
     /// Whether the caller got an event without a numeric id. The stream is not resumed then: the next
     /// run might send that event again.
     pub(crate) unnumbered_sent: bool,
@@ -300,6 +302,7 @@
             placed: false,
             wait_reported: false,
             build: None,
+            is_build_unknown: false,
             unnumbered_sent: false,
             job: Arc::new(job),
         }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -609,6 +609,14 @@
         f(budgets.entry(service.clone()).or_insert_with(new_budget))
     }
 
+    /// Records that the processes of upstreams may have ended that have closed idle connections early.
+    pub(crate) fn record_closed_early(&self) {
+        let closed = self.pool().take_closed_early();
+        for id in &closed {
+            self.fleet().record_end(self.now(), id, 0, "idle connection");
+        }
+    }
+
     /// Drops expired connections, evidence of crashes and responses' notices, and logs which weight
     /// versions are no longer used for new requests.
     pub fn purge(&self) {
@@ -617,6 +625,7 @@
                 "requests no longer start on older weights");
         }
         self.pool().purge();
+        self.record_closed_early();
         self.purge_causes();
         lock(&self.stream_origins).purge(self.now());
         self.fleet().purge(self.now());
--- a/lib/src/holdover.rs
+++ b/lib/src/holdover.rs
@@ -10,7 +10,7 @@
 const HEARTBEATS: u32 = 4;
 
 /// Heartbeats of upstreams within which the store again has the rows of those that are alive.
-const REWRITE_HEARTBEATS: u32 = 2;
+pub(crate) const REWRITE_HEARTBEATS: u32 = 2;
 
 /// How long the removal of an upstream is remembered: longer than the age of any copy.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(60);
--- a/lib/src/obstacle.rs
+++ b/lib/src/obstacle.rs
@@ -9,6 +9,8 @@
     Removed,
     /// The upstream has restarted or moved to another address.
     Restarted,
+    /// The upstream's process has ended, and another one may have any build, while the request needs a certain one.
+    BuildUnknown,
     /// The upstream's row says that it is shutting down.
     Draining,
     /// The upstream has said in a response that it is shutting down.
@@ -31,6 +33,7 @@
         match self {
             Obstacle::Removed => "not_sent_removed",
             Obstacle::Restarted => "not_sent_restarted",
+            Obstacle::BuildUnknown => "not_sent_build_unknown",
             Obstacle::Draining => "not_sent_draining",
             Obstacle::Leaving => "not_sent_leaving",
             Obstacle::Paused => "not_sent_paused",
@@ -45,7 +48,11 @@
     pub fn keeps_connection(self) -> bool {
         matches!(
             self,
-            Obstacle::Paused | Obstacle::Evacuated | Obstacle::Limited | Obstacle::OutdatedWeights
+            Obstacle::BuildUnknown
+                | Obstacle::Paused
+                | Obstacle::Evacuated
+                | Obstacle::Limited
+                | Obstacle::OutdatedWeights
         )
     }
 }
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -124,7 +124,8 @@
                 RunEnd::Completed | RunEnd::CallerLeft => return,
                 RunEnd::TimedOut | RunEnd::Withdrawn | RunEnd::HostEnds => false,
                 RunEnd::Broken => {
-                    !self.unnumbered_sent && !self.is_body_released && self.may_retry()
+                    let may_go_on = !self.unnumbered_sent && !self.is_build_unknown;
+                    may_go_on && !self.is_body_released && self.may_retry()
                 }
             };
             if !retry {
@@ -295,6 +296,12 @@
     /// Records the build of the upstream that brought the stream's first event, which binds the next runs.
     fn record_origin(&mut self, choice: &Choice) {
         if self.build.is_none() {
+            if !self.gateway.fleet().knows_build(choice) {
+                log::info!(request = self.job.metadata.id.as_str(), upstream = choice.id.as_str();
+                    "build of the upstream that began a stream is not known");
+                self.is_build_unknown = true;
+                return;
+            }
             self.build = Some(choice.build.clone());
         }
         if self.job.route.retry_policy.allows_rerun() {
--- a/lib/src/stream_origin.rs
+++ b/lib/src/stream_origin.rs
@@ -266,6 +266,16 @@
         self.complete_since
     }
 
+    /// Returns whether the rows tell of a process that took the place of one which ended at `ended_at`. Upstreams cannot
+    /// write their rows while the row store is away, and do so within `rewrite_time` afterwards.
+    pub fn tell_restart_since(&self, ended_at: Instant, rewrite_time: Duration) -> bool {
+        let written_at = match ended_at < self.complete_since {
+            true => self.complete_since + rewrite_time,
+            false => ended_at,
+        };
+        self.rows_as_of >= Some(written_at)
+    }
+
     /// Records that an upstream of a service has a build.
     pub fn see(&mut self, now: Instant, service: &Service, build: &Build) {
         if !self.by_service.contains_key(service) {
--- a/lib/src/stream_resumption.rs
+++ b/lib/src/stream_resumption.rs
@@ -93,6 +93,7 @@
         let Some(attempt) = attempt else {
             let has_rows = self.wait_for_rows(asked_at, READ_WAIT).await;
             self.wait_for_builds().await;
+            let has_rows = has_rows && self.fleet().knows_builds_of(asked_at, service);
             return match has_rows && self.knows_builds(service) {
                 true => self.only_destination(service),
                 false => Destination::Unknown,
@@ -104,6 +105,7 @@
         // While builds differ, the rows do not tell where the stream began.
         let is_mixed = self.fleet().builds.is_mixed(asked_at, service);
         let has_rows = !is_mixed && self.wait_for_rows(asked_at, READ_WAIT).await;
+        let has_rows = has_rows && self.fleet().knows_builds_of(asked_at, service);
         if has_rows && self.fleet().builds.covers_all_streams(self.now()) {
             let destination = self.only_destination(service);
             if destination != Destination::Unknown {
@@ -181,8 +183,10 @@
         question: &peer::OriginQuestion,
     ) -> peer::OriginAnswer {
         let service = Service::new(question.service.clone());
+        let asked_at = self.now();
         let has_read_rows =
-            question.reads_rows && self.wait_for_rows(self.now(), PEER_READ_WAIT).await;
+            question.reads_rows && self.wait_for_rows(asked_at, PEER_READ_WAIT).await;
+        let has_read_rows = has_read_rows && self.fleet().knows_builds_of(asked_at, &service);
         let origins = lock(&self.stream_origins);
         let place = origins.place(Attempt(question.attempt)).cloned();
         drop(origins);
--- a/lib/src/upstream_state.rs
+++ b/lib/src/upstream_state.rs
@@ -118,6 +118,8 @@
     pub(crate) cold_until: Instant,
     /// When a connection to it last failed or broke; the default if none has.
     pub(crate) last_disconnect: Instant,
+    /// When its process was last seen to end, or not to be there, if no row tells since which process it has now.
+    pub(crate) ended_at: Option<Instant>,
     /// When the evacuation of its zone ended, unless a later row has told since whether it is cold.
     pub(crate) reopened_at: Option<Instant>,
     /// Requests in flight from this host.
@@ -158,6 +160,7 @@
             assumed_weights: SmallVec::new(),
             cold_until: now + row.cold_remaining,
             last_disconnect: Instant::default(),
+            ended_at: None,
             reopened_at: None,
             in_flight: 0,
             tokens: 0,
@@ -175,6 +178,11 @@
         }
     }
 
+    /// Returns whether the upstream is known to have a build.
+    pub(crate) fn has_build(&self, build: &Build) -> bool {
+        self.row.build == *build && self.ended_at.is_none()
+    }
+
     /// Returns the weight version of a model that the upstream has shown, or that is assumed.
     pub(crate) fn weight_version(&self, model: &Model) -> Option<u32> {
         let assumed = self.assumed_weights.iter().find(|it| it.0 == *model);
@@ -266,6 +274,7 @@
     fn record_unreachable(&mut self, now: Instant, service: &ServiceEntry) {
         let pause = EJECTION_INITIAL * 2_u32.pow(self.connect_failures.min(4));
         self.connect_failures += 1;
+        self.record_end(now, "failed connection");
         self.mark_disconnected(now, service);
         self.eject(now, pause.min(EJECTION_MAX));
     }
@@ -286,6 +295,15 @@
         service.cold_rate > 0.0 && (may_be_cold || self.cold_until > now)
     }
 
+    /// Records that the process has ended, or may have. Until a row tells which one there is now, its build is unknown.
+    pub(crate) fn record_end(&mut self, at: Instant, sign: &str) {
+        if self.ended_at.is_none() {
+            log::info!(upstream = self.row.id.as_str(), sign = sign;
+                "process of an upstream may have ended, its build is unknown until its row is read");
+        }
+        self.ended_at = self.ended_at.max(Some(at));
+    }
+
     /// Assumes a cold start, because the upstream may have restarted.
     fn mark_disconnected(&mut self, now: Instant, service: &ServiceEntry) {
         self.last_disconnect = now;
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -572,3 +572,60 @@
     }
     assert!(found < 0.7 * random, "{:.2} of the load of a random engine", found / random);
 }
+
+/// Guards against streams of two builds: an upstream's process ended, the next one may have another build, and its row cannot
+/// tell it while the row store is away, and for two heartbeats afterwards.
+#[test]
+fn upstream_takes_up_no_stream_until_its_row_tells_which_process_it_has() {
+    let mut fleet = fleet(1);
+    let is_taken_up = |fleet: &mut Fleet, millis: u64| {
+        let build = Build::new("v1");
+        let query = Query {
+            service: &Service::new(ENGINES),
+            model: Some(&Model::new("demo")),
+            session: None,
+            cached: None,
+            tokens: 1,
+            admitted: true,
+            priority: 0,
+            request_hash: 1,
+            max_wait: MAX_WAIT,
+            build: Some(&build),
+            connected: None,
+            tried: &[],
+        };
+        let choice = fleet.choose(at(millis), &configuration(), &query);
+        if let Ok(choice) = &choice {
+            record_outcome(fleet, at(millis), choice, Outcome::Served(Duration::ZERO));
+        }
+        choice.is_ok()
+    };
+    let id = engine("engine0", "hobart").id;
+    for millis in [500, 1000, 1500] {
+        fleet.set_rows_as_of(at(millis));
+    }
+    assert!(is_taken_up(&mut fleet, 1600));
+    // The store is there.
+    fleet.record_end(at(1700), &id, 0, "test");
+    assert!(!is_taken_up(&mut fleet, 1800));
+    fleet.set_rows_as_of(at(1900));
+    assert!(is_taken_up(&mut fleet, 1950));
+    // News of the same end that comes again.
+    fleet.record_end(at(1700), &id, 0, "test");
+    assert!(is_taken_up(&mut fleet, 1960));
+    // The store is away.
+    fleet.record_end(at(3000), &id, 0, "test");
+    fleet.set_rows_as_of(at(8000));
+    let rewrite_time = 2 * host_settings("host0", "hobart").heartbeat.as_millis() as u64;
+    for millis in (8000..8000 + rewrite_time).step_by(500) {
+        fleet.set_rows_as_of(at(millis));
+        assert!(!is_taken_up(&mut fleet, millis), "{millis}");
+    }
+    fleet.set_rows_as_of(at(8000 + rewrite_time));
+    assert!(is_taken_up(&mut fleet, 8001 + rewrite_time));
+    // The row of another process says which build that has.
+    fleet.record_end(at(20_000), &id, 0, "test");
+    assert!(!is_taken_up(&mut fleet, 20_001));
+    fleet.upsert(at(20_002), UpstreamRow { start_time_ms: 77, ..engine("engine0", "hobart") });
+    assert!(is_taken_up(&mut fleet, 30_000));
+}
