--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -400,7 +400,10 @@
         detector.follow(at(1000), &report);
         detector.follow(at(1000), &CauseReport { last_crash_age: longest, ..report });
         let silence = Some(longest);
-        detector.record_break(at(1000), &Break { silence, parts, ..broken(1000, "e0", 1, &[]) });
+        let ran = silence;
+        detector
+            .record_break(at(1000), &Break { ran, silence, parts, ..broken(1000, "e0", 1, &[]) });
+        detector.record_answer(at(1000), &keys(&["other"]), Proof::Ran(longest));
     }
     assert!(is_rejected(&mut detector, 1100, &["bad"]));
     assert!(!is_rejected(&mut detector, 1100, &["first"]));
