test_poison: plain crashes amid long answers blame no part, in as many fleets as the neighbours play

The test was first written to expect that no sound request is kept away, and was landed with one in 20 after fleets had failed it; so the bound followed the measurement. It is 0 again, as in the test beside it, and both new tests play 24 cases instead of 8.

--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -731,13 +731,6 @@
         simulation.play(0);
         prop_assert_eq!(simulation.sound_rejected, 0);
     }
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: prop::test_runner::RngSeed::Fixed(17),
-        ..ProptestConfig::with_cases(8)
-    })]
 
     /// Guards against parts that crash upstreams after the first event of an answer: they were never found, because the
     /// first event cleared them.
@@ -773,7 +766,6 @@
         let mut simulation = Simulation::new(seed, trouble);
         simulation.answer_ms = answer_ms;
         simulation.play(0);
-        let (sound, rejected) = (simulation.sound, simulation.sound_rejected);
-        prop_assert!(rejected * 20 <= sound, "{rejected} of {sound} sound requests rejected");
+        prop_assert_eq!(simulation.sound_rejected, 0, "of {} sound requests", simulation.sound);
     }
 }
