stream, pass_through, detour_forward: a response that begins is counted without a gap

Cause: the guard that counts the response was made in the first turn of the spawned task, after the request's own guard was gone.

--- a/lib/src/detour_forward.rs
+++ b/lib/src/detour_forward.rs
@@ -14,7 +14,7 @@
     detour_link::{self, Link, Terms},
     fault::Delivery,
     forward::{Forwarder, keep_length},
-    gateway::Gateway,
+    gateway::{Gateway, RequestGuard},
     hop_by_hop,
     memory_account::Owner,
     prelude::*,
@@ -151,6 +151,7 @@
                 deadline: self.job.deadline + DEADLINE_MARGIN,
                 under_way,
                 _connection: connection,
+                _active: self.gateway.track_request(),
             };
             tokio::spawn(passing.pass_on(body, sender));
             return Outcome::Response(response);
@@ -234,6 +235,8 @@
     under_way: UnderWay<C>,
     /// Ends the request at the other host when it is dropped.
     _connection: Connection,
+    /// Counts the response, also before its task first runs.
+    _active: RequestGuard<C>,
 }
 
 impl<C> Passing<C>
@@ -242,7 +245,6 @@
 {
     /// Passes on the chunks of the response until its end, or until the caller leaves.
     async fn pass_on(self, mut body: Incoming, chunks: Sender<Result<Bytes, Truncated>>) {
-        let _active = self.gateway.track_request();
         let reason = loop {
             let frame = tokio::select! {
                 () = chunks.closed() => return,
--- a/lib/src/pass_through.rs
+++ b/lib/src/pass_through.rs
@@ -10,6 +10,7 @@
     fatal_prompt::Signs,
     fleet::Outcome,
     forward::{Forwarder, UpstreamResponse, keep_length},
+    gateway::RequestGuard,
     poison::Proof,
     prelude::*,
     response_body::{Body, Truncated},
@@ -28,7 +29,8 @@
         let head = &upstream_response.head;
         let mut response = self.build_response(head, Body::Stream(receiver));
         keep_length(head, &mut response);
-        tokio::spawn(self.pass_chunks(upstream_response, sender));
+        let active = self.gateway.track_request();
+        tokio::spawn(self.pass_chunks(upstream_response, sender, active));
         response
     }
 
@@ -37,8 +39,8 @@
         self,
         upstream_response: UpstreamResponse<C>,
         chunks: Sender<Result<Bytes, Truncated>>,
+        _active: RequestGuard<C>,
     ) {
-        let _active = self.gateway.track_request();
         let UpstreamResponse { attempt, connection, head, mut body, started, head_at, .. } =
             upstream_response;
         let deadline = self.job.deadline;
--- a/lib/src/stream.rs
+++ b/lib/src/stream.rs
@@ -13,7 +13,7 @@
     fatal_prompt::Signs,
     fleet::{Choice, Outcome},
     forward::{Forwarder, InFlightAttempt, UpstreamResponse},
-    gateway::Gateway,
+    gateway::{Gateway, RequestGuard},
     memory_account::{Owner, SMALL_BODY_BYTES},
     poison::{Proof, RUN_STEP},
     prelude::*,
@@ -95,7 +95,9 @@
     pub(crate) fn forward_stream(self, upstream_response: UpstreamResponse<C>) -> Response<Body> {
         let (sender, receiver) = self.gateway.unread.channel();
         let response = self.build_response(&upstream_response.head, Body::Stream(receiver));
-        tokio::spawn(self.forward_events(upstream_response, sender));
+        // The task may first run after the request itself is no longer counted.
+        let active = self.gateway.track_request();
+        tokio::spawn(self.forward_events(upstream_response, sender, active));
         response
     }
 
@@ -105,8 +107,8 @@
         mut self,
         mut upstream_response: UpstreamResponse<C>,
         chunks: Sender<Result<Bytes, Truncated>>,
+        _active: RequestGuard<C>,
     ) {
-        let _active = self.gateway.track_request();
         let _running =
             RunningStream { gateway: self.gateway.clone(), attempt: self.stream_attempt() };
         // A caller that resumes a stream has the events up to this one.
